--- /dev/null
+++ b/hookrouter/__init__.py
@@ -0,0 +1,1 @@
+"""hookrouter: a traffic router for two-tier caches."""
--- /dev/null
+++ b/hookrouter/control.py
@@ -0,0 +1,438 @@
+"""Every decision of the router: where a lookup goes, what fills it, when it is tried again, when it is given up.
+
+Called by a host, one Control for each router: Control(seed, terms) at start, then decide(now, inputs) for each
+batch, which returns the effects in order. Types of both are in hookrouter/interface.py. Nothing else is read: no
+clock, no file, no other router. The design (CoBlitz) is docs/design.md: a part's name is hashed with each ready
+cache of the location, the least busy of the top few is picked, the parent topping the same hash fills it.
+
+Beside the design stand, six at most:
+ 1. setting aside: a cache with failures in a row rests, then gets a trickle that doubles while it goes well;
+ 2. cold budget: a cache or parent that started lately gets no more than this router's share of what it can bear;
+ 3. further sends: a lookup that failed fast goes on to the next cache and the next parent, at last past the caches.
+
+The five rules are kept in: _admissible, _nackable (effects), _step and DUE (answers), _usable (drains),
+_affords (cold starts), _oldest (purges).
+"""
+
+from hashlib import blake2b
+from random import Random
+
+from . import interface as i
+
+# ---- constants: spans in tenths of a millisecond
+PART_CANDIDATES = 2  # caches; the design's figure for parts
+WHOLE_CANDIDATES = 1  # caches; the design's figure for whole objects
+FIRST_DEADLINE = 30_000  # the design's 3 s, until a first time is known
+LAST_DEADLINE = 100_000  # the design's 10 s, where backing off ends
+DEVIATIONS = 4  # deviations above the average: few sound parts are beyond (as TCP's timer has it)
+BLEND = 1 / 16  # weight of the newest time in an average: some seconds of one router's traffic
+FAILURES = 3  # in a row: one or two are chance where a few in a hundred fail, three hardly
+REST = 10_000  # 1 s without sends once set aside: short beside the troubles, long beside a stall
+LONGEST_REST = 40_000  # 4 s: a well cache is found again soon, and a sick one costs a lookup each time
+TRICKLE_DONE = 16  # sends out at once: beyond it a trickle limits nothing
+COLD_PACE = 1.0  # of what a cold cache can carry: full use, and all of the multiple above it as reserve
+COLD_BURST = 0.5  # of the reserve between pace and multiple: the rest is for what other figures hide
+MEMORY_MARGIN = 500  # 50 ms: a repeat must reach the group before it forgets
+LEAST_WAIT = 20  # 2 ms: less time than that cannot bring an answer
+STAY_AWAY = 2_000  # 200 ms: long enough for a stall to pass, short beside a client's patience
+PURGE_SLACK = 2  # units lost to rounding when a purge is told and when it is applied
+
+# ---- states and inputs of a lookup
+NEW, PLACING, OUT, PAIRING, PAIR, ENDED = "new", "placing", "out", "pairing", "pair", "ended"
+ARRIVED, SENT, STUCK, FAILED, OVERRUN, SETTLED, DUE = (
+    "arrived", "sent", "stuck", "failed", "overrun", "settled", "due")
+
+
+class Held:
+    """A lookup that still lacks its final answer."""
+
+    __slots__ = ("id", "kind", "name", "key", "part", "group", "work", "due", "state", "sends", "overruns",
+                 "caches", "parents", "doubts", "sources", "straight")
+
+    def __init__(self, lk, kind, work):
+        self.id, self.kind, self.key, self.part, self.group = lk.id, kind, lk.object, lk.part, lk.group
+        self.name = f"{lk.object}|{lk.part}|"  # every part is hashed under a name of its own
+        self.work, self.due, self.state = work, lk.due, NEW
+        self.sends = self.overruns = 0
+        self.caches, self.sources = [], []  # tried already
+        self.doubts = {}  # sends that run or may have run: number -> (when, target)
+        self.straight = False
+
+
+class Sent:
+    """A send whose end has not come."""
+
+    __slots__ = ("target", "source", "kind", "work", "at", "limited")
+
+    def __init__(self, target, source, kind, work, at, limited):
+        self.target, self.source, self.kind, self.work = target, source, kind, work
+        self.at, self.limited = at, limited
+
+
+class Control:
+    def __init__(self, seed, terms):
+        self.random = Random(seed)
+        top = terms.topology
+        self.zone, self.parent_sort, self.origin_sort = top.zone, top.parent_sort, top.origin_sort
+        self.kinds = {kind.name: n for n, kind in enumerate(terms.kinds)}
+        self.kind = terms.kinds
+        self.most_sends, self.pairs, self.joins = terms.most_sends, terms.second_copies, terms.joins
+        self.pass_by, self.cancels = terms.pass_by, terms.may_cancel
+        self.stay_away = min(STAY_AWAY, terms.longest_stay_away) if terms.advice else 0
+        self.pace = top.flow / 10_000  # KB in a tenth of a millisecond
+        self.tells_hits = terms.notes != "none"
+        self.purge_done = terms.purge_done
+        crew = max(1, top.crews[top.zones.index(top.zone)])
+        # Cold starts, for caches and for parents: first share, time to full, pace and burst for this router alone.
+        self.cold = (self._cold_terms(terms.cold_share, terms.cold_for, terms.fall_multiple, terms.fall_for, crew),
+                     self._cold_terms(terms.parent_cold_share, terms.parent_cold_for,
+                                      terms.parent_fall_multiple, terms.fall_for, max(1, top.routers)))
+        # By kind: mean sending time, and average and deviation of what answers took beyond it.
+        self.mean_work = [float(kind.latency_budget) for kind in terms.kinds]
+        self.average = [None] * len(terms.kinds)
+        self.deviation = [0.0] * len(terms.kinds)
+        # By cache, under a dense index.
+        self.index, self.ids, self.sort, self.cell, self.where, self.weight, self.born, self.phase = (
+            {}, [], [], [], [], [], [], [])
+        self.out, self.heard, self.strikes, self.rest, self.rest_until, self.trickle, self.purse, self.purse_at = (
+            [], [], [], [], [], [], [], [])
+        self.edges, self.parents, self.origins = [], [], []
+        self.now = 0
+        self.held, self.sent, self.alarms, self.tokens = {}, {}, {}, 0
+        self.purged = {}  # object or group -> when
+        self.effects = []
+
+    @staticmethod
+    def _cold_terms(share, span, multiple, window, routers):
+        reserve = max(0.0, multiple - COLD_PACE) * COLD_BURST * window
+        return share, max(1, span), COLD_PACE / routers, reserve / routers
+
+    # ---- inputs
+
+    def decide(self, now, inputs):
+        self.now, self.effects = now, []
+        for event in inputs:
+            HANDLERS[type(event)](self, event)
+        return self.effects
+
+    def _on_list(self, news):
+        if news.mode == i.UNANSWERED:
+            return
+        if news.mode != i.CHANGES:  # what a whole list leaves out is gone
+            self.phase = [i.GONE] * len(self.phase)
+        for cache in news.caches:
+            n = self.index.get(cache.id)
+            if n is None:
+                n = self.index[cache.id] = len(self.ids)
+                self.ids.append(cache.id)
+                for column, value in ((self.sort, cache.sort), (self.cell, cache.cell), (self.where, cache.zone),
+                                      (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE), (self.out, 0),
+                                      (self.heard, False), (self.strikes, 0), (self.rest, REST),
+                                      (self.rest_until, None), (self.trickle, None), (self.purse, 0.0),
+                                      (self.purse_at, 0)):
+                    column.append(value)
+            if cache.born != self.born[n]:  # started anew: its past is void, its budget starts empty
+                self.born[n], self.purse[n], self.purse_at[n] = cache.born, 0.0, self.now
+                self.strikes[n], self.rest_until[n], self.trickle[n], self.rest[n] = 0, None, None, REST
+            self.weight[n], self.phase[n] = max(cache.weight, 0.01), cache.phase
+        ready = [n for n in range(len(self.ids)) if self.phase[n] == i.READY]
+        self.origins = [n for n in ready if self.sort[n] == self.origin_sort]
+        self.parents = [n for n in ready if self.sort[n] == self.parent_sort and n not in self.origins]
+        self.edges = [n for n in ready if self.where[n] == self.zone
+                      and self.sort[n] not in (self.origin_sort, self.parent_sort)]
+
+    def _on_lookup(self, lk):
+        kind = self.kinds.get(lk.kind)
+        if kind is None:
+            self.effects.append(i.Fail(lk.id))
+            return
+        held = self.held[lk.id] = Held(lk, kind, lk.size / self.pace if lk.size else 0.0)
+        self._alarm(max(0, lk.due - self.now), (lk.id, DUE))
+        self._step(held, ARRIVED)
+
+    def _on_alarm(self, alarm):
+        lk_id, word = self.alarms.pop(alarm.token, (None, None))
+        lk = self.held.get(lk_id)
+        if lk is not None and (word == DUE or (lk_id, word) in self.sent):
+            self._step(lk, DUE if word == DUE else OVERRUN)
+
+    def _on_end(self, end):
+        sent = self.sent.pop((end.id, end.send), None)
+        if sent is not None:
+            self.out[sent.target] -= 1
+            self._learn(sent, end)
+        lk = self.held.get(end.id)
+        if lk is None:
+            return
+        if end.end in i.NEVER_RAN:
+            lk.doubts.pop(end.send, None)
+        if end.end == i.LATE and sent is not None and sent.limited:
+            lk.overruns += 1
+        self._step(lk, SETTLED if end.settled else FAILED)
+
+    def _on_gone(self, gone):
+        if gone.id in self.held:
+            self._step(self.held[gone.id], SETTLED)
+
+    def _on_purge(self, purge):
+        name = purge.object if purge.object is not None else purge.group
+        made = self.now - max(0, purge.age)
+        self.purged[name] = max(made, self.purged.get(name, made))
+
+    def _pass_over(self, event):
+        """Streams, probes and words among routers: nothing here asks for them yet."""
+
+    # ---- the lookup's table, and the loop that reads it
+
+    def _step(self, lk, word):
+        while word is not None:
+            lk.state, effect = LOOKUP_TABLE[lk.state, word]
+            word = effect(self, lk)
+
+    def _nothing(self, lk):
+        return None
+
+    def _place(self, lk):
+        """One more send where rules, limits and time allow it."""
+        kind, left = self.kind[lk.kind], lk.due - self.now
+        if left < LEAST_WAIT or lk.sends >= self.most_sends:
+            return STUCK
+        if kind.write and self.pass_by:  # passes untouched: it runs at the origin and nothing is kept
+            target, source = (self.origins or [None])[0], None
+        else:
+            target, source = self._pick(lk)
+        if target is None or not self._admissible(lk, target):
+            return STUCK
+        return self._send(lk, target, source, left)
+
+    def _give_up(self, lk):
+        """The final answer, at once: a nack with a time to come back where that is harmless."""
+        if self._nackable(lk):
+            self.effects.append(i.Nack(lk.id, self.stay_away))
+        else:
+            self.effects.append(i.Fail(lk.id))
+        return self._settle(lk)
+
+    def _settle(self, lk):
+        del self.held[lk.id]
+        if self.cancels:
+            for number in range(lk.sends):
+                if (lk.id, number) in self.sent:
+                    self.effects.append(i.Cancel(lk.id, number))
+        return None
+
+    # ---- placing
+
+    def _rank(self, name, caches):
+        """Caches by the shared hash of a name with their ids: the same order on every router."""
+        return sorted(caches, key=lambda n: blake2b((name + self.ids[n]).encode(), digest_size=8).digest())
+
+    def _pick(self, lk):
+        """Target and source of the next send; no target where nothing is left to try."""
+        kind, cost = self.kind[lk.kind], self.mean_work[lk.kind]
+        ranked = [n for n in self._rank(lk.name, self.edges) if n not in lk.caches]
+        fit = [n for n in ranked if self._usable(n) and self._affords(n, cost)]
+        if not fit:  # all that is left is set aside: still better than nothing, as long as it is not cold
+            fit = [n for n in ranked if self._affords(n, cost)]
+        parents = [n for n in self._rank(lk.name, self.parents) if n not in lk.sources]
+        parents = [n for n in parents if self._usable(n) and self._affords(n, cost)]
+        source = (parents or self.origins or [None])[0]
+        if fit:
+            top = fit[:PART_CANDIDATES if kind.in_parts else WHOLE_CANDIDATES]
+            target = min(top, key=self._load)
+            return target, target if source is None else source
+        if self.pass_by and source is not None and not lk.straight:  # past the caches, once
+            lk.straight = True
+            return source, source
+        return None, None
+
+    def _load(self, n):
+        """A cache not yet heard from counts as average, or it would draw all."""
+        if self.heard[n]:
+            return self.out[n]
+        known = [self.out[m] for m in self.edges if self.heard[m]]
+        return max(self.out[n], sum(known) / len(known)) if known else self.out[n]
+
+    def _send(self, lk, target, source, left):
+        number, kind = lk.sends, self.kind[lk.kind]
+        limit = self._deadline(lk)
+        lk.sends += 1
+        lk.doubts[number] = self.now, target
+        first = lk.overruns == 0 and not kind.write and target not in self.origins
+        limited = first and limit < left
+        wait = left
+        if limited and self.pairs:
+            self._alarm(limit, (lk.id, number))
+        elif limited:
+            wait = limit
+        lk.caches.append(target)
+        if source is not None:
+            lk.sources.append(source)
+        cost = self.mean_work[lk.kind]
+        self._spend(target, cost)
+        if source is not None and source != target:
+            self._spend(source, cost)
+        self.out[target] += 1
+        self.sent[lk.id, number] = Sent(target, source, lk.kind, lk.work, self.now, limited)
+        if source is None or target in self.origins:
+            self.effects.append(i.Ask(lk.id, self.ids[target], wait))
+        else:
+            edge = target in self.edges
+            self.effects.append(i.Obtain(
+                lk.id, self.ids[target], self.ids[source], wait, self._oldest(lk),
+                1 if edge and not kind.write else 0,
+                self.joins, False, False, False))
+        return SENT
+
+    def _deadline(self, lk):
+        """When a part is late: the design's average and deviation, doubled with each overrun."""
+        if self.average[lk.kind] is None:
+            limit = FIRST_DEADLINE
+        else:
+            limit = lk.work + self.average[lk.kind] + DEVIATIONS * self.deviation[lk.kind]
+        return int(min(LAST_DEADLINE, max(LEAST_WAIT, limit) * 2 ** lk.overruns))
+
+    def _learn(self, sent, end):
+        k = sent.kind
+        if end.end == i.SATISFIED:
+            self.heard[sent.target] = True
+            over = max(0.0, end.took - sent.work)
+            if self.average[k] is None:
+                self.average[k], self.deviation[k] = over, over / 2
+            else:
+                self.deviation[k] += BLEND * (abs(over - self.average[k]) - self.deviation[k])
+                self.average[k] += BLEND * (over - self.average[k])
+            self.mean_work[k] += BLEND * ((sent.work or end.took) - self.mean_work[k])
+            self._health(sent.target, GOOD)
+            filled = not self.tells_hits or end.note in (i.FILLED, i.FROM_ORIGIN, i.JOINED)
+            if sent.source is not None and sent.source != sent.target and filled:
+                self._health(sent.source, GOOD)
+        elif end.end in (i.ERRED, i.FULL, i.UNREACHED, i.BROKEN, i.LATE):
+            self._health(sent.target, BAD)
+
+    # ---- health
+
+    def _health(self, n, word):
+        state = WELL if self.trickle[n] is None else TRICKLE
+        CACHE_TABLE[state, word](self, n)
+
+    def _clear(self, n):
+        self.strikes[n] = 0
+
+    def _strike(self, n):
+        self.strikes[n] += 1
+        if self.strikes[n] >= FAILURES:
+            self._set_aside(n)
+
+    def _set_aside(self, n):
+        if self.rest_until[n] is not None and self.now < self.rest_until[n]:
+            return  # ends of what was sent before
+        self.trickle[n], self.rest_until[n] = 1, self.now + self.rest[n]
+        self.rest[n] = min(LONGEST_REST, 2 * self.rest[n])
+
+    def _widen(self, n):
+        self.trickle[n] *= 2
+        if self.trickle[n] >= TRICKLE_DONE:
+            self.trickle[n], self.rest_until[n], self.rest[n], self.strikes[n] = None, None, REST, 0
+
+    def _usable(self, n):
+        return self.trickle[n] is None or (self.now >= self.rest_until[n] and self.out[n] < self.trickle[n])
+
+    # ---- the rules
+
+    def _admissible(self, lk, target):
+        """No effect twice: may this lookup be sent there, given what may have run?"""
+        kind = self.kind[lk.kind]
+        if not self.pairs and any((lk.id, number) in self.sent for number in lk.doubts):
+            return False
+        if not lk.doubts or kind.effect == i.IDEMPOTENT:
+            return True
+        if kind.effect == i.SIDE_EFFECTING:
+            return False
+        for when, first in lk.doubts.values():
+            if self.now >= when + kind.remembered - MEMORY_MARGIN:
+                return False
+            if kind.dropped_at == i.SAME_ZONE and self.where[first] != self.where[target]:
+                return False
+            if kind.dropped_at == i.SAME_CELL and self.cell[first] != self.cell[target]:
+                return False
+        return True
+
+    def _nackable(self, lk):
+        kind = self.kind[lk.kind]
+        return not lk.doubts or kind.effect == i.IDEMPOTENT or (
+            kind.effect == i.DEDUPLICATED and kind.dropped_at == i.EVERYWHERE)
+
+    def _oldest(self, lk):
+        """The age that will do. Never 0 for a purged object: that would mean any copy."""
+        bounds = [self.kind[lk.kind].fresh] if self.kind[lk.kind].fresh else []
+        for name in (lk.key, lk.group):
+            made = self.purged.get(name)
+            if made is not None:
+                if self.now - made > 2 * self.purge_done:
+                    del self.purged[name]  # no older copy is left anywhere
+                else:
+                    bounds.append(max(1, self.now - made - PURGE_SLACK))
+        return min(bounds, default=0)
+
+    def _cold_now(self, n):
+        """The cold terms in force for this cache, or none once it must be warm."""
+        terms = self.cold[self.sort[n] == self.parent_sort]
+        if not self.born[n] or self.now >= self.born[n] + terms[1] or self.sort[n] == self.origin_sort:
+            return None
+        return terms
+
+    def _affords(self, n, cost):
+        """No cold cache pushed over: this router's share of what it can bear now, as a purse that fills."""
+        terms = self._cold_now(n)
+        if terms is None:
+            return True
+        share, span, pace, burst = terms
+        capacity = self.weight[n] * min(1.0, share + (1 - share) * max(0, self.now - self.born[n]) / span)
+        gained = max(0, self.now - self.purse_at[n]) * capacity * pace
+        self.purse[n] = min(capacity * burst, self.purse[n] + gained)
+        self.purse_at[n] = self.now
+        return self.purse[n] >= cost
+
+    def _spend(self, n, cost):
+        if self._cold_now(n) is not None:
+            self.purse[n] -= cost
+
+    def _alarm(self, delay, what):
+        self.tokens += 1
+        self.alarms[self.tokens] = what
+        self.effects.append(i.SetAlarm(delay, self.tokens))
+
+
+GOOD, BAD, WELL, TRICKLE = "good", "bad", "well", "trickle"
+
+# state, input -> next state, effect; an effect may hand back a further input.
+LOOKUP_TABLE = {
+    (NEW, ARRIVED): (PLACING, Control._place),
+    (PLACING, SENT): (OUT, Control._nothing),
+    (PLACING, STUCK): (ENDED, Control._give_up),
+    (OUT, FAILED): (PLACING, Control._place),
+    (OUT, OVERRUN): (PAIRING, Control._place),
+    (OUT, SETTLED): (ENDED, Control._settle),
+    (OUT, DUE): (ENDED, Control._give_up),
+    (PAIRING, SENT): (PAIR, Control._nothing),
+    (PAIRING, STUCK): (OUT, Control._nothing),
+    (PAIR, FAILED): (OUT, Control._nothing),
+    (PAIR, OVERRUN): (PAIR, Control._nothing),
+    (PAIR, SETTLED): (ENDED, Control._settle),
+    (PAIR, DUE): (ENDED, Control._give_up),
+}
+
+# state of a cache, how a send there ended -> effect
+CACHE_TABLE = {
+    (WELL, GOOD): Control._clear,
+    (WELL, BAD): Control._strike,
+    (TRICKLE, GOOD): Control._widen,
+    (TRICKLE, BAD): Control._set_aside,
+}
+
+HANDLERS = {
+    i.CacheList: Control._on_list, i.Lookup: Control._on_lookup, i.Alarm: Control._on_alarm,
+    i.SendEnd: Control._on_end, i.ClientGone: Control._on_gone, i.Purged: Control._on_purge,
+    i.Begun: Control._pass_over, i.ProbeEnd: Control._pass_over, i.Whisper: Control._pass_over,
+}
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,173 @@
+"""A small made-up fleet, a driver that feeds a Control, and the plain model of the five rules."""
+
+from hookrouter import interface as i
+from hookrouter.control import Control
+
+MS = 10
+SECOND = 10_000
+
+
+def kind(name, effect=i.IDEMPOTENT, **more):
+    row = dict(name=name, latency_budget=5_000, budget_stretch=2.0, deadline=4 * SECOND, utility=1.0, late_share=0.1,
+               effect=effect, dropped_at=i.EVERYWHERE, remembered=0, fresh=0, grace=0, stale_share=0.7,
+               in_parts=False, write=False)
+    return i.ObjectKind(**{**row, **more})
+
+
+KINDS = (kind("clip", in_parts=True), kind("page", fresh=8 * SECOND),
+         kind("hold", i.DEDUPLICATED, remembered=2 * SECOND, write=True),
+         kind("cell-hold", i.DEDUPLICATED, remembered=2 * SECOND, dropped_at=i.SAME_CELL),
+         kind("order", i.SIDE_EFFECTING))
+
+
+def terms(**more):
+    top = i.Topology(number=0, routers=2, zone="edge", zones=("hub", "edge"), hubs=(0, 0), crews=(0, 2),
+                     links=(0, 0), parent_sort="parent", origin_sort="origin", siblings=i.OWN_LOCATION, flow=5000.0)
+    row = dict(topology=top, kinds=KINDS, most_sends=6, second_copies=False, may_cancel=True, may_probe=True,
+               may_whisper=False, pass_by=True, joins=True, longest_stay_away=5_000, advice=True, report_fields=(),
+               reports="none", notes="hit", drain_grace=500 * MS, purge_grace=500 * MS, purge_done=6 * SECOND,
+               cold_share=0.2, cold_for=15 * SECOND, fall_multiple=2.5, fall_for=SECOND, parent_cold_share=0.1,
+               parent_cold_for=20 * SECOND, parent_fall_multiple=2.0, origin_fall_multiple=0.0, origin_fall_for=0,
+               tick=20)
+    return i.Terms(**{**row, **more})
+
+
+def cache(name, phase=i.READY, born=0, sort="box"):
+    return i.Cache(id=name, zone="edge" if sort == "box" else "hub", cell=int(name[-1]) % 2 if sort == "box" else 9,
+                   weight=8.0 if sort == "box" else 30.0, born=born, phase=phase, sort=sort)
+
+
+FLEET = (*(cache(f"c{n}") for n in range(4)), cache("p0", sort="parent"), cache("p1", sort="parent"),
+         cache("o0", sort="origin"))
+
+
+def router(fleet=FLEET, seed=1, **more):
+    control = Control(seed, terms(**more))
+    control.decide(1_000_000, [i.CacheList(i.REMEMBERED, tuple(fleet))])
+    return control
+
+
+def lookup(number, kind="clip", due=1_000_000 + 4 * SECOND, key=None, part=0, group=1, size=0):
+    return i.Lookup(id=number, kind=kind, object=key or f"k{number}", part=part, group=group, size=size, due=due,
+                    repeat=False)
+
+
+def ended(send, end, number=0, settled=None, note=0, took=100):
+    return i.SendEnd(id=send.id, send=number, end=end, note=note, took=took, cache=send.cache, report=None,
+                     settled=end == i.SATISFIED if settled is None else settled)
+
+
+def sends(effects):
+    return [e for e in effects if isinstance(e, (i.Ask, i.Obtain))]
+
+
+class Model:
+    """The five rules, told the same inputs and shown the effects; written to be plain, not fast."""
+
+    def __init__(self, terms):
+        self.terms, self.kinds = terms, {k.name: k for k in terms.kinds}
+        self.caches, self.unfit, self.lookups, self.purges, self.cold = {}, {}, {}, [], []
+
+    def told(self, now, event):
+        if isinstance(event, i.CacheList) and event.mode != i.UNANSWERED:
+            if event.mode != i.CHANGES:
+                for name in self.caches:
+                    self.unfit.setdefault(name, now)
+            for c in event.caches:
+                self.caches[c.id] = c
+                if c.phase == i.READY:
+                    self.unfit.pop(c.id, None)
+                else:
+                    self.unfit.setdefault(c.id, now)
+        elif isinstance(event, i.Lookup):
+            self.lookups[event.id] = {"lookup": event, "answered": False, "sends": []}
+        elif isinstance(event, i.SendEnd):
+            held = self.lookups[event.id]
+            held["sends"][event.send]["end"] = event.end
+            held["answered"] |= event.settled
+        elif isinstance(event, i.ClientGone):
+            self.lookups[event.id]["answered"] = True
+        elif isinstance(event, i.Purged):
+            self.purges.append((now, now - event.age, event))
+
+    def shown(self, now, effect):
+        """The rule that this effect breaks, or None."""
+        if isinstance(effect, (i.Nack, i.Fail)):
+            held = self.lookups[effect.id]
+            again, held["answered"] = held["answered"], True
+            if again:
+                return "answered twice"
+            return "nacked what may have run" if isinstance(effect, i.Nack) and self.risky_nack(held) else None
+        if not isinstance(effect, (i.Ask, i.Obtain)):
+            return None
+        held = self.lookups[effect.id]
+        broken = (self.answer(now, held) or self.repeat(now, held, effect) or self.drain(now, effect)
+                  or self.purge(now, held, effect) or self.warm(now, held, effect))
+        held["sends"].append({"at": now, "cache": effect.cache, "end": None})
+        return broken
+
+    def answer(self, now, held):
+        return "sent after the answer" if held["answered"] else None
+
+    def doubts(self, held):
+        return [s for s in held["sends"] if s["end"] not in i.NEVER_RAN]
+
+    def risky_nack(self, held):
+        k = self.kinds[held["lookup"].kind]
+        harmless = k.effect == i.IDEMPOTENT or k.effect == i.DEDUPLICATED and k.dropped_at == i.EVERYWHERE
+        return self.doubts(held) and not harmless
+
+    def repeat(self, now, held, effect):
+        k = self.kinds[held["lookup"].kind]
+        out = [s for s in held["sends"] if s["end"] is None]
+        if len(held["sends"]) >= self.terms.most_sends:
+            return "too many sends"
+        if out and (not self.terms.second_copies or len(out) > 1):
+            return "two at once"
+        if k.effect == i.SIDE_EFFECTING and self.doubts(held):
+            return "an effect twice"
+        if k.effect == i.DEDUPLICATED:
+            for s in self.doubts(held):
+                if now > s["at"] + k.remembered:
+                    return "repeated after the memory"
+                if k.dropped_at == i.SAME_CELL and self.caches[s["cache"]].cell != self.caches[effect.cache].cell:
+                    return "repeated outside the group"
+        return None
+
+    def drain(self, now, effect):
+        for name in {effect.cache, getattr(effect, "source", effect.cache)}:
+            if now > self.unfit.get(name, now) + self.terms.drain_grace:
+                return "sent to a drained cache"
+        return None
+
+    def purge(self, now, held, effect):
+        lk = held["lookup"]
+        for told, made, p in self.purges:
+            hit = p.object == lk.object if p.object is not None else p.group == lk.group
+            if hit and now > told + self.terms.purge_grace and now < made + self.terms.purge_done:
+                if self.caches[effect.cache].sort == self.terms.topology.origin_sort:
+                    continue
+                limit = 0 if isinstance(effect, i.Ask) else effect.age
+                limit = limit or self.kinds[lk.kind].fresh
+                if limit == 0 or limit > now - made:
+                    return "an old copy allowed"
+        return None
+
+    def warm(self, now, held, effect):
+        """This router's share of the budget of every window that ends now, each lookup at the least it can cost."""
+        t = self.terms
+        for name in {effect.cache, getattr(effect, "source", effect.cache)}:
+            c = self.caches[name]
+            parent = c.sort == t.topology.parent_sort
+            share, span, multiple, routers = (
+                (t.parent_cold_share, t.parent_cold_for, t.parent_fall_multiple, t.topology.routers) if parent
+                else (t.cold_share, t.cold_for, t.fall_multiple, t.topology.crews[1]))
+            if not c.born or now >= c.born + span or c.sort == t.topology.origin_sort:
+                continue
+            self.cold.append((now, name, held["lookup"].size / t.topology.flow * SECOND))
+            start = max(now - t.fall_for, c.born)
+            spent = sum(work for at, who, work in self.cold if who == name and at > start)
+            able = c.weight * (share + (1 - share) * (start - c.born) / span)
+            if spent > multiple * able * t.fall_for / routers:
+                return "a cold cache pushed over"
+        return None
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,80 @@
+"""Small tests: the ordinary path, and one for each failure found."""
+
+from fleet import FLEET, SECOND, cache, ended, lookup, router, sends
+
+from hookrouter import interface as i
+
+NOW = 1_000_000
+
+
+def test_parts_of_one_object_spread_and_agree_between_routers():
+    one, other = router(seed=1), router(seed=2)
+    asked = [lookup(n, key="film", part=n) for n in range(40)]
+    first = [sends(one.decide(NOW, [lk]))[0].cache for lk in asked]
+    assert len(set(first)) == 4
+    again = [sends(other.decide(NOW, [lk]))[0].cache for lk in asked]
+    assert first[0] == again[0]
+
+
+def test_a_part_goes_to_the_less_busy_of_its_two_candidates():
+    control = router()
+    first = [sends(control.decide(NOW, [lookup(n, key="film")]))[0].cache for n in range(4)]
+    assert len(set(first)) == 2
+
+
+def test_a_fill_comes_from_the_next_parent_and_from_the_origin_where_none_is_up():
+    source = sends(router().decide(NOW, [lookup(1)]))[0].source
+    left = [c for c in FLEET if c.id != source]
+    other = sends(router(left).decide(NOW, [lookup(1)]))[0].source
+    assert {source, other} == {"p0", "p1"}
+    none = [c for c in FLEET if c.sort != "parent"]
+    assert sends(router(none).decide(NOW, [lookup(1)]))[0].source == "o0"
+
+
+def test_a_part_that_overruns_is_tried_at_its_other_candidate():
+    control = router()
+    first = sends(control.decide(NOW, [lookup(1)]))[0]
+    assert first.wait == 3 * SECOND
+    second = sends(control.decide(NOW + first.wait, [ended(first, i.LATE)]))[0]
+    assert second.cache != first.cache
+
+
+def test_a_second_copy_runs_beside_the_first_and_the_loser_is_cancelled():
+    control = router(second_copies=True)
+    effects = control.decide(NOW, [lookup(1)])
+    alarm = min((e for e in effects if isinstance(e, i.SetAlarm)), key=lambda e: e.delay)
+    second = sends(control.decide(NOW + alarm.delay, [i.Alarm(alarm.token)]))[0]
+    assert second.cache != sends(effects)[0].cache
+    assert control.decide(NOW + alarm.delay + 9, [ended(second, i.SATISFIED, 1)]) == [i.Cancel(1, 0)]
+
+
+def test_an_empty_list_still_answers():
+    assert any(isinstance(e, i.Nack) for e in router([]).decide(NOW, [lookup(1)]))
+
+
+def test_a_write_without_passing_by_names_the_source():
+    send = sends(router(pass_by=False).decide(NOW, [lookup(1, "hold")]))[0]
+    assert send.cache.startswith("c") and send.source[0] in "po" and send.rank == 0
+
+
+def test_failures_in_a_row_set_a_cache_aside_and_a_trickle_brings_it_back():
+    control = router([cache("c0"), cache("c1"), FLEET[-1]])
+    for n in range(1, 60):
+        send = sends(control.decide(NOW, [lookup(n)]))[0]
+        control.decide(NOW, [ended(send, i.ERRED if send.cache == "c0" else i.SATISFIED)])
+    n = control.index["c0"]
+    assert not control._usable(n) and control._usable(control.index["c1"])
+    for step in range(60, 200):
+        now = NOW + step * 1000
+        send = sends(control.decide(now, [lookup(step, due=now + SECOND)]))[0]
+        control.decide(now, [ended(send, i.SATISFIED)])
+    assert control.trickle[n] is None
+
+
+def test_absurd_but_legal_inputs_raise_nothing():
+    control = router([cache("c0", born=9 * NOW), *FLEET[1:]])
+    events = [lookup(1, due=0), lookup(2, "no such kind"), i.Purged(10 * NOW, 1, None), i.Alarm(99), i.ClientGone(77),
+              i.CacheList(i.WHOLE, ()), i.CacheList(i.UNANSWERED, ()), lookup(3), i.Begun(5, 0),
+              i.ProbeEnd(i.LATE, "c0", 5, None), i.Whisper(1, b"")]
+    answered = [e.id for e in control.decide(NOW, events) if isinstance(e, (i.Nack, i.Fail))]
+    assert answered == [1, 2, 3]
