Further sends come from a budget, so a storm of refusals cannot feed on itself

Guards also against retries under a crashed origin or parent; harm: a cache that crashes costs lookups once the ten saved sends are spent.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -33,6 +33,8 @@
 COLD_PACE = 1.0  # of what a cold cache can carry: full use, and all of the multiple above it as reserve
 COLD_BURST = 0.5  # of the reserve between pace and multiple: the rest is for what other figures hide
 MEMORY_MARGIN = 500  # 50 ms: a repeat must reach the group before it forgets
+SPARE_SHARE = 0.1  # further sends earned by each first send: a storm cannot feed on itself
+SPARE_MOST = 10.0  # further sends saved up: a cache's crash costs about as many before it is set aside
 LEAST_WAIT = 20  # 2 ms: less time than that cannot bring an answer
 STAY_AWAY = 2_000  # 200 ms: long enough for a stall to pass, short beside a client's patience
 PURGE_SLACK = 2  # units lost to rounding when a purge is told and when it is applied
@@ -97,7 +99,7 @@
         self.out, self.heard, self.strikes, self.rest, self.rest_until, self.trickle, self.purse, self.purse_at = (
             [], [], [], [], [], [], [], [])
         self.edges, self.parents, self.origins = [], [], []
-        self.now = 0
+        self.now, self.spare = 0, SPARE_MOST
         self.held, self.sent, self.alarms, self.tokens = {}, {}, {}, 0
         self.purged = {}  # object or group -> when
         self.effects = []
@@ -195,7 +197,7 @@
     def _place(self, lk):
         """One more send where rules, limits and time allow it."""
         kind, left = self.kind[lk.kind], lk.due - self.now
-        if left < LEAST_WAIT or lk.sends >= self.most_sends:
+        if left < LEAST_WAIT or lk.sends >= self.most_sends or (lk.sends and self.spare < 1):
             return STUCK
         if kind.write and self.pass_by:  # passes untouched: it runs at the origin and nothing is kept
             target, source = (self.origins or [None])[0], None
@@ -256,10 +258,11 @@
     def _send(self, lk, target, source, left):
         number, kind = lk.sends, self.kind[lk.kind]
         limit = self._deadline(lk)
+        self.spare = self.spare - 1 if lk.sends else min(SPARE_MOST, self.spare + SPARE_SHARE)
         lk.sends += 1
         lk.doubts[number] = self.now, target
         first = lk.overruns == 0 and not kind.write and target not in self.origins
-        limited = first and limit < left
+        limited = first and limit < left and self.spare >= 1
         wait = left
         if limited and self.pairs:
             self._alarm(limit, (lk.id, number))
