The origin fills only where no parent is up

Cause: a parent once tried or set aside was skipped and the origin, the narrowest place, took its fills. Harm: a parent that fails all keeps its share until its fills are told apart from its caches' troubles.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -236,8 +236,8 @@
         fit = [n for n in ranked if self._usable(n) and self._affords(n, cost)]
         if not fit:  # all that is left is set aside: still better than nothing, as long as it is not cold
             fit = [n for n in ranked if self._affords(n, cost)]
-        parents = [n for n in self._rank(lk.name, self.parents) if n not in lk.sources]
-        parents = [n for n in parents if self._usable(n) and self._affords(n, cost)]
+        parents = [n for n in self._rank(lk.name, self.parents) if self._affords(n, cost)]
+        parents.sort(key=lambda n: (not self._usable(n), n in lk.sources))  # stable: else the hash's order
         source = (parents or self.origins or [None])[0]
         if fit:
             top = fit[:PART_CANDIDATES if kind.in_parts else WHOLE_CANDIDATES]
