A part keeps to its top cache until that is clearly busier than the next

Cause: picking the fewest own sends of two puts nearly every part on two caches: half the room, a third more fills. Conclusion: lead of two and 3 in 100 kept. Should also calm parts under pauses; harm: a top cache slow by less than half keeps its parts.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -22,6 +22,8 @@
 # ---- constants: spans in tenths of a millisecond
 PART_CANDIDATES = 2  # caches; the design's figure for parts
 WHOLE_CANDIDATES = 1  # caches; the design's figure for whole objects
+LEAD = 2.0  # times busier must the top cache be before the next one is: every move costs a second copy
+IDLE_SHARE = 1.0  # of a cache's link, in sends at full pace: sends below that do not slow each other
 FIRST_DEADLINE = 30_000  # the design's 3 s, until a first time is known
 LAST_DEADLINE = 100_000  # the design's 10 s, where backing off ends
 DEVIATIONS = 4  # deviations above the average: few sound parts are beyond (as TCP's timer has it)
@@ -33,7 +35,7 @@
 COLD_PACE = 1.0  # of what a cold cache can carry: full use, and all of the multiple above it as reserve
 COLD_BURST = 0.5  # of the reserve between pace and multiple: the rest is for what other figures hide
 MEMORY_MARGIN = 500  # 50 ms: a repeat must reach the group before it forgets
-SPARE_SHARE = 0.1  # further sends earned by each first send: a storm cannot feed on itself
+SPARE_SHARE = 0.03  # further sends earned by each first send: a storm cannot feed on itself
 SPARE_MOST = 10.0  # further sends saved up: a cache's crash costs about as many before it is set aside
 LEAST_WAIT = 20  # 2 ms: less time than that cannot bring an answer
 STAY_AWAY = 2_000  # 200 ms: long enough for a stall to pass, short beside a client's patience
@@ -86,6 +88,7 @@
         self.purge_done = terms.purge_done
         crew = max(1, top.crews[top.zones.index(top.zone)])
         # Cold starts, for caches and for parents: first share, time to full, pace and burst for this router alone.
+        self.idle = IDLE_SHARE / crew
         self.cold = (self._cold_terms(terms.cold_share, terms.cold_for, terms.fall_multiple, terms.fall_for, crew),
                      self._cold_terms(terms.parent_cold_share, terms.parent_cold_for,
                                       terms.parent_fall_multiple, terms.fall_for, max(1, top.routers)))
@@ -241,7 +244,7 @@
         source = (parents or self.origins or [None])[0]
         if fit:
             top = fit[:PART_CANDIDATES if kind.in_parts else WHOLE_CANDIDATES]
-            target = min(top, key=self._load)
+            target = min(top, key=lambda n: self._load(n) * (1 if n == top[0] else LEAD))
             return target, target if source is None else source
         if self.pass_by and source is not None and not lk.straight:  # past the caches, once
             lk.straight = True
@@ -250,10 +253,9 @@
 
     def _load(self, n):
         """A cache not yet heard from counts as average, or it would draw all."""
-        if self.heard[n]:
-            return self.out[n]
         known = [self.out[m] for m in self.edges if self.heard[m]]
-        return max(self.out[n], sum(known) / len(known)) if known else self.out[n]
+        out = self.out[n] if self.heard[n] or not known else max(self.out[n], sum(known) / len(known))
+        return max(self.idle, out / self.weight[n])
 
     def _send(self, lk, target, source, left):
         number, kind = lk.sends, self.kind[lk.kind]
