Further sends are earned by satisfied sends, so nothing is repeated where nothing succeeds

Cause: in a jam a share of the first sends still went out twice. Should also help under a dead origin; harm: after a long trouble the first failures are not repeated until some were satisfied.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -35,7 +35,7 @@
 COLD_PACE = 1.0  # of what a cold cache can carry: full use, and all of the multiple above it as reserve
 COLD_BURST = 0.5  # of the reserve between pace and multiple: the rest is for what other figures hide
 MEMORY_MARGIN = 500  # 50 ms: a repeat must reach the group before it forgets
-SPARE_SHARE = 0.03  # further sends earned by each first send: a storm cannot feed on itself
+SPARE_SHARE = 0.05  # further sends earned by each satisfied one: where nothing succeeds, nothing is repeated
 SPARE_MOST = 10.0  # further sends saved up: a cache's crash costs about as many before it is set aside
 LEAST_WAIT = 20  # 2 ms: less time than that cannot bring an answer
 STAY_AWAY = 2_000  # 200 ms: long enough for a stall to pass, short beside a client's patience
@@ -260,7 +260,7 @@
     def _send(self, lk, target, source, left):
         number, kind = lk.sends, self.kind[lk.kind]
         limit = self._deadline(lk)
-        self.spare = self.spare - 1 if lk.sends else min(SPARE_MOST, self.spare + SPARE_SHARE)
+        self.spare -= lk.sends > 0
         lk.sends += 1
         lk.doubts[number] = self.now, target
         first = lk.overruns == 0 and not kind.write and target not in self.origins
@@ -301,6 +301,7 @@
         k = sent.kind
         if end.end == i.SATISFIED:
             self.heard[sent.target] = True
+            self.spare = min(SPARE_MOST, self.spare + SPARE_SHARE)
             over = max(0.0, end.took - sent.work)
             if self.average[k] is None:
                 self.average[k], self.deviation[k] = over, over / 2
