CoBlitz's window bounds fills and each cache's hits: beyond it hits only, then a nack

Cause: once a location's link is full every fill is late, and more fills only make the rest late too; the same holds for a cache's own link. The paper's chunk window (grows by 1/log as parts come in time, shrinks by one as they miss) is kept, over fills out and over each cache's hits. Guards against crowds, overload, slow parents and origin, slow caches; harm: a few late caches shed fills of well ones.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -15,6 +15,7 @@
 """
 
 from hashlib import blake2b
+from math import inf, log
 from random import Random
 
 from . import interface as i
@@ -24,6 +25,8 @@
 WHOLE_CANDIDATES = 1  # caches; the design's figure for whole objects
 LEAD = 2.0  # times busier must the top cache be before the next one is: every move costs a second copy
 IDLE_SHARE = 1.0  # of a cache's link, in sends at full pace: sends below that do not slow each other
+WINDOW_LEAST = 2.0  # sends out: enough to go on learning from
+WINDOW_FULL = 4.0  # times what a cache's link carries at full pace: beyond it nothing comes in time
 FIRST_DEADLINE = 30_000  # the design's 3 s, until a first time is known
 LAST_DEADLINE = 100_000  # the design's 10 s, where backing off ends
 DEVIATIONS = 4  # deviations above the average: few sound parts are beyond (as TCP's timer has it)
@@ -51,7 +54,7 @@
     """A lookup that still lacks its final answer."""
 
     __slots__ = ("id", "kind", "name", "key", "part", "group", "work", "due", "state", "sends", "overruns",
-                 "caches", "parents", "doubts", "sources", "straight")
+                 "caches", "parents", "doubts", "sources", "straight", "hits_only")
 
     def __init__(self, lk, kind, work):
         self.id, self.kind, self.key, self.part, self.group = lk.id, kind, lk.object, lk.part, lk.group
@@ -60,7 +63,7 @@
         self.sends = self.overruns = 0
         self.caches, self.sources = [], []  # tried already
         self.doubts = {}  # sends that run or may have run: number -> (when, target)
-        self.straight = False
+        self.straight = self.hits_only = False
 
 
 class Sent:
@@ -99,9 +102,11 @@
         # By cache, under a dense index.
         self.index, self.ids, self.sort, self.cell, self.where, self.weight, self.born, self.phase = (
             {}, [], [], [], [], [], [], [])
-        self.out, self.heard, self.strikes, self.rest, self.rest_until, self.trickle, self.purse, self.purse_at = (
+        self.out, self.heard, self.room, self.strikes, self.rest, self.rest_until, self.trickle, self.purse = (
             [], [], [], [], [], [], [], [])
+        self.purse_at = []
         self.edges, self.parents, self.origins = [], [], []
+        self.window, self.filling = inf, 0  # the first slide brings it to its widest
         self.now, self.spare = 0, SPARE_MOST
         self.held, self.sent, self.alarms, self.tokens = {}, {}, {}, 0
         self.purged = {}  # object or group -> when
@@ -132,9 +137,9 @@
                 self.ids.append(cache.id)
                 for column, value in ((self.sort, cache.sort), (self.cell, cache.cell), (self.where, cache.zone),
                                       (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE), (self.out, 0),
-                                      (self.heard, False), (self.strikes, 0), (self.rest, REST),
-                                      (self.rest_until, None), (self.trickle, None), (self.purse, 0.0),
-                                      (self.purse_at, 0)):
+                                      (self.heard, False), (self.room, max(WINDOW_LEAST, cache.weight * WINDOW_FULL)),
+                                      (self.strikes, 0), (self.rest, REST), (self.rest_until, None),
+                                      (self.trickle, None), (self.purse, 0.0), (self.purse_at, 0)):
                     column.append(value)
             if cache.born != self.born[n]:  # started anew: its past is void, its budget starts empty
                 self.born[n], self.purse[n], self.purse_at[n] = cache.born, 0.0, self.now
@@ -165,6 +170,7 @@
         sent = self.sent.pop((end.id, end.send), None)
         if sent is not None:
             self.out[sent.target] -= 1
+            self.filling -= sent.source is not None and sent.source != sent.target
             self._learn(sent, end)
         lk = self.held.get(end.id)
         if lk is None:
@@ -200,6 +206,8 @@
     def _place(self, lk):
         """One more send where rules, limits and time allow it."""
         kind, left = self.kind[lk.kind], lk.due - self.now
+        if lk.hits_only:
+            return STUCK
         if left < LEAST_WAIT or lk.sends >= self.most_sends or (lk.sends and self.spare < 1):
             return STUCK
         if kind.write and self.pass_by:  # passes untouched: it runs at the origin and nothing is kept
@@ -208,6 +216,8 @@
             target, source = self._pick(lk)
         if target is None or not self._admissible(lk, target):
             return STUCK
+        if source is not None and target in self.edges and not kind.write and self.filling >= self.window:
+            source, lk.hits_only = target, True  # one more fill would be late like those out; a hit would not
         return self._send(lk, target, source, left)
 
     def _give_up(self, lk):
@@ -235,10 +245,12 @@
     def _pick(self, lk):
         """Target and source of the next send; no target where nothing is left to try."""
         kind, cost = self.kind[lk.kind], self.mean_work[lk.kind]
-        ranked = [n for n in self._rank(lk.name, self.edges) if n not in lk.caches]
-        fit = [n for n in ranked if self._usable(n) and self._affords(n, cost)]
-        if not fit:  # all that is left is set aside: still better than nothing, as long as it is not cold
-            fit = [n for n in ranked if self._affords(n, cost)]
+        ranked = [n for n in self._rank(lk.name, self.edges) if n not in lk.caches and self._affords(n, cost)]
+        roomy = [n for n in ranked if self.out[n] < self.room[n]]
+        if ranked and not roomy and not kind.write:
+            return None, None  # whatever takes it would answer late, and make others late
+        # Where all that is left is set aside, that is still better than nothing.
+        fit = [n for n in roomy or ranked if self._usable(n)] or roomy or ranked
         parents = [n for n in self._rank(lk.name, self.parents) if self._affords(n, cost)]
         parents.sort(key=lambda n: (not self._usable(n), n in lk.sources))  # stable: else the hash's order
         source = (parents or self.origins or [None])[0]
@@ -278,6 +290,7 @@
         if source is not None and source != target:
             self._spend(source, cost)
         self.out[target] += 1
+        self.filling += source is not None and source != target
         self.sent[lk.id, number] = Sent(target, source, lk.kind, lk.work, self.now, limited)
         if source is None or target in self.origins:
             self.effects.append(i.Ask(lk.id, self.ids[target], wait))
@@ -299,6 +312,14 @@
 
     def _learn(self, sent, end):
         k = sent.kind
+        budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * (sent.work or self.mean_work[k])
+        if end.end in (i.SATISFIED, i.LATE):
+            late = end.end == i.LATE or end.took > budget
+            filled = sent.source is not None and sent.source != sent.target
+            if filled:
+                self.window = self._slide(self.window, sum(self.weight[n] for n in self.edges), late)
+            if not filled or end.note in (i.FOUND, i.AGED) or not self.tells_hits:
+                self.room[sent.target] = self._slide(self.room[sent.target], self.weight[sent.target], late)
         if end.end == i.SATISFIED:
             self.heard[sent.target] = True
             self.spare = min(SPARE_MOST, self.spare + SPARE_SHARE)
@@ -316,6 +337,13 @@
         elif end.end in (i.ERRED, i.FULL, i.UNREACHED, i.BROKEN, i.LATE):
             self._health(sent.target, BAD)
 
+    @staticmethod
+    def _slide(window, weight, late):
+        """CoBlitz's chunk window: slower growth the wider it is, one less for each that misses."""
+        widest = max(WINDOW_LEAST, weight * WINDOW_FULL)
+        window = min(window, widest)
+        return max(WINDOW_LEAST, window - 1) if late else min(widest, window + 1 / log(window))
+
     # ---- health
 
     def _health(self, n, word):
