What exceeds the well caches is nacked, not sent to those set aside

Cause: with every well cache at its window, overflow went to caches set aside, which always have room.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -247,11 +247,11 @@
         """Target and source of the next send; no target where nothing is left to try."""
         kind, cost = self.kind[lk.kind], self.mean_work[lk.kind]
         ranked = [n for n in self._rank(lk.name, self.edges) if n not in lk.caches and self._affords(n, cost)]
-        roomy = [n for n in ranked if self.out[n] < self.room[n]]
-        if ranked and not roomy and not kind.write:
+        # Where all that is left is set aside, that is still better than nothing; not where a well one is just busy.
+        well = [n for n in ranked if self._usable(n)] or ranked
+        fit = [n for n in well if self.out[n] < self.room[n] or kind.write]
+        if well and not fit:
             return None, None  # whatever takes it would answer late, and make others late
-        # Where all that is left is set aside, that is still better than nothing.
-        fit = [n for n in roomy or ranked if self._usable(n)] or roomy or ranked
         parents = [n for n in self._rank(lk.name, self.parents) if self._affords(n, cost)]
         parents.sort(key=lambda n: (not self._usable(n), n in lk.sources))  # stable: else the hash's order
         source = (parents or self.origins or [None])[0]
