Failures of a fill are blamed on its source as well, refusals of a fill on the source alone

Cause: a parent that fails fast was never set aside; the caches that it failed were. Told apart: a sick cache fails hits too, a sick parent fails for every cache; each is cleared by what goes well there. Harm: a dead origin behind well parents sets these aside; with all set aside the hash's order holds again.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -312,14 +312,13 @@
         return int(min(LAST_DEADLINE, max(LEAST_WAIT, limit) * 2 ** lk.overruns))
 
     def _learn(self, sent, end):
-        k = sent.kind
+        k, fills = sent.kind, sent.source is not None and sent.source != sent.target
         budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * (sent.work or self.mean_work[k])
         if end.end in (i.SATISFIED, i.LATE):
             late = end.end == i.LATE or end.took > budget
-            filled = sent.source is not None and sent.source != sent.target
-            if filled:
+            if fills:
                 self.window = self._slide(self.window, sum(self.weight[n] for n in self.edges), late)
-            if not filled or end.note in (i.FOUND, i.AGED) or not self.tells_hits:
+            if not fills or end.note in (i.FOUND, i.AGED) or not self.tells_hits:
                 self.room[sent.target] = self._slide(self.room[sent.target], self.weight[sent.target], late)
         if end.end == i.SATISFIED:
             self.heard[sent.target] = True
@@ -332,11 +331,15 @@
                 self.average[k] += BLEND * (over - self.average[k])
             self.mean_work[k] += BLEND * ((sent.work or end.took) - self.mean_work[k])
             self._health(sent.target, GOOD)
-            filled = not self.tells_hits or end.note in (i.FILLED, i.FROM_ORIGIN, i.JOINED)
-            if sent.source is not None and sent.source != sent.target and filled:
+            if fills and (not self.tells_hits or end.note in (i.FILLED, i.FROM_ORIGIN, i.JOINED)):
                 self._health(sent.source, GOOD)
-        elif end.end in (i.ERRED, i.FULL, i.UNREACHED, i.BROKEN, i.LATE):
+            return
+        # No answer tells whose fault it was. A sick cache fails hits too, a sick parent fails for every cache:
+        # each is cleared by what goes well there, so blaming both sets aside the one at fault.
+        if end.end in (i.ERRED, i.LATE, i.UNREACHED, i.BROKEN) or (end.end == i.FULL and not fills):
             self._health(sent.target, BAD)
+        if fills and end.end in (i.ERRED, i.LATE, i.FULL):
+            self._health(sent.source, BAD)
 
     @staticmethod
     def _slide(window, weight, late):
