The mean sending time is learned from hits on calm caches

Cause: where sizes are not told, the latency budget stretches with the mean of what answers took, so a crowd made lateness look in time. Should hold wherever the wait is part of what is measured; harm: on a fleet never calm the first guess, the budget itself, stays.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -70,11 +70,11 @@
 class Sent:
     """A send whose end has not come."""
 
-    __slots__ = ("target", "source", "kind", "work", "at", "limited")
+    __slots__ = ("target", "source", "kind", "work", "limited", "calm")
 
-    def __init__(self, target, source, kind, work, at, limited):
+    def __init__(self, target, source, kind, work, limited, calm):
         self.target, self.source, self.kind, self.work = target, source, kind, work
-        self.at, self.limited = at, limited
+        self.limited, self.calm = limited, calm
 
 
 class Control:
@@ -292,7 +292,8 @@
             self._spend(source, cost)
         self.out[target] += 1
         self.filling += source is not None and source != target
-        self.sent[lk.id, number] = Sent(target, source, lk.kind, lk.work, self.now, limited)
+        calm = self.out[target] <= self.idle * self.weight[target]
+        self.sent[lk.id, number] = Sent(target, source, lk.kind, lk.work, limited, calm)
         if source is None or target in self.origins:
             self.effects.append(i.Ask(lk.id, self.ids[target], wait))
         else:
@@ -329,7 +330,9 @@
             else:
                 self.deviation[k] += BLEND * (abs(over - self.average[k]) - self.deviation[k])
                 self.average[k] += BLEND * (over - self.average[k])
-            self.mean_work[k] += BLEND * ((sent.work or end.took) - self.mean_work[k])
+            # Where sizes are not told, a hit on a calm cache is the measure: in a crowd it would grow with the wait.
+            if sent.work or (sent.calm and (not fills or end.note in (i.FOUND, i.AGED))):
+                self.mean_work[k] += BLEND * ((sent.work or end.took) - self.mean_work[k])
             self._health(sent.target, GOOD)
             if fills and (not self.tells_hits or end.note in (i.FILLED, i.FROM_ORIGIN, i.JOINED)):
                 self._health(sent.source, GOOD)
