A cache out of reach in a row counts as cold when it answers again

Change: reset or unreached in a row marks a cache lost; no lookups beyond the trickle until it answers, then the cold budget from that moment; with no other cache left, past the caches. Should help at every silent return; harm: a cache cut off for a while by the network is nursed for its whole warm-up.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -70,11 +70,11 @@
 class Sent:
     """A send whose end has not come."""
 
-    __slots__ = ("target", "source", "kind", "work", "limited", "calm")
+    __slots__ = ("target", "source", "kind", "work", "limited", "fills", "calm")
 
-    def __init__(self, target, source, kind, work, limited, calm):
+    def __init__(self, target, source, kind, work, limited, fills, calm):
         self.target, self.source, self.kind, self.work = target, source, kind, work
-        self.limited, self.calm = limited, calm
+        self.limited, self.fills, self.calm = limited, fills, calm
 
 
 class Control:
@@ -105,7 +105,7 @@
             {}, [], [], [], [], [], [], [])
         self.out, self.heard, self.room, self.strikes, self.rest, self.rest_until, self.trickle, self.purse = (
             [], [], [], [], [], [], [], [])
-        self.purse_at = []
+        self.purse_at, self.lost = [], []
         self.edges, self.parents, self.origins = [], [], []
         self.window, self.filling = inf, 0  # the first slide brings it to its widest
         self.now, self.spare = 0, SPARE_MOST
@@ -140,11 +140,11 @@
                                       (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE), (self.out, 0),
                                       (self.heard, False), (self.room, max(WINDOW_LEAST, cache.weight * WINDOW_FULL)),
                                       (self.strikes, 0), (self.rest, REST), (self.rest_until, None),
-                                      (self.trickle, None), (self.purse, 0.0), (self.purse_at, 0)):
+                                      (self.trickle, None), (self.lost, False),
+                                      (self.purse, 0.0), (self.purse_at, 0)):
                     column.append(value)
-            if cache.born != self.born[n]:  # started anew: its past is void, its budget starts empty
-                self.born[n], self.purse[n], self.purse_at[n] = cache.born, 0.0, self.now
-                self.strikes[n], self.rest_until[n], self.trickle[n], self.rest[n] = 0, None, None, REST
+            if cache.born > self.born[n]:
+                self._start_cold(n, cache.born)
             self.weight[n], self.phase[n] = max(cache.weight, 0.01), cache.phase
         ready = [n for n in range(len(self.ids)) if self.phase[n] == i.READY]
         self.origins = [n for n in ready if self.sort[n] == self.origin_sort]
@@ -152,6 +152,11 @@
         self.edges = [n for n in ready if self.where[n] == self.zone
                       and self.sort[n] not in (self.origin_sort, self.parent_sort)]
 
+    def _start_cold(self, n, born):
+        """Started anew: its past is void, its budget starts empty."""
+        self.born[n], self.purse[n], self.purse_at[n] = born, 0.0, self.now
+        self.strikes[n], self.rest_until[n], self.trickle[n], self.rest[n], self.lost[n] = 0, None, None, REST, False
+
     def _on_lookup(self, lk):
         kind = self.kinds.get(lk.kind)
         if kind is None:
@@ -171,7 +176,7 @@
         sent = self.sent.pop((end.id, end.send), None)
         if sent is not None:
             self.out[sent.target] -= 1
-            self.filling -= sent.source is not None and sent.source != sent.target
+            self.filling -= sent.fills
             self._learn(sent, end)
         lk = self.held.get(end.id)
         if lk is None:
@@ -217,7 +222,9 @@
             target, source = self._pick(lk)
         if target is None or not self._admissible(lk, target):
             return STUCK
-        if source is not None and target in self.edges and not kind.write and self.filling >= self.window:
+        if source is not None and not kind.write and self.filling >= self.window:
+            if target not in self.edges:
+                return STUCK
             source, lk.hits_only = target, True  # one more fill would be late like those out; a hit would not
         return self._send(lk, target, source, left)
 
@@ -248,7 +255,7 @@
         kind, cost = self.kind[lk.kind], self.mean_work[lk.kind]
         ranked = [n for n in self._rank(lk.name, self.edges) if n not in lk.caches and self._affords(n, cost)]
         # Where all that is left is set aside, that is still better than nothing; not where a well one is just busy.
-        well = [n for n in ranked if self._usable(n)] or ranked
+        well = [n for n in ranked if self._usable(n)] or [n for n in ranked if not self.lost[n]]
         fit = [n for n in well if self.out[n] < self.room[n] or kind.write]
         if well and not fit:
             return None, None  # whatever takes it would answer late, and make others late
@@ -290,10 +297,11 @@
         self._spend(target, cost)
         if source is not None and source != target:
             self._spend(source, cost)
+        calm = self.out[target] < self.idle * self.weight[target]
         self.out[target] += 1
-        self.filling += source is not None and source != target
-        calm = self.out[target] <= self.idle * self.weight[target]
-        self.sent[lk.id, number] = Sent(target, source, lk.kind, lk.work, limited, calm)
+        fills = source is not None and (source != target or target not in self.edges)
+        self.filling += fills
+        self.sent[lk.id, number] = Sent(target, source, lk.kind, lk.work, limited, fills, calm)
         if source is None or target in self.origins:
             self.effects.append(i.Ask(lk.id, self.ids[target], wait))
         else:
@@ -313,7 +321,10 @@
         return int(min(LAST_DEADLINE, max(LEAST_WAIT, limit) * 2 ** lk.overruns))
 
     def _learn(self, sent, end):
-        k, fills = sent.kind, sent.source is not None and sent.source != sent.target
+        k, fills = sent.kind, sent.fills
+        if self.lost[sent.target] and end.end not in (i.UNREACHED, i.BROKEN, i.LATE, i.CANCELLED, i.VOID):
+            self.lost[sent.target] = False
+            self._start_cold(sent.target, self.now)
         budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * (sent.work or self.mean_work[k])
         if end.end in (i.SATISFIED, i.LATE):
             late = end.end == i.LATE or end.took > budget
@@ -341,6 +352,9 @@
         # each is cleared by what goes well there, so blaming both sets aside the one at fault.
         if end.end in (i.ERRED, i.LATE, i.UNREACHED, i.BROKEN) or (end.end == i.FULL and not fills):
             self._health(sent.target, BAD)
+        # Out of reach in a row: it may have died. The list tells seconds late, so what answers again counts as cold.
+        if end.end in (i.UNREACHED, i.BROKEN) and self.trickle[sent.target] is not None:
+            self.lost[sent.target] = True
         if fills and end.end in (i.ERRED, i.LATE, i.FULL):
             self._health(sent.source, BAD)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -78,3 +78,15 @@
               i.ProbeEnd(i.LATE, "c0", 5, None), i.Whisper(1, b"")]
     answered = [e.id for e in control.decide(NOW, events) if isinstance(e, (i.Nack, i.Fail))]
     assert answered == [1, 2, 3]
+
+
+def test_a_cache_out_of_reach_counts_as_cold_when_it_answers_again():
+    control = router([cache("c0"), FLEET[-1]])
+    for n in range(1, 5):
+        for send in sends(control.decide(NOW, [lookup(n)])):
+            control.decide(NOW, [ended(send, i.UNREACHED)])
+    n = control.index["c0"]
+    assert control.lost[n] and not control._usable(n)
+    send = sends(control.decide(NOW + 2 * SECOND, [lookup(9, due=NOW + 5 * SECOND)]))[0]
+    control.decide(NOW + 2 * SECOND, [ended(send, i.SATISFIED)])
+    assert control._cold_now(n) and not control.lost[n]
