A cache without any answer for two seconds counts as cold when it answers again

Cause: the caches of the silent office timed out instead of resetting, so they were not held lost, and fell over on their return as before. No cache fell over any more. A hit or a refusal tells a crowded cache from a dead one. Harm: a cache hung but not restarted warms up slowly.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -35,6 +35,7 @@
 FAILURES = 3  # in a row: one or two are chance where a few in a hundred fail, three hardly
 REST = 10_000  # 1 s without sends once set aside: short beside the troubles, long beside a stall
 LONGEST_REST = 40_000  # 4 s: a well cache is found again soon, and a sick one costs a lookup each time
+SILENCE = 20_000  # 2 s without an answer of any kind: in a crowd hits and refusals still come
 TRICKLE_DONE = 16  # sends out at once: beyond it a trickle limits nothing
 COLD_PACE = 1.0  # of what a cold cache can carry: full use, and all of the multiple above it as reserve
 COLD_BURST = 0.5  # of the reserve between pace and multiple: the rest is for what other figures hide
@@ -138,7 +139,7 @@
                 self.ids.append(cache.id)
                 for column, value in ((self.sort, cache.sort), (self.cell, cache.cell), (self.where, cache.zone),
                                       (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE), (self.out, 0),
-                                      (self.heard, False), (self.room, max(WINDOW_LEAST, cache.weight * WINDOW_FULL)),
+                                      (self.heard, 0), (self.room, max(WINDOW_LEAST, cache.weight * WINDOW_FULL)),
                                       (self.strikes, 0), (self.rest, REST), (self.rest_until, None),
                                       (self.trickle, None), (self.lost, False),
                                       (self.purse, 0.0), (self.purse_at, 0)):
@@ -322,9 +323,10 @@
 
     def _learn(self, sent, end):
         k, fills = sent.kind, sent.fills
-        if self.lost[sent.target] and end.end not in (i.UNREACHED, i.BROKEN, i.LATE, i.CANCELLED, i.VOID):
-            self.lost[sent.target] = False
-            self._start_cold(sent.target, self.now)
+        if end.end not in (i.UNREACHED, i.BROKEN, i.LATE, i.CANCELLED, i.VOID):
+            self.heard[sent.target] = self.now
+            if self.lost[sent.target]:
+                self._start_cold(sent.target, self.now)
         budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * (sent.work or self.mean_work[k])
         if end.end in (i.SATISFIED, i.LATE):
             late = end.end == i.LATE or end.took > budget
@@ -333,7 +335,6 @@
             if not fills or end.note in (i.FOUND, i.AGED) or not self.tells_hits:
                 self.room[sent.target] = self._slide(self.room[sent.target], self.weight[sent.target], late)
         if end.end == i.SATISFIED:
-            self.heard[sent.target] = True
             self.spare = min(SPARE_MOST, self.spare + SPARE_SHARE)
             over = max(0.0, end.took - sent.work)
             if self.average[k] is None:
@@ -348,12 +349,15 @@
             if fills and (not self.tells_hits or end.note in (i.FILLED, i.FROM_ORIGIN, i.JOINED)):
                 self._health(sent.source, GOOD)
             return
+        if end.end == i.MISSING:
+            self._health(sent.target, GOOD)  # it answers, though it lacks the object
         # No answer tells whose fault it was. A sick cache fails hits too, a sick parent fails for every cache:
         # each is cleared by what goes well there, so blaming both sets aside the one at fault.
         if end.end in (i.ERRED, i.LATE, i.UNREACHED, i.BROKEN) or (end.end == i.FULL and not fills):
             self._health(sent.target, BAD)
-        # Out of reach in a row: it may have died. The list tells seconds late, so what answers again counts as cold.
-        if end.end in (i.UNREACHED, i.BROKEN) and self.trickle[sent.target] is not None:
+        # Silent in a row: it may have died. The list tells seconds late, so what answers again counts as cold.
+        silent = self.now - self.heard[sent.target] > SILENCE
+        if end.end in (i.UNREACHED, i.BROKEN, i.LATE) and self.trickle[sent.target] is not None and silent:
             self.lost[sent.target] = True
         if fills and end.end in (i.ERRED, i.LATE, i.FULL):
             self._health(sent.source, BAD)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,6 +3,7 @@
 from fleet import FLEET, SECOND, cache, ended, lookup, router, sends
 
 from hookrouter import interface as i
+from hookrouter.control import Sent
 
 NOW = 1_000_000
 
@@ -90,3 +91,19 @@
     send = sends(control.decide(NOW + 2 * SECOND, [lookup(9, due=NOW + 5 * SECOND)]))[0]
     control.decide(NOW + 2 * SECOND, [ended(send, i.SATISFIED)])
     assert control._cold_now(n) and not control.lost[n]
+
+
+def test_time_outs_alone_do_not_make_a_cache_that_answers_cold():
+    control = router([cache("c0"), FLEET[-1]])
+    n = control.index["c0"]
+    control.heard[n] = NOW - SECOND
+    for _ in range(4):
+        control._learn(sent_to(control, n), i.SendEnd(1, 0, i.LATE, 0, False, 9, "c0", None))
+    assert control.trickle[n] is not None and not control.lost[n]
+    control.now = NOW + 5 * SECOND
+    control._learn(sent_to(control, n), i.SendEnd(1, 0, i.LATE, 0, False, 9, "c0", None))
+    assert control.lost[n]
+
+
+def sent_to(control, n):
+    return Sent(n, n, 0, 0, limited=False, fills=False, calm=False)
