--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -25,6 +25,7 @@
 WHOLE_CANDIDATES = 1  # caches; the design's figure for whole objects
 LEAD = 2.0  # times busier must the top cache be before the next one is: every move costs a second copy
 IDLE_SHARE = 1.0  # of a cache's link, in sends at full pace: sends below that do not slow each other
+TYPICAL = 0.5  # of the mean sending time, where sizes are not told: they are skewed, most lie well under the mean
 WINDOW_LEAST = 2.0  # sends out: enough to go on learning from
 WINDOW_CUT = 3.0  # sends, for each that misses: at a few sends out the paper's 1 lets two in five be late
 WINDOW_FULL = 4.0  # times what a cache's link carries at full pace: beyond it nothing comes in time
@@ -327,7 +328,7 @@
             self.heard[sent.target] = self.now
             if self.lost[sent.target]:
                 self._start_cold(sent.target, self.now)
-        budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * (sent.work or self.mean_work[k])
+        budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * (sent.work or TYPICAL * self.mean_work[k])
         if end.end in (i.SATISFIED, i.LATE):
             late = end.end == i.LATE or end.took > budget
             if fills:
