Time-outs at a cache that answers nothing do not shut the window of fills

Cause: one hung cache shut the fills of its whole location. Told apart: a crowd is late while hits still come from the same cache.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -72,10 +72,10 @@
 class Sent:
     """A send whose end has not come."""
 
-    __slots__ = ("target", "source", "kind", "work", "limited", "fills", "calm")
+    __slots__ = ("target", "source", "kind", "work", "at", "limited", "fills", "calm")
 
-    def __init__(self, target, source, kind, work, limited, fills, calm):
-        self.target, self.source, self.kind, self.work = target, source, kind, work
+    def __init__(self, target, source, kind, work, at, limited, fills, calm):
+        self.target, self.source, self.kind, self.work, self.at = target, source, kind, work, at
         self.limited, self.fills, self.calm = limited, fills, calm
 
 
@@ -303,7 +303,7 @@
         self.out[target] += 1
         fills = source is not None and (source != target or target not in self.edges)
         self.filling += fills
-        self.sent[lk.id, number] = Sent(target, source, lk.kind, lk.work, limited, fills, calm)
+        self.sent[lk.id, number] = Sent(target, source, lk.kind, lk.work, self.now, limited, fills, calm)
         if source is None or target in self.origins:
             self.effects.append(i.Ask(lk.id, self.ids[target], wait))
         else:
@@ -331,7 +331,8 @@
         budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * (sent.work or TYPICAL * self.mean_work[k])
         if end.end in (i.SATISFIED, i.LATE):
             late = end.end == i.LATE or end.took > budget
-            if fills:
+            if fills and (end.end == i.SATISFIED or self.heard[sent.target] >= sent.at):
+                # A cache that answered nothing since tells of itself, not of the crowd on the location's link.
                 self.window = self._slide(self.window, sum(self.weight[n] for n in self.edges), late)
             if not fills or end.note in (i.FOUND, i.AGED) or not self.tells_hits:
                 self.room[sent.target] = self._slide(self.room[sent.target], self.weight[sent.target], late)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -106,4 +106,4 @@
 
 
 def sent_to(control, n):
-    return Sent(n, n, 0, 0, limited=False, fills=False, calm=False)
+    return Sent(n, n, 0, 0, NOW, limited=False, fills=False, calm=False)
