--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -426,7 +426,9 @@
 
     def _oldest(self, lk):
         """The age that will do. Never 0 for a purged object: that would mean any copy."""
-        bounds = [self.kind[lk.kind].fresh] if self.kind[lk.kind].fresh else []
+        kind = self.kind[lk.kind]
+        # Where no fill is to be had, a copy within the grace earns more than none.
+        bounds = [kind.fresh + kind.grace * (lk.hits_only or lk.sends > 1)] if kind.fresh else []
         for name in (lk.key, lk.group):
             made = self.purged.get(name)
             if made is not None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,6 +1,6 @@
 """Small tests: the ordinary path, and one for each failure found."""
 
-from fleet import FLEET, SECOND, cache, ended, lookup, router, sends
+from fleet import FLEET, SECOND, cache, ended, kind, lookup, router, sends
 
 from hookrouter import interface as i
 from hookrouter.control import Sent
@@ -107,3 +107,13 @@
 
 def sent_to(control, n):
     return Sent(n, n, 0, 0, NOW, limited=False, fills=False, calm=False)
+
+
+def test_an_older_copy_will_do_once_no_fill_is_to_be_had():
+    aging = [kind("page", fresh=8 * SECOND, grace=30 * SECOND)]
+    control = router(kinds=aging)
+    first = sends(control.decide(NOW, [lookup(1, "page")]))[0]
+    second = sends(control.decide(NOW, [ended(first, i.FULL)]))[0]
+    assert (first.age, second.age) == (8 * SECOND, 38 * SECOND)
+    control.decide(NOW, [i.Purged(100, 1, None)])
+    assert sends(control.decide(NOW, [ended(second, i.FULL, 1)]))[0].age < 100
