Copies near their end are renewed behind the answer

Cause: each page that ran out cost its next lookup the wait for a fill, worst where origin or link are slow. Harm: objects asked for once more in their last fifth are fetched for nothing.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -311,7 +311,7 @@
             self.effects.append(i.Obtain(
                 lk.id, self.ids[target], self.ids[source], wait, self._oldest(lk),
                 1 if edge and not kind.write else 0,
-                self.joins, False, False, False))
+                self.joins, False, False, fills and edge and kind.fresh > 0))
         return SENT
 
     def _deadline(self, lk):
