--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -270,7 +270,7 @@
             return target, target if source is None else source
         if self.pass_by and source is not None and not lk.straight:  # past the caches, once
             lk.straight = True
-            return source, source
+            return source, (self.origins or [source])[0]  # a parent named as its own source would fill nothing
         return None, None
 
     def _load(self, n):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -117,3 +117,8 @@
     assert (first.age, second.age) == (8 * SECOND, 38 * SECOND)
     control.decide(NOW, [i.Purged(100, 1, None)])
     assert sends(control.decide(NOW, [ended(second, i.FULL, 1)]))[0].age < 100
+
+
+def test_past_the_caches_a_parent_fills_from_the_origin():
+    send = sends(router([FLEET[4], FLEET[-1]]).decide(NOW, [lookup(1)]))[0]
+    assert (send.cache, send.source) == ("p0", "o0")
