--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -350,18 +350,22 @@
             self._health(sent.target, GOOD)
             if fills and (not self.tells_hits or end.note in (i.FILLED, i.FROM_ORIGIN, i.JOINED)):
                 self._health(sent.source, GOOD)
+                self.heard[sent.source] = self.now
             return
         if end.end == i.MISSING:
             self._health(sent.target, GOOD)  # it answers, though it lacks the object
         # No answer tells whose fault it was. A sick cache fails hits too, a sick parent fails for every cache:
-        # each is cleared by what goes well there, so blaming both sets aside the one at fault.
-        if end.end in (i.ERRED, i.LATE, i.UNREACHED, i.BROKEN) or (end.end == i.FULL and not fills):
+        # each is cleared by what goes well there, so blaming both sets aside the one at fault. A time-out counts
+        # only where nothing came since the send went out: else it is a crowd's, which the windows answer.
+        mute, dry = (n is not None and self.heard[n] < sent.at for n in (sent.target, sent.source))
+        if end.end in (i.ERRED, i.UNREACHED, i.BROKEN) or (end.end == i.LATE and mute) or (
+                end.end == i.FULL and not fills):
             self._health(sent.target, BAD)
         # Silent in a row: it may have died. The list tells seconds late, so what answers again counts as cold.
         silent = self.now - self.heard[sent.target] > SILENCE
         if end.end in (i.UNREACHED, i.BROKEN, i.LATE) and self.trickle[sent.target] is not None and silent:
             self.lost[sent.target] = True
-        if fills and end.end in (i.ERRED, i.LATE, i.FULL):
+        if fills and (end.end in (i.ERRED, i.FULL) or (end.end == i.LATE and (dry or not self.tells_hits))):
             self._health(sent.source, BAD)
 
     @staticmethod
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -96,7 +96,7 @@
 def test_time_outs_alone_do_not_make_a_cache_that_answers_cold():
     control = router([cache("c0"), FLEET[-1]])
     n = control.index["c0"]
-    control.heard[n] = NOW - SECOND
+    control.now, control.heard[n] = NOW, NOW - SECOND
     for _ in range(4):
         control._learn(sent_to(control, n), i.SendEnd(1, 0, i.LATE, 0, False, 9, "c0", None))
     assert control.trickle[n] is not None and not control.lost[n]
@@ -122,3 +122,12 @@
 def test_past_the_caches_a_parent_fills_from_the_origin():
     send = sends(router([FLEET[4], FLEET[-1]]).decide(NOW, [lookup(1)]))[0]
     assert (send.cache, send.source) == ("p0", "o0")
+
+
+def test_time_outs_at_a_cache_that_still_answers_do_not_set_it_aside():
+    control = router([cache("c0"), FLEET[-1]])
+    n = control.index["c0"]
+    control.heard[n] = NOW + 1
+    for _ in range(9):
+        control._learn(sent_to(control, n), i.SendEnd(1, 0, i.LATE, 0, False, 9, "c0", None))
+    assert control.trickle[n] is None
