--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -338,12 +338,7 @@
                 self.room[sent.target] = self._slide(self.room[sent.target], self.weight[sent.target], late)
         if end.end == i.SATISFIED:
             self.spare = min(SPARE_MOST, self.spare + SPARE_SHARE)
-            over = max(0.0, end.took - sent.work)
-            if self.average[k] is None:
-                self.average[k], self.deviation[k] = over, over / 2
-            else:
-                self.deviation[k] += BLEND * (abs(over - self.average[k]) - self.deviation[k])
-                self.average[k] += BLEND * (over - self.average[k])
+            self._time(k, max(0.0, end.took - sent.work))
             # Where sizes are not told, a hit on a calm cache is the measure: in a crowd it would grow with the wait.
             if sent.work or (sent.calm and (not fills or end.note in (i.FOUND, i.AGED))):
                 self.mean_work[k] += BLEND * ((sent.work or end.took) - self.mean_work[k])
@@ -352,6 +347,8 @@
                 self._health(sent.source, GOOD)
                 self.heard[sent.source] = self.now
             return
+        if end.end == i.LATE and sent.limited:  # backing off: it would have taken longer than its limit
+            self._time(k, 2 * end.took - sent.work)
         if end.end == i.MISSING:
             self._health(sent.target, GOOD)  # it answers, though it lacks the object
         # No answer tells whose fault it was. A sick cache fails hits too, a sick parent fails for every cache:
@@ -368,6 +365,13 @@
         if fills and (end.end in (i.ERRED, i.FULL) or (end.end == i.LATE and (dry or not self.tells_hits))):
             self._health(sent.source, BAD)
 
+    def _time(self, k, over):
+        if self.average[k] is None:
+            self.average[k], self.deviation[k] = over, over / 2
+        else:
+            self.deviation[k] += BLEND * (abs(over - self.average[k]) - self.deviation[k])
+            self.average[k] += BLEND * (over - self.average[k])
+
     @staticmethod
     def _slide(window, weight, late):
         """CoBlitz's chunk window: slower growth the wider it is, one less for each that misses."""
