Times to come back are spread; purges long done are forgotten; mechanisms listed

Cause: clients nacked together came back together; a purge was kept until its object was asked for again, so the table could grow for ever.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -6,12 +6,15 @@
 cache of the location, the least busy of the top few is picked, the parent topping the same hash fills it.
 
 Beside the design stand, six at most:
- 1. setting aside: a cache with failures in a row rests, then gets a trickle that doubles while it goes well;
- 2. cold budget: a cache or parent that started lately gets no more than this router's share of what it can bear;
- 3. further sends: a lookup that failed fast goes on to the next cache and the next parent, at last past the caches.
-
-The five rules are kept in: _admissible, _nackable (effects), _step and DUE (answers), _usable (drains),
-_affords (cold starts), _oldest (purges).
+ 1. windows (the paper's chunk window): bound the fills out and each cache's sends; beyond them hits only, then a nack;
+ 2. the lead: a part leaves its top cache only for one that is clearly less busy;
+ 3. setting aside: a cache with failures in a row rests, then gets a trickle that doubles while it goes well;
+ 4. cold budget: a cache or parent that started lately, or was silent, gets this router's share of what it can bear;
+ 5. further sends, earned by satisfied ones: the next cache and the next parent, at last past the caches;
+ 6. renewal and grace: a copy is renewed before it runs out, an older one will do once no fill is to be had.
+
+The five rules are kept in: _admissible and _nackable (effects), the table's DUE and SETTLED (answers), _on_list
+(drains), _affords (cold starts), _oldest (purges).
 """
 
 from hashlib import blake2b
@@ -44,7 +47,7 @@
 SPARE_SHARE = 0.05  # further sends earned by each satisfied one: where nothing succeeds, nothing is repeated
 SPARE_MOST = 10.0  # further sends saved up: a cache's crash costs about as many before it is set aside
 LEAST_WAIT = 20  # 2 ms: less time than that cannot bring an answer
-STAY_AWAY = 2_000  # 200 ms: long enough for a stall to pass, short beside a client's patience
+STAY_AWAY = 3_000  # 300 ms at most, half at least: a stall is over by then, a client's budget hardly
 PURGE_SLACK = 2  # units lost to rounding when a purge is told and when it is applied
 
 # ---- states and inputs of a lookup
@@ -57,7 +60,7 @@
     """A lookup that still lacks its final answer."""
 
     __slots__ = ("id", "kind", "name", "key", "part", "group", "work", "due", "state", "sends", "overruns",
-                 "caches", "parents", "doubts", "sources", "straight", "hits_only")
+                 "caches", "doubts", "sources", "straight", "hits_only")
 
     def __init__(self, lk, kind, work):
         self.id, self.kind, self.key, self.part, self.group = lk.id, kind, lk.object, lk.part, lk.group
@@ -196,7 +199,11 @@
     def _on_purge(self, purge):
         name = purge.object if purge.object is not None else purge.group
         made = self.now - max(0, purge.age)
-        self.purged[name] = max(made, self.purged.get(name, made))
+        self.purged[name] = max(made, self.purged.pop(name, made))
+        for name in list(self.purged):  # oldest news first
+            if self.now - self.purged[name] <= 2 * self.purge_done:
+                break
+            del self.purged[name]  # no older copy is left anywhere
 
     def _pass_over(self, event):
         """Streams, probes and words among routers: nothing here asks for them yet."""
@@ -233,7 +240,8 @@
     def _give_up(self, lk):
         """The final answer, at once: a nack with a time to come back where that is harmless."""
         if self._nackable(lk):
-            self.effects.append(i.Nack(lk.id, self.stay_away))
+            # Not all at once: clients nacked together would come back together.
+            self.effects.append(i.Nack(lk.id, self.random.randint(self.stay_away // 2, self.stay_away)))
         else:
             self.effects.append(i.Fail(lk.id))
         return self._settle(lk)
@@ -439,11 +447,8 @@
         bounds = [kind.fresh + kind.grace * (lk.hits_only or lk.sends > 1)] if kind.fresh else []
         for name in (lk.key, lk.group):
             made = self.purged.get(name)
-            if made is not None:
-                if self.now - made > 2 * self.purge_done:
-                    del self.purged[name]  # no older copy is left anywhere
-                else:
-                    bounds.append(max(1, self.now - made - PURGE_SLACK))
+            if made is not None and self.now - made <= 2 * self.purge_done:
+                bounds.append(max(1, self.now - made - PURGE_SLACK))
         return min(bounds, default=0)
 
     def _cold_now(self, n):
