After a refused fill the next send is for a hit only

Cause: with the origin slow a refused fill was followed by a fill elsewhere that the same origin refused. Harm: a cache that alone refuses fills costs a nack where another's fill would do.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -60,7 +60,8 @@
     """A lookup that still lacks its final answer."""
 
     __slots__ = ("id", "kind", "name", "key", "part", "group", "work", "due", "state", "sends", "overruns",
-                 "caches", "doubts", "sources", "straight", "hits_only")
+                 "caches", "doubts", "sources", "straight", "hits_only",
+                 "refused")
 
     def __init__(self, lk, kind, work):
         self.id, self.kind, self.key, self.part, self.group = lk.id, kind, lk.object, lk.part, lk.group
@@ -69,7 +70,7 @@
         self.sends = self.overruns = 0
         self.caches, self.sources = [], []  # tried already
         self.doubts = {}  # sends that run or may have run: number -> (when, target)
-        self.straight = self.hits_only = False
+        self.straight = self.hits_only = self.refused = False
 
 
 class Sent:
@@ -190,6 +191,7 @@
             lk.doubts.pop(end.send, None)
         if end.end == i.LATE and sent is not None and sent.limited:
             lk.overruns += 1
+        lk.refused |= end.end == i.FULL and sent is not None and sent.fills
         self._step(lk, SETTLED if end.settled else FAILED)
 
     def _on_gone(self, gone):
@@ -231,7 +233,7 @@
             target, source = self._pick(lk)
         if target is None or not self._admissible(lk, target):
             return STUCK
-        if source is not None and not kind.write and self.filling >= self.window:
+        if source is not None and not kind.write and (self.filling >= self.window or lk.refused):
             if target not in self.edges:
                 return STUCK
             source, lk.hits_only = target, True  # one more fill would be late like those out; a hit would not
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -131,3 +131,11 @@
     for _ in range(9):
         control._learn(sent_to(control, n), i.SendEnd(1, 0, i.LATE, 0, False, 9, "c0", None))
     assert control.trickle[n] is None
+
+
+def test_after_a_refused_fill_the_next_send_is_for_a_hit_only():
+    control = router()
+    first = sends(control.decide(NOW, [lookup(1)]))[0]
+    second = sends(control.decide(NOW, [ended(first, i.FULL)]))[0]
+    assert second.cache != first.cache and second.source == second.cache
+    assert isinstance(control.decide(NOW, [ended(second, i.MISSING, 1)])[0], i.Nack)
