--- a/hookrouter/adapter/codec.py
+++ b/hookrouter/adapter/codec.py
@@ -1,6 +1,6 @@
 """Translates the wire's words and milliseconds to the interface's words and tenths, and back.
 
-Spans round so that no rule is grazed: what the router may use up rounds down, what it must wait out rounds up.
+Spans round so that no rule is grazed: what the router may use up rounds down, what it must wait out, up.
 """
 
 import json
@@ -188,7 +188,8 @@
 
 def read_lookup(event, _lists):
     return i.Lookup(id=whole(event[1], "newRequest.corr"), kind=text(event[4], "newRequest.qos"),
-                    object=text(event[9], "newRequest.contentId"), part=whole(event[6] or 0, "newRequest.slice"),
+                    object=text(event[9], "newRequest.contentId"),
+                    part=whole(event[6] or 0, "newRequest.slice"),
                     group=whole(event[5] or 0, "newRequest.purgeGroup"),
                     size=number(event[7] or 0, "newRequest.sizeKb"), due=down(event[8], "newRequest.due"),
                     repeat=bool(whole(event[2] or 0, "newRequest.flags") & 2))
--- a/hookrouter/adapter/host.py
+++ b/hookrouter/adapter/host.py
@@ -1,4 +1,4 @@
-"""Hosts one Control for each router of the batch. Routers share nothing but the lists that the wire defines."""
+"""Hosts one Control for each router of the batch. They share only the lists that the wire defines."""
 
 import json
 import traceback
@@ -49,7 +49,8 @@
                 effects, inputs = [], []
             elif name == "configure":
                 seed, conf = (event + [None, None])[1:3]
-                self.routers[router] = Control(codec.whole(seed, "configure.randomSeed"), codec.read_terms(conf))
+                seed = codec.whole(seed, "configure.randomSeed")
+                self.routers[router] = Control(seed, codec.read_terms(conf))
                 effects, inputs = [], []
             else:
                 inputs.append(codec.read_event(event, self.lists))
--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -1,20 +1,21 @@
-"""Every decision of the router: where a lookup goes, what fills it, when it is tried again, when it is given up.
+"""Every decision of the router: where a lookup goes, what fills it, when it is tried again or given up.
 
-Called by a host, one Control for each router: Control(seed, terms) at start, then decide(now, inputs) for each
-batch, which returns the effects in order. Types of both are in hookrouter/interface.py. Nothing else is read: no
-clock, no file, no other router. The design (CoBlitz) is docs/design.md: a part's name is hashed with each ready
-cache of the location, the least busy of the top few is picked, the parent topping the same hash fills it.
+Called by a host, one Control for each router: Control(seed, terms) at start, then decide(now, inputs) for
+each batch, which returns the effects in order. Types of both are in hookrouter/interface.py. Nothing else is
+read: no clock, no file, no other router. The design (CoBlitz) is in docs/design.md: a part's name is hashed
+with each ready cache of the location, the least busy of the top few is picked, the parent topping the same
+hash fills it.
 
 Beside the design stand, six at most:
- 1. windows (the paper's chunk window): bound the fills out and each cache's sends; beyond them hits only, then a nack;
+ 1. windows (the paper's) on each source's fills and each cache's sends; beyond them hits only, or a nack;
  2. the lead: a part leaves its top cache only for one that is clearly less busy;
  3. setting aside: a cache with failures in a row rests, then gets a trickle that doubles while it goes well;
- 4. cold budget: a cache or parent that started lately, or was silent, gets this router's share of what it can bear;
+ 4. cold budget: what started lately, or was silent, gets this router's share of what it can bear;
  5. further sends, earned by satisfied ones: the next cache and the next parent, at last past the caches;
  6. renewal and grace: a copy is renewed before it runs out, an older one will do once no fill is to be had.
 
-The five rules are kept in: _admissible and _nackable (effects), the table's DUE and SETTLED (answers), _on_list
-(drains), _affords (cold starts), _oldest (purges).
+The five rules are kept in: _admissible and _nackable (effects), the table's DUE and SETTLED (answers),
+_on_list (drains), _affords (cold starts), _oldest (purges).
 """
 
 from hashlib import blake2b
@@ -28,9 +29,9 @@
 WHOLE_CANDIDATES = 1  # caches; the design's figure for whole objects
 LEAD = 2.0  # times busier must the top cache be before the next one is: every move costs a second copy
 IDLE_SHARE = 1.0  # of a cache's link, in sends at full pace: sends below that do not slow each other
-TYPICAL = 0.5  # of the mean sending time, where sizes are not told: they are skewed, most lie well under the mean
+TYPICAL = 0.5  # of the mean sending time, where sizes are not told: most lie well under a skewed mean
 WINDOW_LEAST = 2.0  # sends out: enough to go on learning from
-WINDOW_CUT = 3.0  # sends, for each that misses: at a few sends out the paper's 1 lets two in five be late
+WINDOW_CUT = 5.0  # sends, for each that misses: at four out the paper's 1 lets two in five be late
 WINDOW_FULL = 4.0  # times what a cache's link carries at full pace: beyond it nothing comes in time
 FIRST_DEADLINE = 30_000  # the design's 3 s, until a first time is known
 LAST_DEADLINE = 100_000  # the design's 10 s, where backing off ends
@@ -76,11 +77,11 @@
 class Sent:
     """A send whose end has not come."""
 
-    __slots__ = ("target", "source", "kind", "work", "at", "limited", "fills", "calm")
+    __slots__ = ("target", "source", "kind", "work", "at", "limited", "via", "calm")
 
-    def __init__(self, target, source, kind, work, at, limited, fills, calm):
-        self.target, self.source, self.kind, self.work, self.at = target, source, kind, work, at
-        self.limited, self.fills, self.calm = limited, fills, calm
+    def __init__(self, target, source, via, kind, work, at, limited, calm):
+        self.target, self.source, self.via = target, source, via  # via: what feeds it from outside
+        self.kind, self.work, self.at, self.limited, self.calm = kind, work, at, limited, calm
 
 
 class Control:
@@ -97,9 +98,10 @@
         self.tells_hits = terms.notes != "none"
         self.purge_done = terms.purge_done
         crew = max(1, top.crews[top.zones.index(top.zone)])
-        # Cold starts, for caches and for parents: first share, time to full, pace and burst for this router alone.
+        # Cold starts, caches and parents: first share, time to full, pace and burst for this router alone.
         self.idle = IDLE_SHARE / crew
-        self.cold = (self._cold_terms(terms.cold_share, terms.cold_for, terms.fall_multiple, terms.fall_for, crew),
+        self.cold = (self._cold_terms(terms.cold_share, terms.cold_for,
+                                      terms.fall_multiple, terms.fall_for, crew),
                      self._cold_terms(terms.parent_cold_share, terms.parent_cold_for,
                                       terms.parent_fall_multiple, terms.fall_for, max(1, top.routers)))
         # By kind: mean sending time, and average and deviation of what answers took beyond it.
@@ -109,11 +111,10 @@
         # By cache, under a dense index.
         self.index, self.ids, self.sort, self.cell, self.where, self.weight, self.born, self.phase = (
             {}, [], [], [], [], [], [], [])
-        self.out, self.heard, self.room, self.strikes, self.rest, self.rest_until, self.trickle, self.purse = (
-            [], [], [], [], [], [], [], [])
-        self.purse_at, self.lost = [], []
+        self.out, self.heard, self.room, self.strikes, self.rest, self.rest_until, self.trickle = (
+            [], [], [], [], [], [], [])
+        self.purse, self.purse_at, self.lost = [], [], []
         self.edges, self.parents, self.origins = [], [], []
-        self.window, self.filling = inf, 0  # the first slide brings it to its widest
         self.now, self.spare = 0, SPARE_MOST
         self.held, self.sent, self.alarms, self.tokens = {}, {}, {}, 0
         self.purged = {}  # object or group -> when
@@ -142,12 +143,12 @@
             if n is None:
                 n = self.index[cache.id] = len(self.ids)
                 self.ids.append(cache.id)
-                for column, value in ((self.sort, cache.sort), (self.cell, cache.cell), (self.where, cache.zone),
-                                      (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE), (self.out, 0),
-                                      (self.heard, 0), (self.room, max(WINDOW_LEAST, cache.weight * WINDOW_FULL)),
-                                      (self.strikes, 0), (self.rest, REST), (self.rest_until, None),
-                                      (self.trickle, None), (self.lost, False),
-                                      (self.purse, 0.0), (self.purse_at, 0)):
+                for column, value in (
+                        (self.sort, cache.sort), (self.cell, cache.cell), (self.where, cache.zone),
+                        (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE), (self.out, 0),
+                        (self.heard, 0), (self.room, inf), (self.strikes, 0), (self.rest, REST),
+                        (self.rest_until, None), (self.trickle, None), (self.lost, False),
+                        (self.purse, 0.0), (self.purse_at, 0)):
                     column.append(value)
             if cache.born > self.born[n]:
                 self._start_cold(n, cache.born)
@@ -161,7 +162,8 @@
     def _start_cold(self, n, born):
         """Started anew: its past is void, its budget starts empty."""
         self.born[n], self.purse[n], self.purse_at[n] = born, 0.0, self.now
-        self.strikes[n], self.rest_until[n], self.trickle[n], self.rest[n], self.lost[n] = 0, None, None, REST, False
+        self.strikes[n], self.rest[n], self.lost[n] = 0, REST, False
+        self.rest_until[n], self.trickle[n] = None, None
 
     def _on_lookup(self, lk):
         kind = self.kinds.get(lk.kind)
@@ -181,8 +183,7 @@
     def _on_end(self, end):
         sent = self.sent.pop((end.id, end.send), None)
         if sent is not None:
-            self.out[sent.target] -= 1
-            self.filling -= sent.fills
+            self._count(sent, -1)
             self._learn(sent, end)
         lk = self.held.get(end.id)
         if lk is None:
@@ -191,7 +192,7 @@
             lk.doubts.pop(end.send, None)
         if end.end == i.LATE and sent is not None and sent.limited:
             lk.overruns += 1
-        lk.refused |= end.end == i.FULL and sent is not None and sent.fills
+        lk.refused |= end.end == i.FULL and sent is not None and sent.via is not None
         self._step(lk, SETTLED if end.settled else FAILED)
 
     def _on_gone(self, gone):
@@ -233,7 +234,8 @@
             target, source = self._pick(lk)
         if target is None or not self._admissible(lk, target):
             return STUCK
-        if source is not None and not kind.write and (self.filling >= self.window or lk.refused):
+        via = source if target in self.edges else target
+        if source is not None and not kind.write and (self.out[via] >= self.room[via] or lk.refused):
             if target not in self.edges:
                 return STUCK
             source, lk.hits_only = target, True  # one more fill would be late like those out; a hit would not
@@ -266,7 +268,7 @@
         """Target and source of the next send; no target where nothing is left to try."""
         kind, cost = self.kind[lk.kind], self.mean_work[lk.kind]
         ranked = [n for n in self._rank(lk.name, self.edges) if n not in lk.caches and self._affords(n, cost)]
-        # Where all that is left is set aside, that is still better than nothing; not where a well one is just busy.
+        # Where all that is left is set aside, that still beats nothing; not where well ones are busy.
         well = [n for n in ranked if self._usable(n)] or [n for n in ranked if not self.lost[n]]
         fit = [n for n in well if self.out[n] < self.room[n] or kind.write]
         if well and not fit:
@@ -280,7 +282,7 @@
             return target, target if source is None else source
         if self.pass_by and source is not None and not lk.straight:  # past the caches, once
             lk.straight = True
-            return source, (self.origins or [source])[0]  # a parent named as its own source would fill nothing
+            return source, (self.origins or [source])[0]  # as its own source a parent would fill nothing
         return None, None
 
     def _load(self, n):
@@ -310,20 +312,25 @@
         if source is not None and source != target:
             self._spend(source, cost)
         calm = self.out[target] < self.idle * self.weight[target]
-        self.out[target] += 1
-        fills = source is not None and (source != target or target not in self.edges)
-        self.filling += fills
-        self.sent[lk.id, number] = Sent(target, source, lk.kind, lk.work, self.now, limited, fills, calm)
+        edge = target in self.edges
+        via = None if source is None or source == target else source if edge else target
+        sent = self.sent[lk.id, number] = Sent(target, source, via, lk.kind, lk.work, self.now, limited, calm)
+        self._count(sent, 1)
         if source is None or target in self.origins:
             self.effects.append(i.Ask(lk.id, self.ids[target], wait))
         else:
-            edge = target in self.edges
             self.effects.append(i.Obtain(
                 lk.id, self.ids[target], self.ids[source], wait, self._oldest(lk),
                 1 if edge and not kind.write else 0,
-                self.joins, False, False, fills and edge and kind.fresh > 0))
+                self.joins, False, False, edge and via is not None and kind.fresh > 0))
         return SENT
 
+    def _count(self, sent, by):
+        """What is out at a cache; at a parent or the origin, the fills that it feeds too."""
+        self.out[sent.target] += by
+        if sent.via not in (None, sent.target):
+            self.out[sent.via] += by
+
     def _deadline(self, lk):
         """When a part is late: the design's average and deviation, doubled with each overrun."""
         if self.average[lk.kind] is None:
@@ -333,23 +340,25 @@
         return int(min(LAST_DEADLINE, max(LEAST_WAIT, limit) * 2 ** lk.overruns))
 
     def _learn(self, sent, end):
-        k, fills = sent.kind, sent.fills
+        k, fills = sent.kind, sent.via is not None
         if end.end not in (i.UNREACHED, i.BROKEN, i.LATE, i.CANCELLED, i.VOID):
             self.heard[sent.target] = self.now
             if self.lost[sent.target]:
                 self._start_cold(sent.target, self.now)
-        budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * (sent.work or TYPICAL * self.mean_work[k])
+        work = sent.work or TYPICAL * self.mean_work[k]
+        budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * work
         if end.end in (i.SATISFIED, i.LATE):
             late = end.end == i.LATE or end.took > budget
             if fills and (end.end == i.SATISFIED or self.heard[sent.target] >= sent.at):
-                # A cache that answered nothing since tells of itself, not of the crowd on the location's link.
-                self.window = self._slide(self.window, sum(self.weight[n] for n in self.edges), late)
+                # A cache that answered nothing since tells of itself, not of its source or of the link.
+                reach = sum(self.weight[n] for n in self.edges)
+                self.room[sent.via] = self._slide(self.room[sent.via], reach, late)
             if not fills or end.note in (i.FOUND, i.AGED) or not self.tells_hits:
                 self.room[sent.target] = self._slide(self.room[sent.target], self.weight[sent.target], late)
         if end.end == i.SATISFIED:
             self.spare = min(SPARE_MOST, self.spare + SPARE_SHARE)
             self._time(k, max(0.0, end.took - sent.work))
-            # Where sizes are not told, a hit on a calm cache is the measure: in a crowd it would grow with the wait.
+            # Where sizes are not told, hits on calm caches are the measure: a crowd's grow with the wait.
             if sent.work or (sent.calm and (not fills or end.note in (i.FOUND, i.AGED))):
                 self.mean_work[k] += BLEND * ((sent.work or end.took) - self.mean_work[k])
             self._health(sent.target, GOOD)
@@ -361,14 +370,14 @@
             self._time(k, 2 * end.took - sent.work)
         if end.end == i.MISSING:
             self._health(sent.target, GOOD)  # it answers, though it lacks the object
-        # No answer tells whose fault it was. A sick cache fails hits too, a sick parent fails for every cache:
-        # each is cleared by what goes well there, so blaming both sets aside the one at fault. A time-out counts
-        # only where nothing came since the send went out: else it is a crowd's, which the windows answer.
+        # No answer tells whose fault it was. A sick cache fails hits too, a sick parent fails for every
+        # cache: each is cleared by what goes well there, so blaming both sets aside the one at fault. A
+        # time-out counts only where nothing came since the send went out: else it is a crowd's.
         mute, dry = (n is not None and self.heard[n] < sent.at for n in (sent.target, sent.source))
         if end.end in (i.ERRED, i.UNREACHED, i.BROKEN) or (end.end == i.LATE and mute) or (
                 end.end == i.FULL and not fills):
             self._health(sent.target, BAD)
-        # Silent in a row: it may have died. The list tells seconds late, so what answers again counts as cold.
+        # Silent in a row: it may have died. The list tells seconds late; what answers again counts as cold.
         silent = self.now - self.heard[sent.target] > SILENCE
         if end.end in (i.UNREACHED, i.BROKEN, i.LATE) and self.trickle[sent.target] is not None and silent:
             self.lost[sent.target] = True
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -106,7 +106,7 @@
 
 
 def sent_to(control, n):
-    return Sent(n, n, 0, 0, NOW, limited=False, fills=False, calm=False)
+    return Sent(n, n, None, 0, 0, NOW, limited=False, calm=False)
 
 
 def test_an_older_copy_will_do_once_no_fill_is_to_be_had():
@@ -141,3 +141,11 @@
     second = sends(control.decide(NOW, [ended(first, i.FULL)]))[0]
     assert second.cache != first.cache and second.source == second.cache
     assert isinstance(control.decide(NOW, [ended(second, i.MISSING, 1)])[0], i.Nack)
+
+
+def test_a_shut_window_of_one_parent_leaves_the_fills_of_the_other():
+    control = router()
+    control.room[control.index["p0"]] = 0
+    asked = [sends(control.decide(NOW, [lookup(n)]))[0] for n in range(1, 30)]
+    assert {s.source == s.cache for s in asked} == {True, False}
+    assert {s.source for s in asked if s.source != s.cache} == {"p1"}
