Subscribe where the list of caches must be asked for

Cause: where changes of the list come only to those that ask, the router kept the list it started with and would have broken the rule on drains. A failed subscription is asked for again after one to two seconds.

--- a/hookrouter/adapter/codec.py
+++ b/hookrouter/adapter/codec.py
@@ -17,6 +17,7 @@
 REPORTS = {"inline": "answers", "on_probe": "probes", "off": "none"}
 NOTES = {"all": "all", "hit": "hit", "off": "none"}
 SIBLINGS = {"off": i.NO_SIBLINGS, "location": i.OWN_LOCATION, "any": i.ANY_SIBLING}
+DISCOVERY = {"pushed": False, "on_request": True}
 TENTHS = 10  # of a millisecond: the interface's unit in the wire's
 
 
@@ -112,7 +113,8 @@
     if topology.zone not in topology.zones or len(topology.crews) != len(topology.zones):
         raise Malformed("conf: az, zones and extra.crewByZone do not go together")
     return i.Terms(
-        topology=topology, kinds=read_kinds(conf, extra), most_sends=limits.get("maxAttempts", whole),
+        topology=topology, kinds=read_kinds(conf, extra),
+        must_subscribe=conf.get("discovery", word, DISCOVERY), most_sends=limits.get("maxAttempts", whole),
         second_copies=limits.get("mayDuplicate", flag), may_cancel=limits.get("mayCancel", flag),
         may_probe=limits.get("probing", flag), may_whisper=limits.get("peers", flag),
         pass_by=extra.get("mayPassBy", flag), joins=extra.get("joins", flag),
@@ -240,6 +242,7 @@
     i.Fail: lambda e: ["endFailed", e.id],
     i.Cancel: lambda e: ["stopAttempt", e.id, e.send],
     i.SetAlarm: lambda e: ["setAlarm", e.delay / TENTHS, e.token],
+    i.Subscribe: lambda e: ["keepInformed", e.wanted],
     i.Probe: lambda e: ["inspect", e.cache],
     i.Tell: lambda e: ["writePeer", e.router, e.text.hex()],
     i.Log: lambda e: ["log", e.text],
--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -47,6 +47,7 @@
 MEMORY_MARGIN = 500  # 50 ms: a repeat must reach the group before it forgets
 SPARE_SHARE = 0.05  # further sends earned by each satisfied one: where nothing succeeds, nothing is repeated
 SPARE_MOST = 10.0  # further sends saved up: a cache's crash costs about as many before it is set aside
+ASK_AGAIN = 20_000  # 2 s at most, half at least: the list's service is shared, and stale lists cost lookups
 LEAST_WAIT = 20  # 2 ms: less time than that cannot bring an answer
 STAY_AWAY = 3_000  # 300 ms at most, half at least: a stall is over by then, a client's budget hardly
 PURGE_SLACK = 2  # units lost to rounding when a purge is told and when it is applied
@@ -55,6 +56,7 @@
 NEW, PLACING, OUT, PAIRING, PAIR, ENDED = "new", "placing", "out", "pairing", "pair", "ended"
 ARRIVED, SENT, STUCK, FAILED, OVERRUN, SETTLED, DUE = (
     "arrived", "sent", "stuck", "failed", "overrun", "settled", "due")
+UNHEARD = "unheard"  # the alarm of a subscription to ask for again
 
 
 class Held:
@@ -91,6 +93,7 @@
         self.zone, self.parent_sort, self.origin_sort = top.zone, top.parent_sort, top.origin_sort
         self.kinds = {kind.name: n for n, kind in enumerate(terms.kinds)}
         self.kind = terms.kinds
+        self.subscribes = terms.must_subscribe
         self.most_sends, self.pairs, self.joins = terms.most_sends, terms.second_copies, terms.joins
         self.pass_by, self.cancels = terms.pass_by, terms.may_cancel
         self.stay_away = min(STAY_AWAY, terms.longest_stay_away) if terms.advice else 0
@@ -134,8 +137,11 @@
         return self.effects
 
     def _on_list(self, news):
-        if news.mode == i.UNANSWERED:
+        if news.mode == i.UNANSWERED:  # the subscription failed: again, not all routers at once
+            self._alarm(self.random.randint(ASK_AGAIN // 2, ASK_AGAIN), (None, UNHEARD))
             return
+        if news.mode == i.REMEMBERED and self.subscribes:
+            self.effects.append(i.Subscribe(True))
         if news.mode != i.CHANGES:  # what a whole list leaves out is gone
             self.phase = [i.GONE] * len(self.phase)
         for cache in news.caches:
@@ -176,6 +182,8 @@
 
     def _on_alarm(self, alarm):
         lk_id, word = self.alarms.pop(alarm.token, (None, None))
+        if word == UNHEARD:
+            self.effects.append(i.Subscribe(True))
         lk = self.held.get(lk_id)
         if lk is not None and (word == DUE or (lk_id, word) in self.sent):
             self._step(lk, DUE if word == DUE else OVERRUN)
--- a/hookrouter/interface.py
+++ b/hookrouter/interface.py
@@ -67,6 +67,7 @@
 
     topology: Topology
     kinds: tuple
+    must_subscribe: bool  # changes of the list come only to those that ask for them
     most_sends: int
     second_copies: bool
     may_cancel: bool
@@ -210,6 +211,12 @@
     token: int
 
 
+class Subscribe(NamedTuple):
+    """Asks for the changes of the list from here on; a list, or word that it failed, answers."""
+
+    wanted: bool
+
+
 class Probe(NamedTuple):
     cache: str
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,9 +1,9 @@
 """Small tests: the ordinary path, and one for each failure found."""
 
-from fleet import FLEET, SECOND, cache, ended, kind, lookup, router, sends
+from fleet import FLEET, SECOND, cache, ended, kind, lookup, router, sends, terms
 
 from hookrouter import interface as i
-from hookrouter.control import Sent
+from hookrouter.control import Control, Sent
 
 NOW = 1_000_000
 
@@ -149,3 +149,10 @@
     asked = [sends(control.decide(NOW, [lookup(n)]))[0] for n in range(1, 30)]
     assert {s.source == s.cache for s in asked} == {True, False}
     assert {s.source for s in asked if s.source != s.cache} == {"p1"}
+
+
+def test_a_list_that_must_be_asked_for_is_asked_for_until_it_answers():
+    control = Control(1, terms(must_subscribe=True))
+    assert control.decide(NOW, [i.CacheList(i.REMEMBERED, FLEET)]) == [i.Subscribe(True)]
+    alarm = control.decide(NOW, [i.CacheList(i.UNANSWERED, ())])[0]
+    assert control.decide(NOW + alarm.delay, [i.Alarm(alarm.token)]) == [i.Subscribe(True)]
