Tidy: one reset of a cache's health, one reader of plain types, sums made once

The reset of a cache that is well again stood twice; the links' sum was made anew for each fill and the mean of sends out where it is not used; five readers of the codec differed in type and words alone; a field was never read; a docstring spoke of the cut as it was.

--- a/hookrouter/adapter/codec.py
+++ b/hookrouter/adapter/codec.py
@@ -31,34 +31,22 @@
     return value
 
 
-def whole(value, what):
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise Malformed(f"{what}: a whole number is wanted, not {shown(value)}")
-    return value
-
+def reader(kind, wanted):
+    """Reads values of just this type: true and false are no numbers."""
 
-def text(value, what):
-    if not isinstance(value, str):
-        raise Malformed(f"{what}: text is wanted, not {shown(value)}")
-    return value
+    def read(value, what):
+        if type(value) is not kind:
+            raise Malformed(f"{what}: {wanted} is wanted, not {shown(value)}")
+        return value
 
-
-def flag(value, what):
-    if not isinstance(value, bool):
-        raise Malformed(f"{what}: true or false is wanted, not {shown(value)}")
-    return value
+    return read
 
 
-def listed(value, what):
-    if not isinstance(value, list):
-        raise Malformed(f"{what}: an array is wanted, not {shown(value)}")
-    return value
-
-
-def named(value, what):
-    if not isinstance(value, dict):
-        raise Malformed(f"{what}: an object is wanted, not {shown(value)}")
-    return value
+whole = reader(int, "a whole number")
+text = reader(str, "text")
+flag = reader(bool, "true or false")
+listed = reader(list, "an array")
+named = reader(dict, "an object")
 
 
 def word(value, words, what):
--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -62,12 +62,11 @@
 class Held:
     """A lookup that still lacks its final answer."""
 
-    __slots__ = ("id", "kind", "name", "key", "part", "group", "work", "due", "state", "sends", "overruns",
-                 "caches", "doubts", "sources", "straight", "hits_only",
-                 "refused")
+    __slots__ = ("id", "kind", "name", "key", "group", "work", "due", "state", "sends", "overruns",
+                 "caches", "doubts", "sources", "straight", "hits_only", "refused")
 
     def __init__(self, lk, kind, work):
-        self.id, self.kind, self.key, self.part, self.group = lk.id, kind, lk.object, lk.part, lk.group
+        self.id, self.kind, self.key, self.group = lk.id, kind, lk.object, lk.group
         self.name = f"{lk.object}|{lk.part}|"  # every part is hashed under a name of its own
         self.work, self.due, self.state = work, lk.due, NEW
         self.sends = self.overruns = 0
@@ -101,8 +100,8 @@
         self.tells_hits = terms.notes != "none"
         self.purge_done = terms.purge_done
         crew = max(1, top.crews[top.zones.index(top.zone)])
-        # Cold starts, caches and parents: first share, time to full, pace and burst for this router alone.
         self.idle = IDLE_SHARE / crew
+        # Cold starts, caches and parents: first share, time to full, pace and burst for this router alone.
         self.cold = (self._cold_terms(terms.cold_share, terms.cold_for,
                                       terms.fall_multiple, terms.fall_for, crew),
                      self._cold_terms(terms.parent_cold_share, terms.parent_cold_for,
@@ -118,6 +117,7 @@
             [], [], [], [], [], [], [])
         self.purse, self.purse_at, self.lost = [], [], []
         self.edges, self.parents, self.origins = [], [], []
+        self.reach = 0  # what the location's own links carry, in sends at full pace
         self.now, self.spare = 0, SPARE_MOST
         self.held, self.sent, self.alarms, self.tokens = {}, {}, {}, 0
         self.purged = {}  # object or group -> when
@@ -164,12 +164,12 @@
         self.parents = [n for n in ready if self.sort[n] == self.parent_sort and n not in self.origins]
         self.edges = [n for n in ready if self.where[n] == self.zone
                       and self.sort[n] not in (self.origin_sort, self.parent_sort)]
+        self.reach = sum(self.weight[n] for n in self.edges)
 
     def _start_cold(self, n, born):
         """Started anew: its past is void, its budget starts empty."""
-        self.born[n], self.purse[n], self.purse_at[n] = born, 0.0, self.now
-        self.strikes[n], self.rest[n], self.lost[n] = 0, REST, False
-        self.rest_until[n], self.trickle[n] = None, None
+        self.born[n], self.purse[n], self.purse_at[n], self.lost[n] = born, 0.0, self.now, False
+        self._restore(n)
 
     def _on_lookup(self, lk):
         kind = self.kinds.get(lk.kind)
@@ -295,8 +295,10 @@
 
     def _load(self, n):
         """A cache not yet heard from counts as average, or it would draw all."""
-        known = [self.out[m] for m in self.edges if self.heard[m]]
-        out = self.out[n] if self.heard[n] or not known else max(self.out[n], sum(known) / len(known))
+        out = self.out[n]
+        if not self.heard[n]:
+            known = [self.out[m] for m in self.edges if self.heard[m]]
+            out = max(out, sum(known) / len(known)) if known else out
         return max(self.idle, out / self.weight[n])
 
     def _send(self, lk, target, source, left):
@@ -359,8 +361,7 @@
             late = end.end == i.LATE or end.took > budget
             if fills and (end.end == i.SATISFIED or self.heard[sent.target] >= sent.at):
                 # A cache that answered nothing since tells of itself, not of its source or of the link.
-                reach = sum(self.weight[n] for n in self.edges)
-                self.room[sent.via] = self._slide(self.room[sent.via], reach, late)
+                self.room[sent.via] = self._slide(self.room[sent.via], self.reach, late)
             if not fills or end.note in (i.FOUND, i.AGED) or not self.tells_hits:
                 self.room[sent.target] = self._slide(self.room[sent.target], self.weight[sent.target], late)
         if end.end == i.SATISFIED:
@@ -401,7 +402,7 @@
 
     @staticmethod
     def _slide(window, weight, late):
-        """CoBlitz's chunk window: slower growth the wider it is, one less for each that misses."""
+        """CoBlitz's chunk window: slower growth the wider it is, a cut for each that misses."""
         widest = max(WINDOW_LEAST, weight * WINDOW_FULL)
         window = min(window, widest)
         return max(WINDOW_LEAST, window - WINDOW_CUT) if late else min(widest, window + 1 / log(window))
@@ -429,7 +430,10 @@
     def _widen(self, n):
         self.trickle[n] *= 2
         if self.trickle[n] >= TRICKLE_DONE:
-            self.trickle[n], self.rest_until[n], self.rest[n], self.strikes[n] = None, None, REST, 0
+            self._restore(n)
+
+    def _restore(self, n):
+        self.trickle[n], self.rest_until[n], self.rest[n], self.strikes[n] = None, None, REST, 0
 
     def _usable(self, n):
         return self.trickle[n] is None or (self.now >= self.rest_until[n] and self.out[n] < self.trickle[n])
