The part deadline starts at 3 s and gives way to the times seen

Cause: the first answer set the average, often a hit of a few milliseconds, and a router of a large fleet sees so few that its deadline stayed near hits for long; one send in five was cut at some 300 ms on a calm stretch. Guards against any deadline learned from too little; costs the second try of the first lookups some time.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -108,8 +108,9 @@
                                       terms.parent_fall_multiple, terms.fall_for, max(1, top.routers)))
         # By kind: mean sending time, and average and deviation of what answers took beyond it.
         self.mean_work = [float(kind.latency_budget) for kind in terms.kinds]
-        self.average = [None] * len(terms.kinds)
-        self.deviation = [0.0] * len(terms.kinds)
+        # They begin as the first deadline and give way to what is seen: one quick hit tells little of fills.
+        self.average = [0.0] * len(terms.kinds)
+        self.deviation = [FIRST_DEADLINE / DEVIATIONS] * len(terms.kinds)
         # By cache, under a dense index.
         self.index, self.ids, self.sort, self.cell, self.where, self.weight, self.born, self.phase = (
             {}, [], [], [], [], [], [], [])
@@ -343,10 +344,7 @@
 
     def _deadline(self, lk):
         """When a part is late: the design's average and deviation, doubled with each overrun."""
-        if self.average[lk.kind] is None:
-            limit = FIRST_DEADLINE
-        else:
-            limit = lk.work + self.average[lk.kind] + DEVIATIONS * self.deviation[lk.kind]
+        limit = lk.work + self.average[lk.kind] + DEVIATIONS * self.deviation[lk.kind]
         return int(min(LAST_DEADLINE, max(LEAST_WAIT, limit) * 2 ** lk.overruns))
 
     def _learn(self, sent, end):
@@ -394,11 +392,8 @@
             self._health(sent.source, BAD)
 
     def _time(self, k, over):
-        if self.average[k] is None:
-            self.average[k], self.deviation[k] = over, over / 2
-        else:
-            self.deviation[k] += BLEND * (abs(over - self.average[k]) - self.deviation[k])
-            self.average[k] += BLEND * (over - self.average[k])
+        self.deviation[k] += BLEND * (abs(over - self.average[k]) - self.deviation[k])
+        self.average[k] += BLEND * (over - self.average[k])
 
     @staticmethod
     def _slide(window, weight, late):
