--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -29,6 +29,7 @@
 WHOLE_CANDIDATES = 1  # caches; the design's figure for whole objects
 LEAD = 2.0  # times busier must the top cache be before the next one is: every move costs a second copy
 IDLE_SHARE = 1.0  # of a cache's link, in sends at full pace: sends below that do not slow each other
+IDLE_LEAST = 2.0  # sends of this router out: fewer meet by chance and tell nothing of what others have out
 TYPICAL = 0.5  # of the mean sending time, where sizes are not told: most lie well under a skewed mean
 WINDOW_LEAST = 2.0  # sends out: enough to go on learning from
 WINDOW_CUT = 5.0  # sends, for each that misses: at four out the paper's 1 lets two in five be late
@@ -300,7 +301,7 @@
         if not self.heard[n]:
             known = [self.out[m] for m in self.edges if self.heard[m]]
             out = max(out, sum(known) / len(known)) if known else out
-        return max(self.idle, out / self.weight[n])
+        return max(self.idle, IDLE_LEAST / self.weight[n], out / self.weight[n])
 
     def _send(self, lk, target, source, left):
         number, kind = lk.sends, self.kind[lk.kind]
