Windows are shares of the location's; one under a single send is a chance

Cause: each router kept a window of two sends at least for each source; twenty routers a location and ten locations let fifteen times more through than the parents carry, seen as four sends in ten refused there. What is told of crews sets the share. Harm: chance nacks where one router's late answers are not the location's.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -31,8 +31,10 @@
 IDLE_SHARE = 1.0  # of a cache's link, in sends at full pace: sends below that do not slow each other
 IDLE_LEAST = 2.0  # sends of this router out: fewer meet by chance and tell nothing of what others have out
 TYPICAL = 0.5  # of the mean sending time, where sizes are not told: most lie well under a skewed mean
-WINDOW_LEAST = 2.0  # sends out: enough to go on learning from
-WINDOW_CUT = 5.0  # sends, for each that misses: at four out the paper's 1 lets two in five be late
+WINDOW_LEAST = 2.0  # sends out, by all routers of the location: enough to go on learning from
+WINDOW_SLACK = 2.0  # sends of one router beyond its share: so many meet by chance
+WINDOW_CUT = 5.0  # sends, for each that misses: at four out the paper's 1 lets two in five be late;
+WINDOW_KEPT = 0.5  # yet this share stays: one router's window may be under one send
 WINDOW_FULL = 4.0  # times what a cache's link carries at full pace: beyond it nothing comes in time
 FIRST_DEADLINE = 30_000  # the design's 3 s, until a first time is known
 LAST_DEADLINE = 100_000  # the design's 10 s, where backing off ends
@@ -100,7 +102,7 @@
         self.pace = top.flow / 10_000  # KB in a tenth of a millisecond
         self.tells_hits = terms.notes != "none"
         self.purge_done = terms.purge_done
-        crew = max(1, top.crews[top.zones.index(top.zone)])
+        self.crew = crew = max(1, top.crews[top.zones.index(top.zone)])
         self.idle = IDLE_SHARE / crew
         # Cold starts, caches and parents: first share, time to full, pace and burst for this router alone.
         self.cold = (self._cold_terms(terms.cold_share, terms.cold_for,
@@ -245,7 +247,7 @@
         if target is None or not self._admissible(lk, target):
             return STUCK
         via = source if target in self.edges else target
-        if source is not None and not kind.write and (self.out[via] >= self.room[via] or lk.refused):
+        if source is not None and not kind.write and (lk.refused or not self._open(via)):
             if target not in self.edges:
                 return STUCK
             source, lk.hits_only = target, True  # one more fill would be late like those out; a hit would not
@@ -280,7 +282,7 @@
         ranked = [n for n in self._rank(lk.name, self.edges) if n not in lk.caches and self._affords(n, cost)]
         # Where all that is left is set aside, that still beats nothing; not where well ones are busy.
         well = [n for n in ranked if self._usable(n)] or [n for n in ranked if not self.lost[n]]
-        fit = [n for n in well if self.out[n] < self.room[n] or kind.write]
+        fit = [n for n in well if kind.write or self._open(n)]
         if well and not fit:
             return None, None  # whatever takes it would answer late, and make others late
         parents = [n for n in self._rank(lk.name, self.parents) if self._affords(n, cost)]
@@ -396,12 +398,20 @@
         self.deviation[k] += BLEND * (abs(over - self.average[k]) - self.deviation[k])
         self.average[k] += BLEND * (over - self.average[k])
 
-    @staticmethod
-    def _slide(window, weight, late):
-        """CoBlitz's chunk window: slower growth the wider it is, a cut for each that misses."""
-        widest = max(WINDOW_LEAST, weight * WINDOW_FULL)
+    def _slide(self, window, weight, late):
+        """CoBlitz's chunk window: slower growth the wider it is, a cut for each that misses.
+
+        The routers of a location share it: each holds a part, which may be less than one send.
+        """
+        widest = WINDOW_SLACK + weight * WINDOW_FULL / self.crew
         window = min(window, widest)
-        return max(WINDOW_LEAST, window - WINDOW_CUT) if late else min(widest, window + 1 / log(window))
+        if late:
+            return max(WINDOW_LEAST / self.crew, window - WINDOW_CUT, window * WINDOW_KEPT)
+        return min(widest, window + 1 / log(max(WINDOW_LEAST, window * self.crew)))
+
+    def _open(self, n):
+        """Room for one more; a part of a send is a chance."""
+        return self.out[n] + self.random.random() < self.room[n]
 
     # ---- health
 
