--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -358,6 +358,8 @@
                 self._start_cold(sent.target, self.now)
         work = sent.work or TYPICAL * self.mean_work[k]
         budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * work
+        if end.end == i.FULL and fills:
+            self.room[sent.via] = self._slide(self.room[sent.via], self.reach, True)
         if end.end in (i.SATISFIED, i.LATE):
             late = end.end == i.LATE or end.took > budget
             if fills and (end.end == i.SATISFIED or self.heard[sent.target] >= sent.at):
