Cold caches and parents are warmed by their routers in turns

Cause: one router's share of a cold cache was under one lookup, so a purse never held enough and a machine got nothing until it was warm, then all at once. Now lumps of work are handed out by the routers' numbers since its start; a turn that is not used lapses, so what may come at once stays within the multiple.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -10,7 +10,7 @@
  1. windows (the paper's) on each source's fills and each cache's sends; beyond them hits only, or a nack;
  2. the lead: a part leaves its top cache only for one that is clearly less busy;
  3. setting aside: a cache with failures in a row rests, then gets a trickle that doubles while it goes well;
- 4. cold budget: what started lately, or was silent, gets this router's share of what it can bear;
+ 4. cold budget: what started lately, or was silent, takes what it can bear, the routers in turns;
  5. further sends, earned by satisfied ones: the next cache and the next parent, at last past the caches;
  6. renewal and grace: a copy is renewed before it runs out, an older one will do once no fill is to be had.
 
@@ -46,7 +46,7 @@
 SILENCE = 20_000  # 2 s without an answer of any kind: in a crowd hits and refusals still come
 TRICKLE_DONE = 16  # sends out at once: beyond it a trickle limits nothing
 COLD_PACE = 1.0  # of what a cold cache can carry: full use, and all of the multiple above it as reserve
-COLD_BURST = 0.5  # of the reserve between pace and multiple: the rest is for what other figures hide
+COLD_BURST = 0.75  # of the reserve between pace and multiple may stand open at once: the rest is for chance
 MEMORY_MARGIN = 500  # 50 ms: a repeat must reach the group before it forgets
 SPARE_SHARE = 0.05  # further sends earned by each satisfied one: where nothing succeeds, nothing is repeated
 SPARE_MOST = 10.0  # further sends saved up: a cache's crash costs about as many before it is set aside
@@ -104,7 +104,8 @@
         self.purge_done = terms.purge_done
         self.crew = crew = max(1, top.crews[top.zones.index(top.zone)])
         self.idle = IDLE_SHARE / crew
-        # Cold starts, caches and parents: first share, time to full, pace and burst for this router alone.
+        self.number, self.routers = top.number, max(1, top.routers)
+        self.lump = max([1.0, *(kind.latency_budget for kind in terms.kinds if not kind.write)])
         self.cold = (self._cold_terms(terms.cold_share, terms.cold_for,
                                       terms.fall_multiple, terms.fall_for, crew),
                      self._cold_terms(terms.parent_cold_share, terms.parent_cold_for,
@@ -119,7 +120,7 @@
             {}, [], [], [], [], [], [], [])
         self.out, self.heard, self.room, self.strikes, self.rest, self.rest_until, self.trickle = (
             [], [], [], [], [], [], [])
-        self.purse, self.purse_at, self.lost = [], [], []
+        self.purse, self.turn, self.lost = [], [], []
         self.edges, self.parents, self.origins = [], [], []
         self.reach = 0  # what the location's own links carry, in sends at full pace
         self.now, self.spare = 0, SPARE_MOST
@@ -127,10 +128,15 @@
         self.purged = {}  # object or group -> when
         self.effects = []
 
-    @staticmethod
-    def _cold_terms(share, span, multiple, window, routers):
+    def _cold_terms(self, share, span, multiple, window, users):
+        """First share, time to full, turns in a tenth of full capacity, and for how many a turn stays open.
+
+        One router's share of a cold cache may be less than one lookup. So lumps of work are handed out in
+        turns, by the routers' numbers, as many as all users together may send; an unused turn lapses.
+        """
+        turns = self.routers / (users * self.lump)
         reserve = max(0.0, multiple - COLD_PACE) * COLD_BURST * window
-        return share, max(1, span), COLD_PACE / routers, reserve / routers
+        return share, max(1, span), COLD_PACE * turns, reserve * turns
 
     # ---- inputs
 
@@ -158,7 +164,7 @@
                         (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE), (self.out, 0),
                         (self.heard, 0), (self.room, inf), (self.strikes, 0), (self.rest, REST),
                         (self.rest_until, None), (self.trickle, None), (self.lost, False),
-                        (self.purse, 0.0), (self.purse_at, 0)):
+                        (self.purse, 0.0), (self.turn, -1)):
                     column.append(value)
             if cache.born > self.born[n]:
                 self._start_cold(n, cache.born)
@@ -172,7 +178,7 @@
 
     def _start_cold(self, n, born):
         """Started anew: its past is void, its budget starts empty."""
-        self.born[n], self.purse[n], self.purse_at[n], self.lost[n] = born, 0.0, self.now, False
+        self.born[n], self.purse[n], self.turn[n], self.lost[n] = born, 0.0, -1, False
         self._restore(n)
 
     def _on_lookup(self, lk):
@@ -490,16 +496,20 @@
         return terms
 
     def _affords(self, n, cost):
-        """No cold cache pushed over: this router's share of what it can bear now, as a purse that fills."""
+        """No cold cache pushed over: what it can bear is handed out in turns, a lump of work each."""
         terms = self._cold_now(n)
         if terms is None:
             return True
         share, span, pace, burst = terms
-        capacity = self.weight[n] * min(1.0, share + (1 - share) * max(0, self.now - self.born[n]) / span)
-        gained = max(0, self.now - self.purse_at[n]) * capacity * pace
-        self.purse[n] = min(capacity * burst, self.purse[n] + gained)
-        self.purse_at[n] = self.now
-        return self.purse[n] >= cost
+        age = max(0, self.now - self.born[n])
+        able = self.weight[n] * (share + (1 - share) * age / span)
+        handed = pace * age * (able + self.weight[n] * share) / 2  # turns since its start, to all routers
+        mine, since = divmod(handed - self.number, self.routers)
+        if mine < 0 or since > burst * able:
+            return False
+        if self.turn[n] != mine:
+            self.turn[n], self.purse[n] = mine, min(self.lump, self.purse[n] + self.lump)
+        return self.purse[n] >= min(cost, self.lump)
 
     def _spend(self, n, cost):
         if self._cold_now(n) is not None:
