--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -35,6 +35,7 @@
 WINDOW_SLACK = 2.0  # sends of one router beyond its share: so many meet by chance
 WINDOW_CUT = 5.0  # sends, for each that misses: at four out the paper's 1 lets two in five be late;
 WINDOW_KEPT = 0.5  # yet this share stays: one router's window may be under one send
+WINDOW_GROWTH = 0.5  # of the paper's step: refusals and late fills are dear, and they swing many routers
 WINDOW_FULL = 4.0  # times what a cache's link carries at full pace: beyond it nothing comes in time
 FIRST_DEADLINE = 30_000  # the design's 3 s, until a first time is known
 LAST_DEADLINE = 100_000  # the design's 10 s, where backing off ends
@@ -415,7 +416,7 @@
         window = min(window, widest)
         if late:
             return max(WINDOW_LEAST / self.crew, window - WINDOW_CUT, window * WINDOW_KEPT)
-        return min(widest, window + min(1, window) / log(max(WINDOW_LEAST, window * self.crew)))
+        return min(widest, window + WINDOW_GROWTH * min(1, window) / log(max(WINDOW_LEAST, window * self.crew)))
 
     def _open(self, n):
         """Room for one more; a part of a send is a chance."""
