--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -416,7 +416,8 @@
         window = min(window, widest)
         if late:
             return max(WINDOW_LEAST / self.crew, window - WINDOW_CUT, window * WINDOW_KEPT)
-        return min(widest, window + WINDOW_GROWTH * min(1, window) / log(max(WINDOW_LEAST, window * self.crew)))
+        step = WINDOW_GROWTH / log(max(WINDOW_LEAST, window * self.crew))
+        return min(widest, window + min(1, window) * step)
 
     def _open(self, n):
         """Room for one more; a part of a send is a chance."""
