Sources' windows follow what all routers share; a refused fill asks for held copies

Cause: a source's window began far above a router's share, so each cut came late; a fill refused because the origin was slow gave up on copies that the parent holds. The ceiling is now the lesser of the location's links and the parent's link over all routers, allowing for hits. After a refusal the same parent is asked for what it holds.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -35,6 +35,7 @@
 WINDOW_SLACK = 2.0  # sends of one router beyond its share: so many meet by chance
 WINDOW_CUT = 5.0  # sends, for each that misses: at four out the paper's 1 lets two in five be late;
 WINDOW_KEPT = 0.5  # yet this share stays: one router's window may be under one send
+MISSES = 0.4  # of the sends that name a source, at most so many need it in calm: the others are hits
 WINDOW_GROWTH = 0.5  # of the paper's step: refusals and late fills are dear, and they swing many routers
 WINDOW_FULL = 4.0  # times what a cache's link carries at full pace: beyond it nothing comes in time
 FIRST_DEADLINE = 30_000  # the design's 3 s, until a first time is known
@@ -257,7 +258,9 @@
         if source is not None and not kind.write and (lk.refused or not self._open(via)):
             if target not in self.edges:
                 return STUCK
-            source, lk.hits_only = target, True  # one more fill would be late like those out; a hit would not
+            lk.hits_only = True  # one more fill would be late like those out; a hit would not
+            if not lk.refused or not self._open(via):
+                source = target  # else what refused may hold it: its own source may be the one that is full
         return self._send(lk, target, source, left)
 
     def _give_up(self, lk):
@@ -293,7 +296,8 @@
         if well and not fit:
             return None, None  # whatever takes it would answer late, and make others late
         parents = [n for n in self._rank(lk.name, self.parents) if self._affords(n, cost)]
-        parents.sort(key=lambda n: (not self._usable(n), n in lk.sources))  # stable: else the hash's order
+        again = [] if lk.refused else lk.sources  # what refused a fetch may still hold the copy
+        parents.sort(key=lambda n: (not self._usable(n), n in again))  # stable: else the hash's order
         source = (parents or self.origins or [None])[0]
         if fit:
             top = fit[:PART_CANDIDATES if kind.in_parts else WHOLE_CANDIDATES]
@@ -343,7 +347,7 @@
             self.effects.append(i.Obtain(
                 lk.id, self.ids[target], self.ids[source], wait, self._oldest(lk),
                 1 if edge and not kind.write else 0,
-                self.joins, False, False, edge and via is not None and kind.fresh > 0))
+                self.joins, lk.hits_only, False, edge and via is not None and kind.fresh > 0))
         return SENT
 
     def _count(self, sent, by):
@@ -366,14 +370,14 @@
         work = sent.work or TYPICAL * self.mean_work[k]
         budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * work
         if end.end == i.FULL and fills:
-            self.room[sent.via] = self._slide(self.room[sent.via], self.reach, True)
+            self._slide(sent.via, True)
         if end.end in (i.SATISFIED, i.LATE):
             late = end.end == i.LATE or end.took > budget
             if fills and (end.end == i.SATISFIED or self.heard[sent.target] >= sent.at):
                 # A cache that answered nothing since tells of itself, not of its source or of the link.
-                self.room[sent.via] = self._slide(self.room[sent.via], self.reach, late)
+                self._slide(sent.via, late)
             if not fills or end.note in (i.FOUND, i.AGED) or not self.tells_hits:
-                self.room[sent.target] = self._slide(self.room[sent.target], self.weight[sent.target], late)
+                self._slide(sent.target, late)
         if end.end == i.SATISFIED:
             self.spare = min(SPARE_MOST, self.spare + SPARE_SHARE)
             self._time(k, max(0.0, end.took - sent.work))
@@ -407,17 +411,21 @@
         self.deviation[k] += BLEND * (abs(over - self.average[k]) - self.deviation[k])
         self.average[k] += BLEND * (over - self.average[k])
 
-    def _slide(self, window, weight, late):
+    def _slide(self, n, late):
         """CoBlitz's chunk window: slower growth the wider it is, a cut for each that misses.
 
-        The routers of a location share it: each holds a part, which may be less than one send.
+        Its routers share a cache: each holds a part of the window, which may be less than one send.
         """
-        widest = WINDOW_SLACK + weight * WINDOW_FULL / self.crew
-        window = min(window, widest)
+        share = self.weight[n] / self.crew
+        if n not in self.edges:  # what it carries for all, and what this location's own links take in
+            share = min(self.reach / self.crew, self.weight[n] / self.routers / MISSES)
+        widest = WINDOW_SLACK + share * WINDOW_FULL
+        window = min(self.room[n], widest)
         if late:
-            return max(WINDOW_LEAST / self.crew, window - WINDOW_CUT, window * WINDOW_KEPT)
-        step = WINDOW_GROWTH / log(max(WINDOW_LEAST, window * self.crew))
-        return min(widest, window + min(1, window) * step)
+            window = max(WINDOW_LEAST / self.crew, window - WINDOW_CUT, window * WINDOW_KEPT)
+        else:
+            window += WINDOW_GROWTH * min(1, window) / log(max(WINDOW_LEAST, window * self.crew))
+        self.room[n] = min(widest, window)
 
     def _open(self, n):
         """Room for one more; a part of a send is a chance."""
