A small object takes less of a window's chance

Cause: under one send, a window let an item of 60 ms and a part of 400 ms through alike, though the item earns half as much for a seventh of the bytes. Harm: where calls and not bytes are scarce (an origin of few workers), small objects crowd out large ones.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -12,7 +12,7 @@
  3. setting aside: a cache with failures in a row rests, then gets a trickle that doubles while it goes well;
  4. cold budget: what started lately, or was silent, takes what it can bear, the routers in turns;
  5. further sends, earned by satisfied ones: the next cache and the next parent, at last past the caches;
- 6. renewal and grace: a copy is renewed before it runs out, an older one will do once no fill is to be had.
+ 6. copies at hand: renewed before they run out; after a refused fill, what the parent holds or an older one.
 
 The five rules are kept in: _admissible and _nackable (effects), the table's DUE and SETTLED (answers),
 _on_list (drains), _affords (cold starts), _oldest (purges).
@@ -255,11 +255,11 @@
         if target is None or not self._admissible(lk, target):
             return STUCK
         via = source if target in self.edges else target
-        if source is not None and not kind.write and (lk.refused or not self._open(via)):
+        if source is not None and not kind.write and (lk.refused or not self._open(via, lk.kind)):
             if target not in self.edges:
                 return STUCK
             lk.hits_only = True  # one more fill would be late like those out; a hit would not
-            if not lk.refused or not self._open(via):
+            if not lk.refused or not self._open(via, lk.kind):
                 source = target  # else what refused may hold it: its own source may be the one that is full
         return self._send(lk, target, source, left)
 
@@ -292,7 +292,7 @@
         ranked = [n for n in self._rank(lk.name, self.edges) if n not in lk.caches and self._affords(n, cost)]
         # Where all that is left is set aside, that still beats nothing; not where well ones are busy.
         well = [n for n in ranked if self._usable(n)] or [n for n in ranked if not self.lost[n]]
-        fit = [n for n in well if kind.write or self._open(n)]
+        fit = [n for n in well if kind.write or self._open(n, lk.kind)]
         if well and not fit:
             return None, None  # whatever takes it would answer late, and make others late
         parents = [n for n in self._rank(lk.name, self.parents) if self._affords(n, cost)]
@@ -427,9 +427,9 @@
             window += WINDOW_GROWTH * min(1, window) / log(max(WINDOW_LEAST, window * self.crew))
         self.room[n] = min(widest, window)
 
-    def _open(self, n):
-        """Room for one more; a part of a send is a chance."""
-        return self.out[n] + self.random.random() < self.room[n]
+    def _open(self, n, kind):
+        """Room for one more; a part of a send is a chance, and the better the less the kind has to send."""
+        return self.out[n] + self.random.random() * self.mean_work[kind] / max(self.mean_work) < self.room[n]
 
     # ---- health
 
