A parent with a clearly narrower window is left for the next of the hash

Now only under one send and four times under the next one's. Harm: a second copy at the next parent where two windows differ by chance.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -36,6 +36,7 @@
 WINDOW_CUT = 5.0  # sends, for each that misses: at four out the paper's 1 lets two in five be late;
 WINDOW_KEPT = 0.5  # yet this share stays: one router's window may be under one send
 MISSES = 0.4  # of the sends that name a source, at most so many need it in calm: the others are hits
+CLEARLY = 4.0  # times wider is the next parent's window: two cuts apart, which chance alone seldom makes
 WINDOW_GROWTH = 0.5  # of the paper's step: refusals and late fills are dear, and they swing many routers
 WINDOW_FULL = 4.0  # times what a cache's link carries at full pace: beyond it nothing comes in time
 FIRST_DEADLINE = 30_000  # the design's 3 s, until a first time is known
@@ -298,6 +299,10 @@
         parents = [n for n in self._rank(lk.name, self.parents) if self._affords(n, cost)]
         again = [] if lk.refused else lk.sources  # what refused a fetch may still hold the copy
         parents.sort(key=lambda n: (not self._usable(n), n in again))  # stable: else the hash's order
+        # One slow parent is left for the next while its window is under a send and the other's clearly wider;
+        # where the links or the origin are narrow all windows are, and the hash's order holds.
+        if len(parents) > 1 and self.room[parents[0]] < min(1, self.room[parents[1]] / CLEARLY):
+            del parents[0]
         source = (parents or self.origins or [None])[0]
         if fit:
             top = fit[:PART_CANDIDATES if kind.in_parts else WHOLE_CANDIDATES]
