--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -37,7 +37,7 @@
 WINDOW_KEPT = 0.5  # yet this share stays: one router's window may be under one send
 MISSES = 0.4  # of the sends that name a source, at most so many need it in calm: the others are hits
 CLEARLY = 4.0  # times wider is the next parent's window: two cuts apart, which chance alone seldom makes
-WINDOW_GROWTH = 0.5  # of the paper's step: refusals and late fills are dear, and they swing many routers
+FILL_GROWTH = 0.5  # of the paper's step: refusals and late fills are dear, and they swing many routers
 WINDOW_FULL = 4.0  # times what a cache's link carries at full pace: beyond it nothing comes in time
 FIRST_DEADLINE = 30_000  # the design's 3 s, until a first time is known
 LAST_DEADLINE = 100_000  # the design's 10 s, where backing off ends
@@ -429,7 +429,8 @@
         if late:
             window = max(WINDOW_LEAST / self.crew, window - WINDOW_CUT, window * WINDOW_KEPT)
         else:
-            window += WINDOW_GROWTH * min(1, window) / log(max(WINDOW_LEAST, window * self.crew))
+            growth = 1.0 if n in self.edges else FILL_GROWTH  # an edge's answers come sooner than a fill's
+            window += growth * min(1, window) / log(max(WINDOW_LEAST, window * self.crew))
         self.room[n] = min(widest, window)
 
     def _open(self, n, kind):
