--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -48,7 +48,7 @@
 LONGEST_REST = 40_000  # 4 s: a well cache is found again soon, and a sick one costs a lookup each time
 SILENCE = 20_000  # 2 s without an answer of any kind: in a crowd hits and refusals still come
 TRICKLE_DONE = 16  # sends out at once: beyond it a trickle limits nothing
-COLD_PACE = 1.0  # of what a cold cache can carry: full use, and all of the multiple above it as reserve
+COLD_PACE = 0.5  # of the multiple: most start higher and warm sooner than stated; windows guard the answers
 COLD_BURST = 0.75  # of the reserve between pace and multiple may stand open at once: the rest is for chance
 MEMORY_MARGIN = 500  # 50 ms: a repeat must reach the group before it forgets
 SPARE_SHARE = 0.05  # further sends earned by each satisfied one: where nothing succeeds, nothing is repeated
@@ -138,8 +138,8 @@
         turns, by the routers' numbers, as many as all users together may send; an unused turn lapses.
         """
         turns = self.routers / (users * self.lump)
-        reserve = max(0.0, multiple - COLD_PACE) * COLD_BURST * window
-        return share, max(1, span), COLD_PACE * turns, reserve * turns
+        pace = multiple * COLD_PACE
+        return share, max(1, span), pace * turns, (multiple - pace) * COLD_BURST * window * turns
 
     # ---- inputs
 
