Sources' windows grow by the root of the crew, half as much for hits

Cause: hits, most of all answers, widened the window of a source that they did not need, so more than half of the fills came late; and one step for all sizes was too slow for three routers and too quick for twenty to share.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -37,7 +37,7 @@
 WINDOW_KEPT = 0.5  # yet this share stays: one router's window may be under one send
 MISSES = 0.4  # of the sends that name a source, at most so many need it in calm: the others are hits
 CLEARLY = 4.0  # times wider is the next parent's window: two cuts apart, which chance alone seldom makes
-FILL_GROWTH = 0.5  # of the paper's step: refusals and late fills are dear, and they swing many routers
+HIT_STEP = 0.5  # of a fill's step: most answers are hits, and say at best that the location is calm
 WINDOW_FULL = 4.0  # times what a cache's link carries at full pace: beyond it nothing comes in time
 FIRST_DEADLINE = 30_000  # the design's 3 s, until a first time is known
 LAST_DEADLINE = 100_000  # the design's 10 s, where backing off ends
@@ -107,6 +107,7 @@
         self.purge_done = terms.purge_done
         self.crew = crew = max(1, top.crews[top.zones.index(top.zone)])
         self.idle = IDLE_SHARE / crew
+        self.step = crew ** -0.5  # of the paper's step: the crew's chance steps add up by the root
         self.number, self.routers = top.number, max(1, top.routers)
         self.lump = max([1.0, *(kind.latency_budget for kind in terms.kinds if not kind.write)])
         self.cold = (self._cold_terms(terms.cold_share, terms.cold_for,
@@ -380,7 +381,10 @@
             late = end.end == i.LATE or end.took > budget
             if fills and (end.end == i.SATISFIED or self.heard[sent.target] >= sent.at):
                 # A cache that answered nothing since tells of itself, not of its source or of the link.
-                self._slide(sent.via, late)
+                # A hit tells little of the source; where hits are not told, a quick answer passes for one.
+                hit = (end.note in (i.FOUND, i.AGED) if self.tells_hits
+                       else end.took - sent.work < self.average[k])
+                self._slide(sent.via, late, self.step * (HIT_STEP if hit else 1))
             if not fills or end.note in (i.FOUND, i.AGED) or not self.tells_hits:
                 self._slide(sent.target, late)
         if end.end == i.SATISFIED:
@@ -416,7 +420,7 @@
         self.deviation[k] += BLEND * (abs(over - self.average[k]) - self.deviation[k])
         self.average[k] += BLEND * (over - self.average[k])
 
-    def _slide(self, n, late):
+    def _slide(self, n, late, growth=1.0):
         """CoBlitz's chunk window: slower growth the wider it is, a cut for each that misses.
 
         Its routers share a cache: each holds a part of the window, which may be less than one send.
@@ -429,7 +433,6 @@
         if late:
             window = max(WINDOW_LEAST / self.crew, window - WINDOW_CUT, window * WINDOW_KEPT)
         else:
-            growth = 1.0 if n in self.edges else FILL_GROWTH  # an edge's answers come sooner than a fill's
             window += growth * min(1, window) / log(max(WINDOW_LEAST, window * self.crew))
         self.room[n] = min(widest, window)
 
