Fleets and numbers that make little sense raise nothing

A kind without a latency budget and a flow of nought divided by nought in the window's chance and in sizes; a whole number of hundreds of digits raised where a plain message is wanted.

--- a/hookrouter/adapter/codec.py
+++ b/hookrouter/adapter/codec.py
@@ -19,6 +19,7 @@
 SIBLINGS = {"off": i.NO_SIBLINGS, "location": i.OWN_LOCATION, "any": i.ANY_SIBLING}
 DISCOVERY = {"pushed": False, "on_request": True}
 TENTHS = 10  # of a millisecond: the interface's unit in the wire's
+MOST = 1e18  # beyond it no number of the wire makes sense
 
 
 class Malformed(ValueError):
@@ -26,7 +27,8 @@
 
 
 def number(value, what):
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+    # A whole number of hundreds of digits is no time or size, and no float holds it.
+    if type(value) not in (int, float) or not -MOST <= value <= MOST:
         raise Malformed(f"{what}: a number is wanted, not {shown(value)}")
     return value
 
--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -190,7 +190,7 @@
         if kind is None:
             self.effects.append(i.Fail(lk.id))
             return
-        held = self.held[lk.id] = Held(lk, kind, lk.size / self.pace if lk.size else 0.0)
+        held = self.held[lk.id] = Held(lk, kind, lk.size / self.pace if lk.size and self.pace else 0.0)
         self._alarm(max(0, lk.due - self.now), (lk.id, DUE))
         self._step(held, ARRIVED)
 
@@ -438,7 +438,8 @@
 
     def _open(self, n, kind):
         """Room for one more; a part of a send is a chance, and the better the less the kind has to send."""
-        return self.out[n] + self.random.random() * self.mean_work[kind] / max(self.mean_work) < self.room[n]
+        lump = self.mean_work[kind] / max(1.0, *self.mean_work)
+        return self.out[n] + self.random.random() * lump < self.room[n]
 
     # ---- health
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -22,7 +22,8 @@
 
 
 def test_a_line_that_is_no_batch_ends_with_one_plain_message():
-    for line in (b"{", b"[]", b'{"t":"x","turn":1,"groups":[]}'):
+    for line in (b"{", b"[]", b'{"t":"x","turn":1,"groups":[]}',
+                 b'{"t":' + b"9" * 400 + b',"turn":1,"groups":[]}', b'{"t":NaN,"turn":1,"groups":[]}'):
         code, replies, said = talk(line)
         assert code == 2 and replies == [] and said.startswith("hookrouter: malformed batch") and said.count("\n") == 1
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,7 +1,7 @@
 """Small tests: the ordinary path, and one for each failure found."""
 
 import pytest
-from fleet import FLEET, SECOND, cache, ended, kind, lookup, router, sends, terms
+from fleet import FLEET, KINDS, SECOND, cache, ended, kind, lookup, router, sends, terms
 
 from hookrouter import interface as i
 from hookrouter.control import Control, Sent
@@ -221,3 +221,25 @@
         able = 30 * (0.1 + 0.9 * (at - born) / (20 * SECOND)) * SECOND
         assert sum(at - SECOND < when <= at for when in spent) * 4_000 <= 2.0 * able
     assert len(spent) > 50
+
+
+@pytest.mark.parametrize("routers, crew", ((0, 0), (1, 1), (5_000, 5_000)))
+@pytest.mark.parametrize("fleet", ((), FLEET[:4], FLEET[4:6], FLEET[-1:], FLEET), ids=len)
+def test_fleets_that_make_little_sense_raise_nothing_and_every_lookup_is_answered(routers, crew, fleet):
+    odd = (kind("clip", latency_budget=0, in_parts=True), *KINDS[1:])
+    top = terms().topology._replace(routers=routers, crews=(0, crew), number=7, flow=0.0)
+    control = router(fleet, topology=top, kinds=odd)
+    reborn = [c._replace(born=NOW) for c in fleet]
+    answered = set()
+    for step, news in enumerate((i.CacheList(i.CHANGES, tuple(reborn)), i.CacheList(i.WHOLE, ()),
+                                 i.CacheList(i.WHOLE, tuple(fleet)))):
+        now = NOW + step * 100
+        effects = control.decide(now, [news, *(lookup(9 * step + n, k.name, size=5) for n, k in enumerate(odd))])
+        for _ in range(9):
+            answered |= {e.id for e in effects if isinstance(e, (i.Nack, i.Fail))}
+            effects = [e for send in sends(effects) for e in control.decide(now, [ended(send, i.FULL, e_number(send, control))])]
+    assert answered == {9 * step + n for step in range(3) for n in range(len(odd))}
+
+
+def e_number(send, control):
+    return control.held[send.id].sends - 1
