Sends lost at a cache that answers others in time do not cut its window

A time-out now cuts a cache's window only if the last answer from there was late too, or none came since. Also guards against a slow source blamed on a cache where hits are not told. Harm: a cache that answers hits quickly and hangs on the rest is cut later; failures in a row still set it aside.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -124,7 +124,7 @@
             {}, [], [], [], [], [], [], [])
         self.out, self.heard, self.room, self.strikes, self.rest, self.rest_until, self.trickle = (
             [], [], [], [], [], [], [])
-        self.purse, self.turn, self.lost = [], [], []
+        self.purse, self.turn, self.lost, self.tardy = [], [], [], []  # tardy: the last answer came late
         self.edges, self.parents, self.origins = [], [], []
         self.reach = 0  # what the location's own links carry, in sends at full pace
         self.now, self.spare = 0, SPARE_MOST
@@ -168,7 +168,7 @@
                         (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE), (self.out, 0),
                         (self.heard, 0), (self.room, inf), (self.strikes, 0), (self.rest, REST),
                         (self.rest_until, None), (self.trickle, None), (self.lost, False),
-                        (self.purse, 0.0), (self.turn, -1)):
+                        (self.purse, 0.0), (self.turn, -1), (self.tardy, False)):
                     column.append(value)
             if cache.born > self.born[n]:
                 self._start_cold(n, cache.born)
@@ -385,8 +385,12 @@
                 hit = (end.note in (i.FOUND, i.AGED) if self.tells_hits
                        else end.took - sent.work < self.average[k])
                 self._slide(sent.via, late, self.step * (HIT_STEP if hit else 1))
-            if not fills or end.note in (i.FOUND, i.AGED) or not self.tells_hits:
+            # Sends unanswered at a cache that answers others in time are lost, or wait for their source.
+            lost = end.end == i.LATE and self.heard[sent.target] >= sent.at and not self.tardy[sent.target]
+            if not lost and (not fills or end.note in (i.FOUND, i.AGED) or not self.tells_hits):
                 self._slide(sent.target, late)
+            if end.end == i.SATISFIED:
+                self.tardy[sent.target] = late
         if end.end == i.SATISFIED:
             self.spare = min(SPARE_MOST, self.spare + SPARE_SHARE)
             self._time(k, max(0.0, end.took - sent.work))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -243,3 +243,14 @@
 
 def e_number(send, control):
     return control.held[send.id].sends - 1
+
+
+def test_sends_unanswered_at_a_cache_that_answers_others_in_time_do_not_cut_its_window():
+    control = router([cache("c0"), FLEET[-1]])
+    n, late = control.index["c0"], i.SendEnd(1, 0, i.LATE, 0, False, 9, "c0", None)
+    control.now, control.heard[n], control.room[n] = NOW, NOW + 1, 9.0
+    control._learn(sent_to(control, n), late)
+    assert control.room[n] == 9.0
+    control._learn(sent_to(control, n), late._replace(end=i.SATISFIED, took=3 * SECOND))  # a crowd: others are late too
+    control._learn(sent_to(control, n), late)
+    assert control.room[n] < 5.0
