Tidy: what an end tells is worked out once

Whether anything came since a send, and whether the answer was a hit, were tested afresh in up to three places; the number of routers was guarded twice; the load divided twice.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -113,7 +113,7 @@
         self.cold = (self._cold_terms(terms.cold_share, terms.cold_for,
                                       terms.fall_multiple, terms.fall_for, crew),
                      self._cold_terms(terms.parent_cold_share, terms.parent_cold_for,
-                                      terms.parent_fall_multiple, terms.fall_for, max(1, top.routers)))
+                                      terms.parent_fall_multiple, terms.fall_for, self.routers))
         # By kind: mean sending time, and average and deviation of what answers took beyond it.
         self.mean_work = [float(kind.latency_budget) for kind in terms.kinds]
         # They begin as the first deadline and give way to what is seen: one quick hit tells little of fills.
@@ -320,7 +320,7 @@
         if not self.heard[n]:
             known = [self.out[m] for m in self.edges if self.heard[m]]
             out = max(out, sum(known) / len(known)) if known else out
-        return max(self.idle, IDLE_LEAST / self.weight[n], out / self.weight[n])
+        return max(self.idle, max(IDLE_LEAST, out) / self.weight[n])
 
     def _send(self, lk, target, source, left):
         number, kind = lk.sends, self.kind[lk.kind]
@@ -373,21 +373,23 @@
             self.heard[sent.target] = self.now
             if self.lost[sent.target]:
                 self._start_cold(sent.target, self.now)
+        # Nothing came from there since the send went out; and what the answer tells of the copy.
+        mute, dry = (n is not None and self.heard[n] < sent.at for n in (sent.target, sent.source))
+        found = end.note in (i.FOUND, i.AGED)
         work = sent.work or TYPICAL * self.mean_work[k]
         budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * work
         if end.end == i.FULL and fills:
             self._slide(sent.via, True)
         if end.end in (i.SATISFIED, i.LATE):
             late = end.end == i.LATE or end.took > budget
-            if fills and (end.end == i.SATISFIED or self.heard[sent.target] >= sent.at):
+            if fills and not mute:
                 # A cache that answered nothing since tells of itself, not of its source or of the link.
                 # A hit tells little of the source; where hits are not told, a quick answer passes for one.
-                hit = (end.note in (i.FOUND, i.AGED) if self.tells_hits
-                       else end.took - sent.work < self.average[k])
+                hit = found if self.tells_hits else end.took - sent.work < self.average[k]
                 self._slide(sent.via, late, self.step * (HIT_STEP if hit else 1))
             # Sends unanswered at a cache that answers others in time are lost, or wait for their source.
-            lost = end.end == i.LATE and self.heard[sent.target] >= sent.at and not self.tardy[sent.target]
-            if not lost and (not fills or end.note in (i.FOUND, i.AGED) or not self.tells_hits):
+            astray = end.end == i.LATE and not mute and not self.tardy[sent.target]
+            if not astray and (not fills or found or not self.tells_hits):
                 self._slide(sent.target, late)
             if end.end == i.SATISFIED:
                 self.tardy[sent.target] = late
@@ -395,7 +397,7 @@
             self.spare = min(SPARE_MOST, self.spare + SPARE_SHARE)
             self._time(k, max(0.0, end.took - sent.work))
             # Where sizes are not told, hits on calm caches are the measure: a crowd's grow with the wait.
-            if sent.work or (sent.calm and (not fills or end.note in (i.FOUND, i.AGED))):
+            if sent.work or (sent.calm and (not fills or found)):
                 self.mean_work[k] += BLEND * ((sent.work or end.took) - self.mean_work[k])
             self._health(sent.target, GOOD)
             if fills and (not self.tells_hits or end.note in (i.FILLED, i.FROM_ORIGIN, i.JOINED)):
@@ -409,7 +411,6 @@
         # No answer tells whose fault it was. A sick cache fails hits too, a sick parent fails for every
         # cache: each is cleared by what goes well there, so blaming both sets aside the one at fault. A
         # time-out counts only where nothing came since the send went out: else it is a crowd's.
-        mute, dry = (n is not None and self.heard[n] < sent.at for n in (sent.target, sent.source))
         if end.end in (i.ERRED, i.UNREACHED, i.BROKEN) or (end.end == i.LATE and mute) or (
                 end.end == i.FULL and not fills):
             self._health(sent.target, BAD)
