--- a/hookrouter/adapter/host.py
+++ b/hookrouter/adapter/host.py
@@ -3,9 +3,10 @@
 import json
 import traceback
 
+from .. import terms
 from ..control import Control
+from ..terms import Malformed
 from . import codec
-from .codec import Malformed
 
 
 class Host:
@@ -16,15 +17,15 @@
 
     def reply(self, batch):
         """The answer to one batch; raises Malformed where the batch itself cannot be read."""
-        batch = codec.named(batch, "batch")
-        now = codec.down(batch.get("t"), "batch.t")
-        turn = codec.whole(batch.get("turn"), "batch.turn")
+        batch = terms.named(batch, "batch")
+        now = terms.down(batch.get("t"), "batch.t")
+        turn = terms.whole(batch.get("turn"), "batch.turn")
         answers = []
-        for group in codec.listed(batch.get("groups"), "batch.groups"):
-            group = codec.named(group, "batch.groups")
-            router = codec.whole(group.get("router"), "groups.router")
+        for group in terms.listed(batch.get("groups"), "batch.groups"):
+            group = terms.named(group, "batch.groups")
+            router = terms.whole(group.get("router"), "groups.router")
             try:
-                cmds = self.run(router, now, codec.listed(group.get("inbox"), "groups.inbox"))
+                cmds = self.run(router, now, terms.listed(group.get("inbox"), "groups.inbox"))
             except Malformed as wrong:
                 cmds = self.fault(router, f"malformed: {wrong}")
             except Exception as wrong:  # the decision code failed: say so, and keep the other routers going
@@ -41,7 +42,7 @@
     def run(self, router, now, inbox):
         effects, inputs = [], []
         for event in inbox:
-            name = codec.listed(event, "inbox")[0] if event else None
+            name = terms.listed(event, "inbox")[0] if event else None
             if name == "defineList":
                 self.define(event)
             elif name == "down":
@@ -49,8 +50,8 @@
                 effects, inputs = [], []
             elif name == "configure":
                 seed, conf = (event + [None, None])[1:3]
-                seed = codec.whole(seed, "configure.randomSeed")
-                self.routers[router] = Control(seed, codec.read_terms(conf))
+                seed = terms.whole(seed, "configure.randomSeed")
+                self.routers[router] = Control(seed, terms.read_terms(conf))
                 effects, inputs = [], []
             else:
                 inputs.append(codec.read_event(event, self.lists))
@@ -62,7 +63,7 @@
 
     def define(self, event):
         table, rows = (event + [None, None])[1:3]
-        self.lists[codec.whole(table, "defineList.table")] = codec.read_list(rows)
+        self.lists[terms.whole(table, "defineList.table")] = codec.read_list(rows)
 
 
 def serve(lines, out, errors):
--- /dev/null
+++ b/hookrouter/caches/__init__.py
@@ -0,0 +1,9 @@
+"""Caches, parents and the origin: their addresses, the connections to them, sends and probes.
+
+Another protocol can stand in for HTTP here: it takes the same Errand and fires the same Ended.
+"""
+
+from .errands import Ended, Errand
+from .pool import Caches
+
+__all__ = ["Caches", "Ended", "Errand"]
--- /dev/null
+++ b/hookrouter/caches/errands.py
@@ -0,0 +1,100 @@
+"""What a send carries to a cache, as the head of a request, and what its answer says."""
+
+from typing import NamedTuple
+from urllib.parse import quote
+
+from .. import interface as i
+from ..parsers import http1
+
+TENTHS = 10  # of a millisecond, in one
+LONGEST_BODY = 240_000  # bytes, of any object's part
+NOTES = {b"hit": i.FOUND, b"filled": i.FILLED, b"via_origin": i.FROM_ORIGIN, b"joined": i.JOINED,
+         b"stale": i.AGED}
+
+
+class Errand(NamedTuple):
+    """One send; ids as the client gave them. source None: what the cache holds, or what the origin does."""
+
+    kind: str
+    trace: str
+    object: str
+    part: int
+    key: str | None
+    seen: str | None
+    body: bytes
+    wait: int
+    source: str | None = None
+    rank: int = 0
+    age: int = 0
+    join: bool = False
+    held_only: bool = False
+    unkept: bool = False
+    renew: bool = False
+
+
+class Ended(NamedTuple):
+    """How a send or probe ended; the body in pieces, as they came."""
+
+    end: str
+    note: int = 0
+    report: tuple | None = None
+    pieces: tuple = ()
+    length: int = 0
+    unchanged: bool = False  # the client's own copy is the one
+
+
+def millis(tenths):
+    """Whole milliseconds, down; what is left of one is one, for none means without limit."""
+    return b"%d" % max(1, tenths // TENTHS)
+
+
+def request(errand, host):
+    target = f"/fetch/{quote(errand.kind, safe='')}/{errand.object}/{errand.part}".encode()
+    fields = [(b"Host", host), (b"X-Trace", errand.trace.encode()), (b"X-Patience", millis(errand.wait))]
+    if errand.key is not None:
+        fields.append((b"X-Op-Key", errand.key.encode()))
+    if errand.source is not None:
+        fields.append((b"X-Origin-Pick", errand.source.encode()))
+    if errand.rank:
+        fields.append((b"X-Priority", b"%d" % errand.rank))
+    if errand.age:
+        fields.append((b"X-Stale-Limit", millis(errand.age)))
+    ways = [word for word, wanted in ((b"join", errand.join), (b"held", errand.held_only),
+                                      (b"nocopy", errand.unkept), (b"renew", errand.renew)) if wanted]
+    if ways:
+        fields.append((b"X-Do", b"+".join(ways)))
+    if errand.seen is not None:
+        fields.append((b"X-Seen", errand.seen.encode()))
+    if errand.body:  # a write's goes with the one method that there is
+        fields.append((b"Content-Length", b"%d" % len(errand.body)))
+    return http1.request(b"GET", target, fields, errand.body)
+
+
+def probe(reports, host):
+    return http1.request(b"GET", b"/busy" if reports else b"/ping", [(b"Host", host)])
+
+
+def read_ended(answer, pieces, length, names):
+    """What a whole answer says; names: the fields of load reports, where these come at all."""
+    declined = answer.fields.get(b"x-declined") == b"1"
+    end = {200: i.SATISFIED, 304: i.SATISFIED, 404: i.MISSING}.get(answer.status, i.ERRED)
+    if declined and answer.status == 503:
+        end = i.FULL
+    elif declined and answer.status == 504:
+        end = i.VOID
+    return Ended(end, NOTES.get(answer.fields.get(b"x-result"), 0),
+                 read_report(answer.fields.get(b"x-stats"), names), pieces, length, answer.status == 304)
+
+
+def read_report(text, names):
+    """The values of the named fields, or None where one is not there."""
+    if text is None or not names:
+        return None
+    values = {}
+    for pair in text.split(b";"):
+        name, _, value = pair.partition(b":")
+        try:
+            values[name.strip().decode("latin-1")] = float(value)
+        except ValueError:
+            return None
+    return tuple(values[name] for name in names) if all(name in values for name in names) else None
--- /dev/null
+++ b/hookrouter/caches/pool.py
@@ -0,0 +1,269 @@
+"""Connections to caches, one request at a time each, kept for the next one; sends and probes over them.
+
+A connection owns its descriptor's slot and gives it back when it is gone. A send owns its deadline and its
+connection while it runs; _finish gives both back and fires its Deferred, once.
+"""
+
+from collections import deque
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import ClientFactory, Protocol
+
+from .. import interface as i
+from ..parsers import http1
+from ..parsers.http1 import Malformed
+from ..tables.slots import Slots
+from . import errands
+
+SECONDS = 10_000  # tenths of a millisecond, in one
+
+
+class Place:
+    """Where a cache listens, and the idle connections to it, the last used last."""
+
+    __slots__ = ("name", "host", "port", "born", "idle")
+
+    def __init__(self, name, address, born):
+        self.name, self.born, self.idle = name, born, []
+        self.host, self.port = address
+
+
+class Send:
+    __slots__ = ("place", "pieces", "deadline", "deferred", "connection", "written")
+
+    def __init__(self, place, pieces):
+        self.place, self.pieces = place, pieces
+        self.deadline = self.connection = self.deferred = None
+        self.written = False
+
+
+class Connection(Protocol):
+    def __init__(self, caches, place):
+        self.caches, self.place = caches, place
+        self.number = self.send = self.up_by = self.idle_until = self.connector = None
+        self.answers = http1.Answers(self._on_head, self._on_body, self._on_end, errands.LONGEST_BODY)
+        self.head, self.pieces, self.length, self.broken = None, [], 0, False
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.caches.came_up(self)
+
+    def write(self, pieces):
+        self.head, self.pieces, self.length = None, [], 0
+        self.transport.writeSequence(pieces)
+
+    def dataReceived(self, data):
+        if self.send is None:
+            self.close()  # nothing was asked
+            return
+        try:
+            self.answers.feed(data)
+        except Malformed as wrong:
+            self.caches.log("cache sent what cannot be read, connection ended", f"{self.place.name}: {wrong}")
+            self.caches.count("caches_malformed")
+            self.caches.lost_answer(self)
+
+    def _on_head(self, answer):
+        if self.send is None or self.head is not None:
+            raise Malformed("an answer to nothing")
+        self.head = answer
+
+    def _on_body(self, piece):
+        self.pieces.append(piece)
+        self.length += len(piece)
+
+    def _on_end(self):
+        self.caches.answered(self)
+
+    def connectionLost(self, reason):
+        self.caches.went_down(self)
+
+    def close(self):
+        """Ends it at once, whether it is up or not."""
+        if self.transport is not None:
+            self.transport.abortConnection()
+        elif self.connector is not None:
+            self.connector.stopConnecting()
+
+
+class Outgoing(ClientFactory):
+    """One connection's way up."""
+
+    noisy = False
+
+    def __init__(self, connection):
+        self.connection = connection
+
+    def buildProtocol(self, address):
+        return self.connection
+
+    def clientConnectionFailed(self, connector, reason):
+        self.connection.caches.went_down(self.connection)
+
+
+class Caches:
+    def __init__(self, reactor, deadlines, most, terms, log, count):
+        self.reactor, self.deadlines, self.log, self.count = reactor, deadlines, log, count
+        self.connect_for = terms.connect_for / SECONDS
+        # Left before the cache closes it, by the time a connection may take: no request crosses the close.
+        self.idle_for = max(0, terms.idle_for - terms.connect_for) / SECONDS
+        self.names = terms.report_fields if terms.reports != "none" else ()
+        self.places = {}
+        self.connections = Slots(most)
+        self.idle = {}  # connections that wait for the next send, the longest idle first
+        self.waiting = deque()  # sends without a descriptor
+
+    # ---- addresses
+
+    def learn(self, name, address, born):
+        """A cache listens there. What was open to another process at this address or of this name goes."""
+        old = self.places.get(name)
+        if old is not None and (old.host, old.port) == address and old.born == born:
+            return
+        for place in self.places.values():
+            if (place.host, place.port) == address or place is old:
+                self._close_idle(place)
+        self.places[name] = Place(name, address, born)
+
+    def forget(self, name):
+        if name in self.places:
+            self._close_idle(self.places[name])
+
+    def _close_idle(self, place):
+        for connection in list(place.idle):
+            self._unidle(connection)
+            connection.close()
+
+    # ---- sends and probes
+
+    def send(self, name, errand):
+        """A Deferred that fires once, with Ended; cancelled, it fires at once and its connection is closed."""
+        self.count("sends")
+        place = self.places[name]
+        return self._go(place, errands.request(errand, self._host(place)), errand.wait)
+
+    def probe(self, name):
+        self.count("probes")
+        place = self.places[name]
+        # No time is stated for a probe but that of a connection.
+        return self._go(place, errands.probe(self.names, self._host(place)), self.connect_for * SECONDS)
+
+    def _host(self, place):
+        return f"{place.host}:{place.port}".encode()
+
+    def _go(self, place, pieces, wait):
+        send = Send(place, pieces)
+        send.deferred = Deferred(lambda _: self._finish(send, errands.Ended(i.CANCELLED)))
+        send.deadline = self.deadlines.after(max(0, wait) / SECONDS, self._overdue, send)
+        self._start(send)
+        return send.deferred
+
+    def _start(self, send):
+        if send.place.idle:
+            connection = send.place.idle[-1]
+            self._unidle(connection)
+            self._put(send, connection)
+            return
+        connection = Connection(self, send.place)
+        connection.number = self.connections.take(connection)
+        if connection.number is None:
+            self.waiting.append(send)
+            if self.idle:  # the longest idle gives its descriptor up
+                oldest = next(iter(self.idle))
+                self._unidle(oldest)
+                oldest.close()
+            return
+        self.count("connections")
+        connection.send, send.connection = send, connection
+        connection.up_by = self.deadlines.after(self.connect_for, self._not_up, connection)
+        connection.connector = self.reactor.connectTCP(
+            send.place.host, send.place.port, Outgoing(connection), timeout=None)
+
+    def _put(self, send, connection):
+        connection.send, send.connection, send.written = send, connection, True
+        connection.write(send.pieces)
+
+    def _overdue(self, send):
+        if send.written:
+            end = i.LATE
+        else:  # it never left: for want of a descriptor, or of an answer to the connection
+            end = i.VOID if send.connection is None else i.UNREACHED
+        self._finish(send, errands.Ended(end))
+
+    def _finish(self, send, ended, keep=False):
+        """The one end of a send."""
+        if send.deferred is None:
+            return
+        deferred, send.deferred = send.deferred, None
+        self.deadlines.drop(send.deadline)
+        connection, send.connection = send.connection, None
+        if connection is None:
+            if send in self.waiting:
+                self.waiting.remove(send)
+        else:
+            connection.send = None
+            connection.pieces, connection.head = [], None
+            if keep:
+                self._keep(connection)
+            else:
+                connection.close()
+        if not deferred.called:
+            deferred.callback(ended)
+
+    # ---- connections
+
+    def came_up(self, connection):
+        self.deadlines.drop(connection.up_by)
+        if connection.send is None:
+            connection.close()
+        else:
+            self._put(connection.send, connection)
+
+    def _not_up(self, connection):
+        if connection.send is not None:
+            self._finish(connection.send, errands.Ended(i.UNREACHED))
+        else:
+            connection.close()
+
+    def went_down(self, connection):
+        """The one place where a connection's descriptor is given back."""
+        self._unidle(connection)
+        self.deadlines.drop(connection.up_by)
+        self.connections.give_back(connection.number)
+        connection.transport = connection.connector = None
+        if connection.send is not None:
+            self._finish(connection.send, errands.Ended(i.BROKEN if connection.send.written else i.UNREACHED))
+        while self.waiting and len(self.connections) < self.connections.size:
+            self._start(self.waiting.popleft())
+
+    def answered(self, connection):
+        head = connection.head
+        ended = errands.read_ended(head, tuple(connection.pieces), connection.length, self.names)
+        self._finish(connection.send, ended, keep=head.keep and not connection.answers.buffer)
+
+    def lost_answer(self, connection):
+        if connection.send is not None:
+            self._finish(connection.send, errands.Ended(i.BROKEN))
+        else:
+            connection.close()
+
+    def _keep(self, connection):
+        if self.places.get(connection.place.name) is not connection.place or self.idle_for <= 0:
+            connection.close()
+            return
+        if self.waiting:  # for another cache, which needs the descriptor
+            connection.close()
+            return
+        connection.place.idle.append(connection)
+        self.idle[connection] = True
+        connection.idle_until = self.deadlines.after(self.idle_for, self._idle_out, connection)
+
+    def _unidle(self, connection):
+        if self.idle.pop(connection, None):
+            connection.place.idle.remove(connection)
+            self.deadlines.drop(connection.idle_until)
+
+    def _idle_out(self, connection):
+        self._unidle(connection)
+        connection.close()
+
--- /dev/null
+++ b/hookrouter/feed/follower.py
@@ -0,0 +1,129 @@
+"""Follows the control feed: one connection, resumed after any end from the last number told."""
+
+from twisted.internet.protocol import ClientFactory, Protocol
+
+from ..parsers import http1, sse
+from . import events
+
+SILENCE = 3.0  # seconds: a comment comes every second, so two missed
+UP_WITHIN = 1.0  # seconds for a connection: more than any way within a site takes
+FIRST_PAUSE = 0.05  # seconds before the next connection, doubled each time nothing came over the last
+LONGEST_PAUSE = 1.0  # seconds: what the feed tells counts as told after 7 s whether it arrived or not
+LONGEST_STREAM = 2 ** 60  # bytes: one connection may carry events for as long as it lasts
+
+
+class Stream(Protocol):
+    def __init__(self, feed):
+        self.feed = feed
+        self.answers = http1.Answers(self._on_head, self._on_body, self._on_end, LONGEST_STREAM,
+                                     until_close=True)
+        self.events = sse.Events()
+
+    def connectionMade(self):
+        feed = self.feed
+        feed.heard(self)
+        self.transport.writeSequence(http1.request(b"GET", b"/v1/events", [
+            (b"Host", f"{feed.host}:{feed.port}".encode()), (b"Accept", b"text/event-stream"),
+            (b"Last-Event-ID", b"%d" % feed.last)]))
+
+    def dataReceived(self, data):
+        self.feed.heard(self)
+        try:
+            self.answers.feed(data)
+        except (http1.Malformed, sse.Malformed) as wrong:
+            self.feed.end(self, str(wrong))
+
+    def _on_head(self, answer):
+        if answer.status != 200:
+            raise http1.Malformed(f"status {answer.status}")
+
+    def _on_body(self, piece):
+        for _, data in self.events.feed(piece):
+            self.feed.came(self, data)
+
+    def _on_end(self):
+        self.transport.loseConnection()
+
+    def connectionLost(self, reason):
+        self.feed.went_down(self)
+
+
+class Way(ClientFactory):
+    noisy = False
+
+    def __init__(self, stream):
+        self.stream = stream
+
+    def buildProtocol(self, address):
+        return self.stream
+
+    def clientConnectionFailed(self, connector, reason):
+        self.stream.feed.went_down(self.stream)
+
+
+class Feed:
+    """desk: what is told of events, listed(event) and purged(event). last: the number told so far."""
+
+    def __init__(self, reactor, deadlines, desk, address, last, log, count):
+        self.reactor, self.deadlines, self.desk, self.log, self.count = reactor, deadlines, desk, log, count
+        self.host, self.port = address
+        self.last, self.pause = last, FIRST_PAUSE
+        self.connector = self.stream = self.patience = None
+        self.stopped = False
+
+    def start(self):
+        if self.stopped:
+            return
+        self.count("feed_connections")
+        self.stream = Stream(self)
+        self.patience = self.deadlines.after(UP_WITHIN, self.end, self.stream, "not up in time")
+        self.connector = self.reactor.connectTCP(self.host, self.port, Way(self.stream), timeout=None)
+
+    def stop(self):
+        self.stopped = True
+        if self.stream is not None:
+            self.end(self.stream, None)
+
+    def heard(self, stream):
+        self.deadlines.drop(self.patience)
+        if stream is self.stream:
+            self.patience = self.deadlines.after(SILENCE, self.end, stream, "silent")
+
+    def end(self, stream, why):
+        if stream is not self.stream:
+            return
+        if why is not None:
+            self.log("feed connection ended, a new one follows", why)
+        if stream.transport is not None:
+            stream.transport.abortConnection()
+        else:
+            self.connector.stopConnecting()
+
+    def went_down(self, stream):
+        if stream is not self.stream:
+            return
+        self.deadlines.drop(self.patience)
+        stream.transport = self.stream = self.connector = None
+        if not self.stopped:
+            self.patience = self.deadlines.after(self.pause, self.start)
+            self.pause = min(LONGEST_PAUSE, 2 * self.pause)
+
+    def came(self, stream, data):
+        if stream is not self.stream:
+            return
+        try:
+            event = events.parse_event(data)
+        except events.Malformed as wrong:
+            self.log("feed sent an event that cannot be read, passed over", str(wrong))
+            self.count("feed_malformed")
+            return
+        if event.n <= self.last:
+            return  # told already
+        if event.n > self.last + 1:
+            self.log("feed left numbers out", f"{event.n} came after {self.last}")
+        self.last, self.pause = event.n, FIRST_PAUSE
+        self.count("feed_events")
+        if isinstance(event, events.Listed):
+            self.desk.listed(event)
+        else:
+            self.desk.purged(event)
--- a/hookrouter/interface.py
+++ b/hookrouter/interface.py
@@ -76,6 +76,9 @@
     pass_by: bool  # parents and the origin take sends too
     joins: bool
     longest_stay_away: int
+    connect_for: int  # a connection not up by then is given up
+    idle_for: int  # an idle connection is closed then
+    most_held: int  # lookups at once
     advice: bool  # clients are told how long to stay away
     report_fields: tuple
     reports: str  # "answers", "probes" or "none"
--- /dev/null
+++ b/hookrouter/node/router.py
@@ -0,0 +1,217 @@
+"""Holds one Control: tells it truthfully what happens, carries out what it says, and owns the lookups."""
+
+import time
+import traceback
+from collections import deque
+
+from .. import interface as i
+from ..caches import Caches, Errand
+from ..control import Control
+from ..feed import Feed
+from ..feed.events import Listed
+from ..front import Front
+from ..tables.deadlines import Deadlines
+from ..tables.slots import Slots
+
+SECONDS = 10_000  # tenths of a millisecond, in one
+RESERVED = 24  # descriptors: standard three, the reactor's own, listener, feed, and some that are closing
+
+
+class Lookup:
+    """One that is held, or whose sends still run."""
+
+    __slots__ = ("number", "call", "asked", "sends", "running", "ended")
+
+    def __init__(self, call, asked):
+        self.call, self.asked = call, asked
+        self.number, self.sends, self.running, self.ended = None, 0, {}, False
+
+
+class Router:
+    def __init__(self, start, reactor, log, counters, wall=time.time):
+        self.log, self.counters, self.wall = log, counters, wall
+        self.count = counters.count
+        terms = self.terms = start.terms
+        self.kinds = {kind.name: kind for kind in terms.kinds}
+        self.lookups = Slots(max(1, terms.most_held))
+        self.latest = 0
+        self.deadlines = Deadlines(reactor)
+        self.inputs, self.deciding = deque(), False
+        clients = start.sockets // 3
+        self.front = Front(self, clients, log, self.count)
+        self.caches = Caches(reactor, self.deadlines, start.sockets - clients - RESERVED, terms, log,
+                             self.count)
+        self.feed = Feed(reactor, self.deadlines, self, start.feed, start.last, log, self.count)
+        self.listed_once = self.stopping = False
+        self.control = Control(start.seed, terms)
+        for event in start.known:
+            if isinstance(event, Listed):
+                self.listed(event)
+            else:
+                self.purged(event)
+
+    # ---- the clock and the module
+
+    def now(self):
+        """Unix time in tenths of a millisecond; it never goes back."""
+        self.latest = max(self.latest, int(self.wall() * SECONDS))
+        return self.latest
+
+    def tell(self, event):
+        """One input to the module, after those that wait; what it says is carried out at once."""
+        self.inputs.append(event)
+        if self.deciding:
+            return
+        self.deciding = True
+        try:
+            while self.inputs:
+                self._decide(self.inputs.popleft())
+        finally:
+            self.deciding = False
+
+    def _decide(self, event):
+        try:
+            effects = self.control.decide(self.now(), [event])
+        except Exception:
+            self.count("decisions_failed")
+            self.log("decision code failed", traceback.format_exc())
+            # What it had said before it failed counts, and the lookup concerned is owed its answer.
+            effects = [*self.control.effects, *([i.Fail(event.id)] if hasattr(event, "id") else [])]
+        for effect in effects:
+            EFFECTS[type(effect)](self, effect)
+
+    # ---- from the front
+
+    def ready(self):
+        return self.listed_once and not self.stopping
+
+    def taken(self, call, asked):
+        kind = self.kinds.get(asked.kind)
+        self.counters.taken(asked.kind if kind is not None else None)
+        lookup = Lookup(call, asked)
+        if kind is None:
+            self.log("client asked for an unknown object kind", asked.kind)
+            self._answer(lookup, "failed", self.front.failed, "unknown kind")
+            return
+        lookup.number = self.lookups.take(lookup)
+        if lookup.number is None:
+            self.log("more lookups than may be held, failed", "")
+            self._answer(lookup, "failed", self.front.failed, "too many held")
+            return
+        due = self.now() + min(asked.allow, kind.deadline)
+        self.tell(i.Lookup(lookup.number, asked.kind, asked.object, asked.part, asked.group, asked.size, due,
+                           asked.repeat))
+
+    def left(self, call):
+        """The client waits no more. Each call has one lookup, but the front knows calls only."""
+        for lookup in self.lookups.held():
+            if lookup.call == call and not lookup.ended:
+                self._end(lookup, "given_up")
+                self.tell(i.ClientGone(lookup.number))
+                return
+
+    # ---- from the feed
+
+    def listed(self, event):
+        for cache, address in zip(event.caches, event.addresses):
+            if cache.phase == i.GONE:
+                self.caches.forget(cache.id)
+            else:
+                self.caches.learn(cache.id, address, cache.born)
+        mode = i.WHOLE if event.whole else i.CHANGES
+        self.tell(i.CacheList(mode if self.listed_once else i.REMEMBERED, event.caches))
+        self.listed_once = True
+
+    def purged(self, event):
+        self.tell(i.Purged(max(0, self.now() - event.made), event.group, event.object))
+
+    # ---- lookups: taken above, given back here
+
+    def _answer(self, lookup, end, answer, *values):
+        answer(lookup.call, *values)
+        self._end(lookup, end)
+
+    def _end(self, lookup, end):
+        lookup.ended = True
+        self.counters.ended(lookup.asked.kind if lookup.asked.kind in self.kinds else None, end)
+        self._let_go(lookup)
+
+    def _let_go(self, lookup):
+        """Its slot is free once it is answered and none of its sends runs."""
+        if lookup.ended and not lookup.running and lookup.number is not None:
+            self.lookups.give_back(lookup.number)
+
+    # ---- effects
+
+    def _ask(self, effect):
+        self._send(effect)
+
+    def _obtain(self, effect):
+        self._send(effect, source=effect.source, rank=effect.rank, age=effect.age, join=effect.join,
+                   held_only=effect.held_only, unkept=effect.unkept, renew=effect.renew)
+
+    def _send(self, effect, **ways):
+        lookup = self.lookups.get(effect.id)
+        if lookup is None or lookup.ended:
+            return
+        asked, n = lookup.asked, lookup.sends
+        lookup.sends += 1
+        errand = Errand(asked.kind, asked.trace, asked.object, asked.part, asked.key, asked.seen,
+                        asked.body, effect.wait, **ways)
+        began = self.now()
+        deferred = self.caches.send(effect.cache, errand)
+        lookup.running[n] = deferred
+        deferred.addCallback(self._sent, lookup, n, effect.cache, began)
+
+    def _sent(self, ended, lookup, n, cache, began):
+        del lookup.running[n]
+        self.counters.send_ended(ended.end)
+        if ended.end == i.SATISFIED and not lookup.ended:
+            if ended.unchanged:
+                self._answer(lookup, "satisfied", self.front.unchanged)
+            else:
+                self._answer(lookup, "satisfied", self.front.satisfied, ended.pieces, ended.length)
+        else:
+            self._let_go(lookup)
+        self.tell(i.SendEnd(lookup.number, n, ended.end, ended.note, lookup.ended, self.now() - began, cache,
+                            ended.report))
+
+    def _nack(self, effect):
+        lookup = self.lookups.get(effect.id)
+        if lookup is not None and not lookup.ended:
+            self._answer(lookup, "nacked", self.front.nacked, effect.stay_away)
+
+    def _fail(self, effect):
+        lookup = self.lookups.get(effect.id)
+        if lookup is not None and not lookup.ended:
+            self._answer(lookup, "failed", self.front.failed)
+
+    def _cancel(self, effect):
+        lookup = self.lookups.get(effect.id)
+        if lookup is not None and effect.send in lookup.running:
+            lookup.running[effect.send].cancel()
+
+    def _set_alarm(self, effect):
+        self.deadlines.after(effect.delay / SECONDS, self.tell, i.Alarm(effect.token))
+
+    def _subscribe(self, effect):
+        """The feed is always followed; what was missed has come or comes by it."""
+        self.tell(i.CacheList(i.CHANGES, ()))
+
+    def _probe(self, effect):
+        began = self.now()
+        self.caches.probe(effect.cache).addCallback(
+            lambda ended: self.tell(i.ProbeEnd(ended.end, effect.cache, self.now() - began, ended.report)))
+
+    def _no_way(self, effect):
+        self.log("the module wants what this protocol has no way for", type(effect).__name__)
+
+    def _log(self, effect):
+        self.log("module", effect.text)
+
+
+EFFECTS = {
+    i.Ask: Router._ask, i.Obtain: Router._obtain, i.Nack: Router._nack, i.Fail: Router._fail,
+    i.Cancel: Router._cancel, i.SetAlarm: Router._set_alarm, i.Subscribe: Router._subscribe,
+    i.Probe: Router._probe, i.Tell: Router._no_way, i.Log: Router._log,
+}
--- /dev/null
+++ b/hookrouter/node/start.py
@@ -0,0 +1,56 @@
+"""What a router reads at start: EDGE_NAME, EDGE_LISTEN and the file that EDGE_CONFIG names."""
+
+import json
+from typing import NamedTuple
+
+from .. import interface as i
+from .. import terms
+from ..feed import read_known
+from ..feed.events import read_address
+from ..terms import Malformed
+
+
+class Start(NamedTuple):
+    name: str
+    listen: tuple
+    seed: str | int
+    memory: int  # MB in all
+    sockets: int  # descriptors in all
+    feed: tuple
+    terms: i.Terms
+    last: int  # number of the newest known event
+    known: list
+
+
+def seed(value, what):
+    if type(value) not in (str, int):
+        raise Malformed(f"{what}: text or a whole number is wanted, not {terms.shown(value)}")
+    return value
+
+
+def read_start(environment, opened=open):
+    """Malformed names the variable or key that cannot be used."""
+    path = environment.get("EDGE_CONFIG")
+    if not path:
+        raise Malformed("EDGE_CONFIG is not set")
+    try:
+        with opened(path, encoding="utf-8") as file:
+            stated = json.load(file)
+    except OSError as wrong:
+        raise Malformed(f"EDGE_CONFIG: {path}: {wrong.strerror}") from None
+    except (ValueError, RecursionError) as wrong:
+        raise Malformed(f"EDGE_CONFIG: {path}: {wrong}") from None
+    stated = terms.Stated(stated, "config")
+    limits = stated.part("limits")
+    sockets = limits.get("sockets", terms.whole)
+    if sockets < 64:
+        raise Malformed(f"config.limits.sockets: {sockets} is too few, 64 at least")
+    known = stated.get("known", terms.named)
+    last, events = read_known(known)
+    return Start(
+        name=environment.get("EDGE_NAME") or stated.get("name", terms.text),
+        listen=read_address(environment.get("EDGE_LISTEN") or stated.get("listen", terms.text),
+                            "EDGE_LISTEN"),
+        seed=stated.get("seed", seed), memory=limits.get("memory_mb", terms.whole), sockets=sockets,
+        feed=stated.get("feed", read_address), terms=terms.read_terms(stated.get("settings", terms.named)),
+        last=last, known=events)
--- /dev/null
+++ b/hookrouter/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered slots and the one order of deadlines."""
--- /dev/null
+++ b/hookrouter/tables/deadlines.py
@@ -0,0 +1,63 @@
+"""All deadlines of the process in one order: one heap, one timer of the reactor."""
+
+from heapq import heapify, heappop, heappush
+
+FEW = 64  # dropped entries that are not worth a clearing
+
+
+class Deadlines:
+    """clock: what has seconds() and callLater(), the reactor or Twisted's task.Clock."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.heap, self.count, self.dropped = [], 0, 0
+        self.timer = None
+        self.running = False
+
+    def __len__(self):
+        return len(self.heap) - self.dropped
+
+    def after(self, seconds, call, *args):
+        """Calls once, that much later. The entry handed back is for drop()."""
+        self.count += 1
+        entry = [self.clock.seconds() + seconds, self.count, call, args]
+        heappush(self.heap, entry)
+        if self.heap[0] is entry:
+            self._set()
+        return entry
+
+    def drop(self, entry):
+        """Does nothing for an entry that has been called or dropped."""
+        if entry[2] is None:
+            return
+        entry[2] = entry[3] = None
+        self.dropped += 1
+        if self.dropped > FEW and self.dropped * 2 > len(self.heap):
+            self.heap = [kept for kept in self.heap if kept[2] is not None]
+            heapify(self.heap)
+            self.dropped = 0
+
+    def _set(self):
+        if self.running:
+            return  # set once the calls that are due are through
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+        if self.heap:
+            self.timer = self.clock.callLater(max(0.0, self.heap[0][0] - self.clock.seconds()), self._run)
+
+    def _run(self):
+        self.timer, self.running = None, True
+        now = self.clock.seconds()
+        try:
+            while self.heap and (self.heap[0][2] is None or self.heap[0][0] <= now):
+                entry = heappop(self.heap)
+                _, _, call, args = entry
+                if call is None:
+                    self.dropped -= 1
+                    continue
+                entry[2] = entry[3] = None
+                call(*args)
+        finally:
+            self.running = False
+            self._set()
--- /dev/null
+++ b/hookrouter/terms.py
@@ -0,0 +1,144 @@
+"""The settings as a deployment states them, read into Terms: one object for the simulator and for sockets.
+
+Also the plain readers of single values that both use. Spans round so that no rule is grazed: what the router
+may use up rounds down, what it must wait out, up.
+"""
+
+import json
+import math
+
+from . import interface as i
+
+EFFECTS = {"free": i.IDEMPOTENT, "guarded": i.DEDUPLICATED, "single_shot": i.SIDE_EFFECTING}
+DROPPED = {"all": i.EVERYWHERE, "zone": i.SAME_ZONE, "cell": i.SAME_CELL}
+REPORTS = {"inline": "answers", "on_probe": "probes", "off": "none"}
+NOTES = {"all": "all", "hit": "hit", "off": "none"}
+SIBLINGS = {"off": i.NO_SIBLINGS, "location": i.OWN_LOCATION, "any": i.ANY_SIBLING}
+DISCOVERY = {"pushed": False, "on_request": True}
+TENTHS = 10  # of a millisecond: the interface's unit in the wire's
+MOST = 1e18  # beyond it no number of the wire makes sense
+
+
+class Malformed(ValueError):
+    """What came in cannot be read; the text says what was wrong."""
+
+
+def number(value, what):
+    # A whole number of hundreds of digits is no time or size, and no float holds it.
+    if type(value) not in (int, float) or not -MOST <= value <= MOST:
+        raise Malformed(f"{what}: a number is wanted, not {shown(value)}")
+    return value
+
+
+def reader(kind, wanted):
+    """Reads values of just this type: true and false are no numbers."""
+
+    def read(value, what):
+        if type(value) is not kind:
+            raise Malformed(f"{what}: {wanted} is wanted, not {shown(value)}")
+        return value
+
+    return read
+
+
+whole = reader(int, "a whole number")
+text = reader(str, "text")
+flag = reader(bool, "true or false")
+listed = reader(list, "an array")
+named = reader(dict, "an object")
+
+
+def word(value, words, what):
+    if not isinstance(value, str) or value not in words:
+        raise Malformed(f"{what}: {shown(value)} is none of {', '.join(words)}")
+    return words[value]
+
+
+def shown(value):
+    return json.dumps(value)[:60]
+
+
+def down(value, what):
+    return math.floor(number(value, what) * TENTHS)
+
+
+def up(value, what):
+    return math.ceil(number(value, what) * TENTHS)
+
+
+class Stated:
+    """The settings as they came, read key by key; what is missing is named."""
+
+    def __init__(self, values, at):
+        self.values, self.at = named(values, at), at
+
+    def get(self, key, read, *more):
+        if key not in self.values:
+            raise Malformed(f"{self.at}.{key} is missing")
+        return read(self.values[key], *more, f"{self.at}.{key}")
+
+    def list(self, key, read, *more):
+        return tuple(read(v, *more, f"{self.at}.{key}") for v in self.get(key, listed))
+
+    def part(self, key):
+        return Stated(self.get(key, named), f"{self.at}.{key}")
+
+
+def read_terms(conf):
+    conf = Stated(conf, "conf")
+    extra, limits, rules = conf.part("extra"), conf.part("limits"), conf.part("invariants")
+    sorts = conf.list("machineTypes", text)
+    parents, origin = extra.get("upperKind", whole), extra.get("masterKind", whole)
+    if not 0 <= origin < len(sorts) or not -1 <= parents < len(sorts):
+        raise Malformed("conf.extra: upperKind or masterKind is outside machineTypes")
+    topology = i.Topology(
+        number=conf.get("myNumber", whole), routers=conf.get("balancers", whole), zone=conf.get("az", text),
+        zones=conf.list("zones", text), hubs=extra.list("hubByZone", whole),
+        crews=extra.list("crewByZone", whole), links=extra.list("feedKbPerS", number),
+        parent_sort=None if parents < 0 else sorts[parents], origin_sort=sorts[origin],
+        siblings=extra.get("peersFill", word, SIBLINGS), flow=extra.get("oneFlowKbPerS", number))
+    if topology.zone not in topology.zones or len(topology.crews) != len(topology.zones):
+        raise Malformed("conf: az, zones and extra.crewByZone do not go together")
+    return i.Terms(
+        topology=topology, kinds=read_kinds(conf, extra),
+        must_subscribe=conf.get("discovery", word, DISCOVERY), most_sends=limits.get("maxAttempts", whole),
+        second_copies=limits.get("mayDuplicate", flag), may_cancel=limits.get("mayCancel", flag),
+        may_probe=limits.get("probing", flag), may_whisper=limits.get("peers", flag),
+        pass_by=extra.get("mayPassBy", flag), joins=extra.get("joins", flag),
+        longest_stay_away=limits.get("maxRetryAfter", down), connect_for=limits.get("connectTimeout", down),
+        idle_for=limits.get("idleClose", down), most_held=limits.get("mostHeld", whole),
+        advice=limits.get("retryAfter", flag),
+        report_fields=conf.part("report").list("fields", text),
+        reports=conf.part("report").get("how", word, REPORTS), notes=extra.get("noteLevel", word, NOTES),
+        drain_grace=rules.get("drainGrace", down), purge_grace=extra.get("purgeGrace", down),
+        purge_done=extra.get("clearedWithin", up), cold_share=rules.get("coldFrom", number),
+        cold_for=rules.get("warmWithin", up), fall_multiple=rules.get("fallMultiple", number),
+        fall_for=rules.get("fall", up), parent_cold_share=extra.get("parentFloor", number),
+        parent_cold_for=extra.get("parentCold", up),
+        parent_fall_multiple=extra.get("parentFallMultiple", number),
+        origin_fall_multiple=extra.get("originFallMultiple", number),
+        origin_fall_for=extra.get("originFall", up), tick=conf.get("tick", up))
+
+
+def read_kinds(conf, extra):
+    rows = conf.get("classes", listed)
+    by_kind = [extra.list("freshFor", down), extra.list("classGrace", down),
+               extra.list("classStaleWorth", number), extra.list("classParts", flag),
+               extra.list("passOn", flag)]
+    if any(len(column) != len(rows) for column in by_kind):
+        raise Malformed("conf.extra: a list by class is not as long as conf.classes")
+    kinds = []
+    for n, (row, fresh, grace, stale, parts, write) in enumerate(zip(rows, *by_kind)):
+        row = Stated(row, f"conf.classes[{n}]")
+        effect = row.get("idempotency", word, EFFECTS)
+        keyed = effect == i.DEDUPLICATED
+        kinds.append(i.ObjectKind(
+            name=row.get("name", text), latency_budget=row.get("aim", down),
+            # The wire leaves the key out where the budget does not stretch.
+            budget_stretch=row.get("aimStretch", number) if "aimStretch" in row.values else 0.0,
+            deadline=row.get("deadline", down), utility=row.get("worth", number),
+            late_share=row.get("lateWorth", number), effect=effect,
+            dropped_at=row.get("group", word, DROPPED) if keyed else i.EVERYWHERE,
+            remembered=row.get("memorySpan", down) if keyed else 0,
+            fresh=fresh, grace=grace, stale_share=stale, in_parts=parts, write=write))
+    return tuple(kinds)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -24,7 +24,7 @@
     top = i.Topology(number=0, routers=2, zone="edge", zones=("hub", "edge"), hubs=(0, 0), crews=(0, 2),
                      links=(0, 0), parent_sort="parent", origin_sort="origin", siblings=i.OWN_LOCATION, flow=5000.0)
     row = dict(topology=top, kinds=KINDS, must_subscribe=False, most_sends=6, second_copies=False, may_cancel=True, may_probe=True,
-               may_whisper=False, pass_by=True, joins=True, longest_stay_away=5_000, advice=True, report_fields=(),
+               may_whisper=False, pass_by=True, joins=True, longest_stay_away=5_000, connect_for=400 * MS, idle_for=15 * SECOND, most_held=1000, advice=True, report_fields=(),
                reports="none", notes="hit", drain_grace=500 * MS, purge_grace=500 * MS, purge_done=6 * SECOND,
                cold_share=0.2, cold_for=15 * SECOND, fall_multiple=2.5, fall_for=SECOND, parent_cold_share=0.1,
                parent_cold_for=20 * SECOND, parent_fall_multiple=2.0, origin_fall_multiple=0.0, origin_fall_for=0,
