--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -137,7 +137,7 @@
     # ---- sends and probes
 
     def send(self, name, errand):
-        """A Deferred that fires once, with Ended; cancelled, it fires at once and its connection is closed."""
+        """A Deferred that fires once, with Ended; cancelled, it fires at once and the connection closes."""
         self.count("sends")
         place = self.places[name]
         return self._go(place, errands.request(errand, self._host(place)), errand.wait)
