Bodies have a bounded room with back-pressure both ways; the network is tested in memory

A flood could hold 341 clients x 32 answers of 240 kB. Bodies that wait now take a quarter of the memory at most: beyond it neither clients nor caches are read from; a client that does not read for 10 s, or is idle for the stated time, is ended. Seen while testing: the idle look ended each connection at once (its first look came at connect). Also: an exception in the decisions is answered for, a left call is found without a search, gauges beside counters.

--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -49,7 +49,6 @@
         self.caches.came_up(self)
 
     def write(self, pieces):
-        self.head, self.pieces, self.length = None, [], 0
         self.transport.writeSequence(pieces)
 
     def dataReceived(self, data):
@@ -62,6 +61,12 @@
             self.caches.log("cache sent what cannot be read, connection ended", f"{self.place.name}: {wrong}")
             self.caches.count("caches_malformed")
             self.caches.lost_answer(self)
+        if self.send is not None and self.caches.room.full():
+            self.caches.room.wait(self)
+            self.transport.pauseProducing()
+
+    def resume(self):
+        self.transport.resumeProducing()
 
     def _on_head(self, answer):
         if self.send is None or self.head is not None:
@@ -69,8 +74,11 @@
         self.head = answer
 
     def _on_body(self, piece):
+        if self.send is None:
+            raise Malformed("a body to nothing")
         self.pieces.append(piece)
         self.length += len(piece)
+        self.caches.room.take(len(piece))
 
     def _on_end(self):
         self.caches.answered(self)
@@ -78,6 +86,12 @@
     def connectionLost(self, reason):
         self.caches.went_down(self)
 
+    def empty(self):
+        """Gives back what its send has received."""
+        self.caches.room.leave(self)
+        self.caches.room.give_back(self.length)
+        self.head, self.pieces, self.length = None, [], 0
+
     def close(self):
         """Ends it at once, whether it is up or not."""
         if self.transport is not None:
@@ -102,8 +116,8 @@
 
 
 class Caches:
-    def __init__(self, reactor, deadlines, most, terms, log, count):
-        self.reactor, self.deadlines, self.log, self.count = reactor, deadlines, log, count
+    def __init__(self, reactor, deadlines, room, most, terms, log, count):
+        self.reactor, self.deadlines, self.room, self.log, self.count = reactor, deadlines, room, log, count
         self.connect_for = terms.connect_for / SECONDS
         # Left before the cache closes it, by the time a connection may take: no request crosses the close.
         self.idle_for = max(0, terms.idle_for - terms.connect_for) / SECONDS
@@ -202,7 +216,7 @@
                 self.waiting.remove(send)
         else:
             connection.send = None
-            connection.pieces, connection.head = [], None
+            connection.empty()
             if keep:
                 self._keep(connection)
             else:
--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -23,5 +23,6 @@
     def send_ended(self, end):
         self.count(f"sends_{end}")
 
-    def lines(self):
-        return [f"{name} {value}" for name, value in sorted(self.values.items())]
+    def lines(self, held):
+        """One a counter, then one for each thing held now."""
+        return [f"{name} {value}" for name, value in (*sorted(self.values.items()), *held.items())]
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -11,19 +11,22 @@
 from ..feed.events import Listed
 from ..front import Front
 from ..tables.deadlines import Deadlines
+from ..tables.room import Room
 from ..tables.slots import Slots
 
 SECONDS = 10_000  # tenths of a millisecond, in one
+MEGABYTE = 1_000_000  # bytes, the smaller reading of the limit
+BODIES = 0.25  # of the memory, for bodies that wait: the program takes some 25 MB, copies under way the rest
 RESERVED = 24  # descriptors: standard three, the reactor's own, listener, feed, and some that are closing
 
 
 class Lookup:
     """One that is held, or whose sends still run."""
 
-    __slots__ = ("number", "call", "asked", "sends", "running", "ended")
+    __slots__ = ("number", "call", "asked", "due", "sends", "running", "ended")
 
-    def __init__(self, call, asked):
-        self.call, self.asked = call, asked
+    def __init__(self, call, asked, due):
+        self.call, self.asked, self.due = call, asked, due
         self.number, self.sends, self.running, self.ended = None, 0, {}, False
 
 
@@ -34,12 +37,14 @@
         terms = self.terms = start.terms
         self.kinds = {kind.name: kind for kind in terms.kinds}
         self.lookups = Slots(max(1, terms.most_held))
+        self.by_call = {}  # call of the front -> number
         self.latest = 0
         self.deadlines = Deadlines(reactor)
         self.inputs, self.deciding = deque(), False
         clients = start.sockets // 3
-        self.front = Front(self, clients, log, self.count)
-        self.caches = Caches(reactor, self.deadlines, start.sockets - clients - RESERVED, terms, log,
+        room = Room(int(start.memory * MEGABYTE * BODIES))
+        self.front = Front(self, self.deadlines, room, clients, terms.idle_for / SECONDS, log, self.count)
+        self.caches = Caches(reactor, self.deadlines, room, start.sockets - clients - RESERVED, terms, log,
                              self.count)
         self.feed = Feed(reactor, self.deadlines, self, start.feed, start.last, log, self.count)
         self.listed_once = self.stopping = False
@@ -75,11 +80,19 @@
         except Exception:
             self.count("decisions_failed")
             self.log("decision code failed", traceback.format_exc())
-            # What it had said before it failed counts, and the lookup concerned is owed its answer.
-            effects = [*self.control.effects, *([i.Fail(event.id)] if hasattr(event, "id") else [])]
+            # What it had said before it failed counts; the lookups concerned are owed their answers.
+            concerned = self._concerned(event)
+            effects = [*self.control.effects, *map(i.Fail, concerned)]
+            self.inputs.extend(map(i.ClientGone, concerned))
         for effect in effects:
             EFFECTS[type(effect)](self, effect)
 
+    def _concerned(self, event):
+        """Those whom nobody will answer now: the event's own, or, with an alarm lost, all that are due."""
+        own = event.id if isinstance(event, (i.Lookup, i.SendEnd)) else None
+        return [lookup.number for lookup in self.lookups.held()
+                if not lookup.ended and (lookup.number == own or lookup.due <= self.latest)]
+
     # ---- from the front
 
     def ready(self):
@@ -88,27 +101,26 @@
     def taken(self, call, asked):
         kind = self.kinds.get(asked.kind)
         self.counters.taken(asked.kind if kind is not None else None)
-        lookup = Lookup(call, asked)
+        due = self.now() + min(asked.allow, kind.deadline if kind is not None else 0)
+        lookup = Lookup(call, asked, due)
         if kind is None:
             self.log("client asked for an unknown object kind", asked.kind)
             self._answer(lookup, "failed", self.front.failed, "unknown kind")
             return
         lookup.number = self.lookups.take(lookup)
         if lookup.number is None:
-            self.log("more lookups than may be held, failed", "")
+            self.log("more lookups than may be held, failed")
             self._answer(lookup, "failed", self.front.failed, "too many held")
             return
-        due = self.now() + min(asked.allow, kind.deadline)
+        self.by_call[call] = lookup.number
         self.tell(i.Lookup(lookup.number, asked.kind, asked.object, asked.part, asked.group, asked.size, due,
                            asked.repeat))
 
     def left(self, call):
-        """The client waits no more. Each call has one lookup, but the front knows calls only."""
-        for lookup in self.lookups.held():
-            if lookup.call == call and not lookup.ended:
-                self._end(lookup, "given_up")
-                self.tell(i.ClientGone(lookup.number))
-                return
+        """The client waits no more."""
+        lookup = self.lookups.get(self.by_call[call])
+        self._end(lookup, "given_up")
+        self.tell(i.ClientGone(lookup.number))
 
     # ---- from the feed
 
@@ -125,6 +137,12 @@
     def purged(self, event):
         self.tell(i.Purged(max(0, self.now() - event.made), event.group, event.object))
 
+    def held(self):
+        """What is taken and not given back yet."""
+        return {"lookups_held": len(self.by_call), "clients_held": len(self.front.connections),
+                "connections_held": len(self.caches.connections), "sends_waiting": len(self.caches.waiting),
+                "deadlines_held": len(self.deadlines), "body_bytes_held": self.front.room.held}
+
     # ---- lookups: taken above, given back here
 
     def _answer(self, lookup, end, answer, *values):
@@ -133,6 +151,7 @@
 
     def _end(self, lookup, end):
         lookup.ended = True
+        self.by_call.pop(lookup.call, None)
         self.counters.ended(lookup.asked.kind if lookup.asked.kind in self.kinds else None, end)
         self._let_go(lookup)
 
@@ -152,10 +171,13 @@
 
     def _send(self, effect, **ways):
         lookup = self.lookups.get(effect.id)
-        if lookup is None or lookup.ended:
+        if lookup is None:
             return
         asked, n = lookup.asked, lookup.sends
         lookup.sends += 1
+        if lookup.ended:  # it ended on its way to the module
+            self.tell(i.SendEnd(lookup.number, n, i.VOID, 0, True, 0, effect.cache, None))
+            return
         errand = Errand(asked.kind, asked.trace, asked.object, asked.part, asked.key, asked.seen,
                         asked.body, effect.wait, **ways)
         began = self.now()
--- a/hookrouter/node/service.py
+++ b/hookrouter/node/service.py
@@ -3,6 +3,7 @@
 import signal
 
 from twisted.internet.error import CannotListenError
+from twisted.logger import LogLevel, formatEvent, globalLogBeginner
 
 LAST_LOOKUPS = 0.7  # seconds after SIGTERM: connections come for 0.4, lookups for 0.2 more; 0.1 to spare
 LOOK_AGAIN = 0.02  # seconds between looks whether all is answered
@@ -27,13 +28,21 @@
                              (signal.SIGUSR1, self.show)):
             signal.signal(number, lambda *_, call=call: self.reactor.callFromThread(call))
         self.log("serving", f"{self.start.name} on {host}:{self.port.getHost().port}")
+        globalLogBeginner.beginLoggingTo([self._observe], redirectStandardIO=False)
         self.reactor.run(installSignalHandlers=False)
         self.show()
         self.log.close()
         return 0
 
+    def _observe(self, event):
+        """What Twisted says: of interest only where something failed that nobody caught."""
+        if event["log_level"] in (LogLevel.error, LogLevel.critical):
+            self.counters.count("errors_uncaught")
+            failure = event.get("log_failure")
+            self.log("uncaught error", failure.getTraceback() if failure is not None else formatEvent(event))
+
     def show(self):
-        for line in self.counters.lines():
+        for line in self.counters.lines(self.router.held()):
             self.log.plain(line)
 
     def stop(self):
--- a/hookrouter/tables/__init__.py
+++ b/hookrouter/tables/__init__.py
@@ -1,1 +1,1 @@
-"""Numbered slots and the one order of deadlines."""
+"""Numbered slots, the one order of deadlines, and the room for bodies."""
--- /dev/null
+++ b/hookrouter/tables/room.py
@@ -0,0 +1,27 @@
+"""The memory for bodies: who takes of it gives it back; while it is full, who would read more waits."""
+
+
+class Room:
+    def __init__(self, size):
+        self.size, self.held = size, 0
+        self.waiting = {}  # what has a resume() -> True, in the order in which they came
+
+    def take(self, count):
+        self.held += count
+
+    def give_back(self, count):
+        self.held -= count
+        if self.waiting and not self.full():
+            waiting, self.waiting = self.waiting, {}
+            for reader in waiting:
+                reader.resume()
+
+    def full(self):
+        return self.held >= self.size
+
+    def wait(self, reader):
+        """reader.resume() is called once there is room again."""
+        self.waiting[reader] = True
+
+    def leave(self, reader):
+        self.waiting.pop(reader, None)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,7 +1,13 @@
-"""A small made-up fleet, a driver that feeds a Control, and the plain model of the five rules."""
+"""A small made-up fleet, the plain model of the five rules, and the network in memory."""
+
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
 from hookrouter import interface as i
 from hookrouter.control import Control
+from hookrouter.parsers import thrift
 
 MS = 10
 SECOND = 10_000
@@ -171,3 +177,149 @@
             if spent > multiple * able * t.fall_for / routers:
                 return "a cold cache pushed over"
         return None
+
+
+# ---- the network, in memory: a clock, connections that a test brings up or refuses, transports that keep bytes
+
+class Wire(StringTransport):
+    """A transport whose end reaches its protocol a turn later, as on the reactor."""
+
+    def __init__(self, net):
+        super().__init__()
+        self.net, self.protocol, self.open = net, None, True
+
+    def join(self, protocol):
+        self.protocol = protocol
+        protocol.makeConnection(self)
+        return self
+
+    def setTcpNoDelay(self, on):
+        pass
+
+    def abortConnection(self):
+        if self.open:
+            self.open = False
+            self.net.callLater(0, self.protocol.connectionLost, Failure(ConnectionDone()))
+
+    loseConnection = abortConnection
+
+    def take(self):
+        """What was written since the last look."""
+        written = self.value()
+        self.clear()
+        return written
+
+    def come(self, data):
+        if self.open:
+            self.protocol.dataReceived(data)
+
+
+class Way:
+    """One connection that was asked for."""
+
+    def __init__(self, net, host, port, factory):
+        self.net, self.host, self.port, self.factory, self.wire = net, host, port, factory, None
+        self.over = False
+
+    def up(self):
+        self.over = True
+        self.wire = Wire(self.net).join(self.factory.buildProtocol(None))
+        return self.wire
+
+    def stopConnecting(self):
+        assert not self.over
+        self.over = True
+        self.factory.clientConnectionFailed(self, Failure(ConnectionRefusedError()))
+
+    refuse = stopConnecting
+
+
+class Net(Clock):
+    def __init__(self):
+        super().__init__()
+        self.ways = []
+
+    def connectTCP(self, host, port, factory, timeout=None):
+        self.ways.append(Way(self, host, port, factory))
+        return self.ways[-1]
+
+
+class Noted:
+    """Stands for log and counters: keeps what it is told."""
+
+    def __init__(self):
+        self.lines, self.counted = [], []
+
+    def log(self, kind, detail=""):
+        self.lines.append((kind, detail))
+
+    def count(self, name, by=1):
+        self.counted.append(name)
+
+
+def answer(status=200, body=b"", *fields):
+    lines = [b"HTTP/1.1 %d X" % status, b"Content-Length: %d" % len(body), *fields]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def message(seqid, name=b"execute", kind=thrift.CALL, body=b"", interrupted=None, **fields):
+    """One framed message as a client writes it."""
+    if name == b"execute":
+        given = {"service": "clip", "ref": f"{seqid:016x}", "allow": "1500", "lookup": "7f3a9c21e0b4d655", "part": "3",
+                 "group": "17", "room": "412.5", **fields}
+        struct = (thrift.field(thrift.MAP, 1)
+                  + thrift.fields_of({k: v for k, v in given.items() if v is not None})
+                  + thrift.field(thrift.STRING, 2) + thrift.string(body))
+    elif name == b"interrupt":
+        struct, kind = thrift.field(thrift.I32, 1) + thrift.INT_AT.pack(interrupted), thrift.ONEWAY
+    else:
+        struct = thrift.field(thrift.BOOL, 1) + b"\x01"
+    return b"".join(thrift.message(kind, name, seqid, struct, b"\x00"))
+
+
+def answers(data):
+    """What a router wrote: sequence number -> (kind of message, struct)."""
+    seen = {}
+    for frame in thrift.Frames(10 ** 7).feed(data):
+        read = thrift.Message(frame)
+        assert read.seqid not in seen
+        seen[read.seqid] = (read.kind, read.arguments())
+    return seen
+
+
+def settings():
+    """The settings in the words of the wire: one location with two object kinds."""
+    def row(name, **more):
+        return {"name": name, "aim": 600.0, "aimStretch": 1.5, "deadline": 4000.0, "worth": 1.0, "lateWorth": 0.1,
+                "group": "all", "idempotency": "free", "memorySpan": 0.0, **more}
+    return {
+        "myNumber": 0, "balancers": 2, "az": "edge", "zones": ["hub", "edge"], "tick": 2.0, "discovery": "pushed",
+        "machineTypes": ["box", "parent", "origin"],
+        "classes": [row("clip"), row("hold", idempotency="guarded", memorySpan=2000.0)],
+        "extra": {"upperKind": 1, "masterKind": 2, "hubByZone": [0, 0], "crewByZone": [0, 2], "feedKbPerS": [0.0, 0.0],
+                  "peersFill": "location", "oneFlowKbPerS": 5000.0, "mayPassBy": True, "joins": True, "purgeGrace": 500.0,
+                  "clearedWithin": 6000.0, "noteLevel": "hit", "parentFloor": 0.1, "parentCold": 20000.0,
+                  "parentFallMultiple": 2.0, "originFallMultiple": 0.0, "originFall": 0.0, "freshFor": [8000.0, 0.0],
+                  "classGrace": [0.0, 0.0], "classStaleWorth": [0.7, 0.7], "classParts": [True, False],
+                  "passOn": [False, True]},
+        "limits": {"maxAttempts": 6, "mayDuplicate": False, "mayCancel": True, "probing": True, "peers": False,
+                   "maxRetryAfter": 500.0, "retryAfter": True, "connectTimeout": 400.0, "idleClose": 15000.0,
+                   "mostHeld": 1000},
+        "report": {"how": "on_probe", "fields": ["inflight", "util"]},
+        "invariants": {"drainGrace": 500.0, "coldFrom": 0.2, "warmWithin": 15000.0, "fallMultiple": 2.5, "fall": 1000.0},
+    }
+
+
+def endpoint(name, port, sort="box", status="active", since=0):
+    return {"name": name, "address": f"127.0.0.1:{port}", "zone": "edge" if sort == "box" else "hub", "type": sort,
+            "group": 0, "status": status, "weight": 8, "since_ms": since}
+
+
+def members(n, *endpoints, whole=False):
+    return {"n": n, "members": {"index": n, "snapshot": whole, "endpoints": list(endpoints)}}
+
+
+def configuration(*events, listen="127.0.0.1:7001", feed="127.0.0.1:9092"):
+    return {"name": "n1", "listen": listen, "seed": "8c1f", "feed": feed, "settings": settings(),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "flow_bytes_per_s": 310000,
+            "link_bytes_per_s": 1240000, "known": {"n": len(events), "events": list(events)}}
--- /dev/null
+++ b/tests/test_caches.py
@@ -0,0 +1,267 @@
+"""Sends and probes in memory: each ends once, as what it was, and gives back what it took."""
+
+from random import Random
+
+import pytest
+from fleet import MS, SECOND, Net, Noted, answer, terms
+
+from hookrouter import interface as i
+from hookrouter.caches import Caches, Errand
+from hookrouter.tables.deadlines import Deadlines
+from hookrouter.tables.room import Room
+
+PLAIN = Errand("clip", "9b1f", "7f3a", 3, None, None, b"", 900 * MS)
+
+
+class Scene:
+    def __init__(self, most=8, room=10 ** 6, **more):
+        self.net, self.noted, self.room, self.ended = Net(), Noted(), Room(room), []
+        self.deadlines = Deadlines(self.net)
+        self.caches = Caches(self.net, self.deadlines, self.room, most, terms(**more), self.noted.log, self.noted.count)
+        for n in range(3):
+            self.caches.learn(f"c{n}", ("127.0.0.1", 7000 + n), 0)
+
+    def send(self, name="c0", errand=PLAIN):
+        deferred = self.caches.send(name, errand)
+        deferred.addCallback(self.ended.append)
+        return deferred
+
+    def up(self):
+        return self.net.ways[-1].up()
+
+    def ends(self):
+        return [ended.end for ended in self.ended]
+
+    def nothing_is_left(self):
+        assert len(self.deadlines) == 0 and len(self.caches.connections) == 0 and self.room.held == 0
+        assert not self.caches.waiting and not self.caches.idle and not self.room.waiting
+
+
+def test_a_send_carries_every_field_in_the_form_of_the_page():
+    s = Scene()
+    s.send(errand=Errand("a kind", "9b1f", "7f3a", 3, "5c0f", "4be0", b"\r\nbody", 9009, "s-1", 2, 7, True, True, True, True))
+    assert s.up().take() == (
+        b"GET /fetch/a%20kind/7f3a/3 HTTP/1.1\r\nHost: 127.0.0.1:7000\r\nX-Trace: 9b1f\r\nX-Patience: 900\r\n"
+        b"X-Op-Key: 5c0f\r\nX-Origin-Pick: s-1\r\nX-Priority: 2\r\nX-Stale-Limit: 1\r\nX-Do: join+held+nocopy+renew\r\n"
+        b"X-Seen: 4be0\r\nContent-Length: 6\r\n\r\n\r\nbody")
+    s.send("c1")
+    assert s.up().take() == (b"GET /fetch/clip/7f3a/3 HTTP/1.1\r\nHost: 127.0.0.1:7001\r\nX-Trace: 9b1f\r\n"
+                             b"X-Patience: 900\r\n\r\n")
+
+
+@pytest.mark.parametrize("said, end", [
+    (answer(200, b"body"), i.SATISFIED), (answer(304), i.SATISFIED), (answer(404), i.MISSING),
+    (answer(503, b"", b"X-Declined: 1"), i.FULL), (answer(503), i.ERRED), (answer(500), i.ERRED),
+    (answer(504, b"", b"X-Declined: 1"), i.VOID), (answer(504), i.ERRED), (answer(400), i.ERRED)])
+def test_each_answer_ends_as_what_it_is(said, end):
+    s = Scene()
+    s.send()
+    wire = s.up()
+    for byte in said:
+        wire.come(bytes([byte]))
+    assert s.ends() == [end] and wire.open
+    ended = s.ended[0]
+    assert ended.unchanged == (b" 304 " in said) and b"".join(ended.pieces) == (b"body" if b" 200 " in said else b"")
+    assert ended.length == len(b"".join(ended.pieces)) and s.room.held == 0
+
+
+@pytest.mark.parametrize("said", [
+    b"garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 240001\r\n\r\n", b"x" * 20_000,
+    b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n"])
+def test_what_cannot_be_read_is_a_broken_send_and_the_connection_goes(said):
+    s = Scene()
+    s.send()
+    wire = s.up()
+    wire.come(said)
+    s.net.advance(0)
+    assert s.ends() == [i.BROKEN] and not wire.open and "caches_malformed" in s.noted.counted
+    s.nothing_is_left()
+
+
+def test_an_early_end_is_broken_and_a_slow_drip_is_late():
+    s = Scene()
+    s.send()
+    s.up().come(answer(200, b"x" * 100)[:-1])
+    assert s.room.held == 99
+    s.net.ways[-1].wire.abortConnection()
+    s.net.advance(0)
+    assert s.ends() == [i.BROKEN]
+    s.send()
+    wire = s.up()
+    wire.come(answer(200, b"x" * 100)[:-90])
+    for _ in range(10):
+        s.net.advance(0.1)
+        wire.come(b"x")
+    assert s.ends() == [i.BROKEN, i.LATE]
+    s.nothing_is_left()
+
+
+def test_what_comes_after_an_answer_or_unasked_ends_the_connection():
+    s = Scene()
+    s.send()
+    s.up().come(answer(200, b"x") + answer(200, b"y"))
+    s.send()
+    s.up().come(answer(200, b"x"))
+    s.net.ways[-1].wire.come(b"more")
+    s.net.advance(0)
+    assert s.ends() == [i.SATISFIED] * 2 and len(s.net.ways) == 2
+    s.nothing_is_left()
+
+
+def test_a_connection_is_used_again_one_request_at_a_time_until_idle_too_long():
+    s = Scene(idle_for=15 * SECOND, connect_for=400 * MS)
+    s.send()
+    s.send()
+    first, second = (way.up() for way in s.net.ways)
+    first.take()
+    first.come(answer(200, b"x"))
+    s.send()
+    assert len(s.net.ways) == 2 and first.take().startswith(b"GET")
+    first.come(answer(200, b"x"))
+    second.come(answer(200, b"x", b"Connection: close"))
+    s.net.pump([0, 14.5])
+    assert first.open and not second.open
+    s.net.pump([0.2, 0])  # before the cache would close it
+    assert not first.open
+    s.nothing_is_left()
+
+
+def test_a_connection_that_the_cache_closed_while_idle_costs_no_send():
+    s = Scene()
+    s.send()
+    wire = s.up()
+    wire.come(answer(200, b"x"))
+    wire.abortConnection()
+    s.net.advance(0)
+    s.send()
+    assert len(s.net.ways) == 2
+    s.up().come(answer(200, b"x"))
+    assert s.ends() == [i.SATISFIED] * 2
+
+
+def test_no_connection_proves_that_nothing_ran():
+    s = Scene(connect_for=400 * MS)
+    s.send()
+    s.net.ways[-1].refuse()
+    assert s.ends() == [i.UNREACHED]
+    s.send()
+    s.net.advance(0.4)
+    assert s.ends() == [i.UNREACHED] * 2 and s.net.ways[-1].over
+    s.send(errand=PLAIN._replace(wait=100 * MS))
+    s.net.advance(0.1)
+    assert s.ends() == [i.UNREACHED] * 3
+    s.nothing_is_left()
+
+
+def test_silence_is_late_and_a_cancelled_send_ends_at_once():
+    s = Scene()
+    s.send()
+    silent = s.up()
+    s.net.pump([0.9, 0])
+    deferred = s.send()
+    cancelled = s.up()
+    deferred.cancel()
+    assert s.ends() == [i.LATE, i.CANCELLED]
+    coming = s.send()
+    coming.cancel()
+    s.net.advance(0)
+    assert not silent.open and not cancelled.open and s.ends()[2:] == [i.CANCELLED]
+    s.nothing_is_left()
+
+
+def test_short_of_descriptors_a_send_takes_an_idle_one_waits_or_was_never_sent():
+    s = Scene(most=1)
+    s.send("c0")
+    idle = s.up()
+    idle.come(answer(200, b"x"))
+    s.send("c1")
+    s.net.advance(0)
+    assert not idle.open and len(s.net.ways) == 2
+    s.send("c2", PLAIN._replace(wait=300 * MS))
+    s.send("c0", PLAIN._replace(wait=700 * MS))
+    s.net.pump([0.3, 0.1])
+    assert s.ends() == [i.SATISFIED, i.VOID, i.UNREACHED]  # the third had no place, the second was not up in time
+    assert s.net.ways[-1].port == 7000 and len(s.net.ways) == 3
+    s.up().come(answer(404))
+    s.caches.forget("c0")
+    s.net.advance(0)
+    assert s.ends()[3:] == [i.MISSING]
+    s.nothing_is_left()
+
+
+def test_idle_connections_go_when_their_address_or_name_passes_to_another():
+    s = Scene()
+    for change in (("c9", ("127.0.0.1", 7000), 0), ("c1", ("127.0.0.1", 7009), 0), ("c2", ("127.0.0.1", 7002), 5)):
+        name = change[0] if change[0] != "c9" else "c0"
+        s.send(name)
+        wire = s.up()
+        wire.come(answer(200, b"x"))
+        s.caches.learn(name, (s.caches.places[name].host, s.caches.places[name].port), 0)
+        assert wire.open
+        s.caches.learn(*change)
+        s.net.advance(0)
+        assert not wire.open
+    s.send("c1")
+    assert s.net.ways[-1].port == 7009
+
+
+def test_no_more_is_read_from_caches_while_bodies_fill_the_room():
+    s = Scene(room=100)
+    s.send("c0")
+    full = s.up()
+    s.send("c1")
+    other = s.up()
+    full.come(answer(200, b"x" * 200)[:-10])
+    other.come(answer(200, b"x" * 200)[:-10])
+    assert full.producerState == other.producerState == "paused"
+    full.abortConnection()
+    s.net.advance(0)
+    assert other.producerState == "paused"
+    other.abortConnection()
+    s.net.advance(0)
+    s.nothing_is_left()
+
+
+def test_a_probe_ends_with_its_report():
+    s = Scene(reports="probes", report_fields=("inflight", "util"), connect_for=400 * MS)
+    s.caches.probe("c0").addCallback(s.ended.append)
+    wire = s.up()
+    assert wire.take().startswith(b"GET /busy HTTP/1.1\r\n")
+    wire.come(answer(200, b"", b"X-Stats: util:0.61;inflight:7;more:1"))
+    assert s.ended[0][:3] == (i.SATISFIED, 0, (7.0, 0.61))
+    for text in (b"util:0.61", b"inflight:x;util:1", b""):
+        s.caches.probe("c0").addCallback(s.ended.append)
+        wire.come(answer(200, b"", b"X-Stats: " + text))
+        assert s.ended[-1].report is None
+    s.caches.probe("c1").addCallback(s.ended.append)
+    s.up()
+    s.net.advance(0.4)
+    assert s.ends()[-1] == i.LATE
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_whatever_comes_each_send_ends_once_and_all_is_given_back(seed):
+    dice, s, sent = Random(seed), Scene(most=4), []
+    for _ in range(600):
+        what = dice.randrange(7)
+        open_ways = [way for way in s.net.ways if not way.over]
+        wires = [way.wire for way in s.net.ways if way.wire is not None and way.wire.open]
+        if what < 2 and len(sent) < 150:
+            sent.append(s.send(f"c{dice.randrange(3)}", PLAIN._replace(wait=dice.randrange(1, 900) * MS)))
+        elif what == 2 and open_ways:
+            way = dice.choice(open_ways)
+            dice.choice((way.up, way.up, way.refuse))()
+        elif what == 3 and wires:
+            wire = dice.choice(wires)
+            said = dice.choice((answer(200, b"x" * 50), answer(404), answer(500, b"no"), b"junk\r\n\r\n"))
+            wire.come(said[:dice.choice((10, 60, len(said)))])
+        elif what == 4 and wires:
+            dice.choice(wires).abortConnection()
+        elif what == 5 and sent:
+            dice.choice(sent).cancel()
+        else:
+            s.net.advance(dice.choice((0, 0.01, 0.2)))
+        assert len(s.caches.connections) <= 4
+    s.net.pump([1, 0, 20, 0, 0])
+    assert len(s.ended) == len(sent)
+    s.nothing_is_left()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,375 @@
+"""A whole router: in memory with a simulated clock, and as a process on loopback."""
+
+import json
+import os
+import signal
+import socket
+import socketserver
+import subprocess
+import sys
+import threading
+from random import Random
+
+import pytest
+from fleet import Net, Wire, answer, answers, configuration, endpoint, members, message
+
+from hookrouter import interface as i
+from hookrouter.__main__ import main
+from hookrouter.node.counters import Counters
+from hookrouter.node.log import Log
+from hookrouter.node.router import Router
+from hookrouter.node.service import Service
+from hookrouter.node.start import read_start
+from hookrouter.parsers import thrift
+from hookrouter.terms import Malformed
+
+FLEET = (endpoint("c0", 7100), endpoint("c1", 7101), endpoint("p0", 7102, "parent"), endpoint("o0", 7103, "origin"))
+BEGAN = 1_700_000_000.0
+
+
+class Out:
+    def __init__(self):
+        self.text = ""
+
+    def write(self, text):
+        self.text += text
+
+    def flush(self):
+        pass
+
+
+def started(tmp_path, stated):
+    path = tmp_path / "config.json"
+    path.write_text(stated if isinstance(stated, str) else json.dumps(stated))
+    return read_start({"EDGE_CONFIG": str(path)})
+
+
+class Scene:
+    def __init__(self, tmp_path, *more):
+        self.net, self.out = Net(), Out()
+        self.start = started(tmp_path, configuration(members(1, *FLEET, whole=True), *more))
+        self.counters = Counters([kind.name for kind in self.start.terms.kinds])
+        self.log = Log(self.net.seconds, self.out)
+        self.router = Router(self.start, self.net, self.log, self.counters, lambda: BEGAN + self.net.seconds())
+
+    def client(self):
+        return Wire(self.net).join(self.router.front.buildProtocol(None))
+
+    def up(self):
+        return self.net.ways[-1].up()
+
+    def adds_up(self):
+        values, held = self.counters.values, self.router.held()
+        word = lambda name: sum(v for key, v in values.items() if key.startswith(f"lookups_{name}."))  # noqa: E731
+        ends = sum(word(end) for end in ("satisfied", "nacked", "failed", "given_up"))
+        assert word("taken") == ends + held["lookups_held"]
+        return held
+
+
+def test_a_lookup_is_served_with_the_bytes_of_a_cache(tmp_path):
+    s = Scene(tmp_path)
+    wire = s.client()
+    wire.come(message(1, b"check") + message(2))
+    assert s.net.ways[-1].port in (7100, 7101)
+    cache = s.up()
+    head = cache.take()
+    assert b"GET /fetch/clip/7f3a9c21e0b4d655/3 " in head and b"X-Origin-Pick: p0\r\n" in head
+    cache.come(answer(200, b"\x00bytes"))
+    got = answers(wire.take())
+    assert got[1][1][0][3] is True and got[2][1][0][1] == b"\x00bytes"
+    assert s.adds_up()["lookups_held"] == 0
+
+
+def test_a_write_goes_to_the_origin_with_key_and_body_and_304_says_unchanged(tmp_path):
+    s = Scene(tmp_path)
+    wire = s.client()
+    wire.come(message(1, service="hold", replay="5c0f", body=b"order") + message(2, have="4be0"))
+    origin, cache = (way.up() for way in s.net.ways)
+    assert s.net.ways[0].port == 7103
+    head = origin.take()
+    assert b"X-Op-Key: 5c0f\r\n" in head and head.endswith(b"\r\n\r\norder") and b"X-Origin-Pick" not in head
+    assert b"X-Seen: 4be0\r\n" in cache.take()
+    cache.come(answer(304))
+    origin.come(answer(200, b"done"))
+    got = answers(wire.take())
+    assert got[1][1][0][1] == b"done" and got[2][1][0] == {1: b"", 2: {b"same": b"1"}, 3: True}
+
+
+def test_refusals_are_told_and_the_nack_names_a_time_to_come_back(tmp_path):
+    s = Scene(tmp_path)
+    wire = s.client()
+    wire.come(message(1))
+    for _ in range(6):
+        if not s.net.ways[-1].over:
+            s.up().come(answer(503, b"", b"X-Declined: 1"))
+    s.net.advance(2)
+    (kind, struct), = answers(wire.take()).values()
+    assert kind == thrift.REPLY and struct.keys() == {1} and int(struct[1][1].get(b"cooldown", b"0")) <= 500
+    assert s.adds_up()["connections_held"] <= 2
+
+
+def test_a_silent_fleet_gets_every_lookup_its_answer_in_time(tmp_path):
+    s = Scene(tmp_path)
+    wire = s.client()
+    wire.come(b"".join(message(n) for n in range(1, 6)))
+    for way in s.net.ways:
+        way.up()
+    s.net.pump([0.1] * 16)
+    assert len(answers(wire.take())) == 5
+    held = s.adds_up()
+    assert held["lookups_held"] == held["connections_held"] == 0
+
+
+def test_a_client_that_leaves_is_owed_nothing_and_its_sends_end(tmp_path):
+    s = Scene(tmp_path)
+    wire = s.client()
+    wire.come(message(1) + message(2))
+    s.up()
+    wire.come(message(3, b"interrupt", interrupted=1))
+    wire.abortConnection()
+    s.net.pump([0, 0.5])
+    held = s.adds_up()
+    assert wire.take() == b"" and held["lookups_held"] == held["connections_held"] == held["clients_held"] == 0
+
+
+def test_what_cannot_be_served_fails_at_once(tmp_path):
+    s = Scene(tmp_path)
+    wire = s.client()
+    wire.come(message(1, service="nonsense"))
+    assert answers(wire.take())[1][1].keys() == {2} and "unknown object kind" in s.out.text
+    assert s.counters.values["lookups_failed.unknown"] == 1 and s.adds_up()["lookups_held"] == 0
+
+
+@pytest.mark.parametrize("event", [i.Lookup, i.SendEnd, i.Alarm])
+def test_an_exception_in_the_decisions_is_logged_and_its_lookups_are_answered(tmp_path, event):
+    s = Scene(tmp_path)
+    wire, decide = s.client(), s.router.control.decide
+
+    def broken(now, inputs):
+        if isinstance(inputs[0], event):
+            s.router.control.effects = []
+            raise RuntimeError("made up")
+        return decide(now, inputs)
+
+    s.router.control.decide = broken
+    wire.come(message(1))
+    if event is not i.Lookup:
+        s.up()
+    if event is i.SendEnd:
+        s.net.ways[-1].wire.come(answer(404))
+    s.net.pump([0.1] * 16)
+    assert answers(wire.take())[1][1].keys() == {2}
+    assert "RuntimeError: made up" in s.out.text and s.counters.values["decisions_failed"] >= 1
+    s.router.control.decide = decide
+    wire.come(message(2))
+    s.net.advance(2)
+    assert len(answers(wire.take())) == 1 and s.adds_up()["lookups_held"] == 0
+
+
+def test_purges_and_lists_reach_the_module_with_their_true_age(tmp_path):
+    made = int(BEGAN * 1000) - 400
+    s = Scene(tmp_path, {"n": 2, "purge": {"key": "7f3a9c21e0b4d655", "at": made}},
+              members(3, endpoint("c0", 7100, status="left"), endpoint("c1", 7101, status="leaving")))
+    wire = s.client()
+    wire.come(message(1))
+    assert s.net.ways[-1].port in (7102, 7103)  # no cache is left: past them
+    assert b"X-Stale-Limit: 399\r\n" in s.up().take()
+
+
+def test_sigterm_answers_what_was_taken_and_then_ends(tmp_path):
+    s = Scene(tmp_path)
+    stopped = []
+    s.net.stop = lambda: stopped.append(s.net.seconds())
+    service = Service(s.router, s.start, s.net, s.log, s.counters)
+    service.port = type("Port", (), {"connected": True, "stopListening": lambda self: None})()
+    wire, idle = s.client(), s.client()
+    wire.come(message(1))
+    cache = s.up()
+    service.stop()
+    s.net.advance(0.3)
+    wire.come(message(2) + message(3, b"check"))
+    s.client()  # connections still come
+    s.net.advance(0.5)
+    assert not idle.open and wire.open and not stopped
+    cache.come(answer(200, b"x"))
+    s.up().come(answer(200, b"y"))
+    s.net.pump([0.02] * 5)
+    got = answers(wire.take())
+    assert got[1][1][0][1] == b"x" and got[2][1][0][1] == b"y" and got[3][1][0][3] is False
+    assert stopped and s.adds_up()["clients_held"] == 0
+
+
+def test_the_log_leaves_out_what_comes_in_a_flood_and_says_how_much():
+    net, out = Net(), Out()
+    log = Log(net.seconds, out)
+    for _ in range(1000):
+        log("kind", "x" * 10_000)
+    log("other")
+    net.advance(11)
+    log("kind")
+    log.close()
+    lines = out.text.splitlines()
+    assert len(lines) == 8 and "hookrouter: kind: 995 more left out" in lines and max(map(len, lines)) < 2100
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_rough_day_loses_no_lookup_and_leaves_nothing_behind(tmp_path, seed):
+    dice, s, sent, got, left = Random(seed), Scene(tmp_path), {}, {}, set()
+    wires = [s.client() for _ in range(3)]
+    for step in range(1500):
+        n, what = dice.randrange(3), dice.randrange(8)
+        open_ways = [way for way in s.net.ways if not way.over]
+        caches = [way.wire for way in s.net.ways if way.wire is not None and way.wire.open]
+        if what == 0 and step < 1200:
+            sent[n, step] = s.net.seconds()
+            wires[n].come(message(step, service=dice.choice(("clip", "clip", "hold")), replay="5c0f",
+                                  lookup=f"{dice.randrange(20):016x}", allow=str(dice.randrange(100, 4000))))
+        elif what == 1 and open_ways:
+            way = dice.choice(open_ways)
+            dice.choice((way.up, way.up, way.up, way.refuse))()
+        elif what in (2, 3) and caches:
+            said = dice.choice((answer(200, b"x"), answer(200, b"x"), answer(404), answer(503, b"", b"X-Declined: 1"),
+                                answer(500), b"junk\r\n\r\n"))
+            dice.choice(caches).come(said)
+        elif what == 4 and caches and dice.random() < 0.3:
+            dice.choice(caches).abortConnection()
+        elif what == 5 and sent and dice.random() < 0.2:
+            m, seqid = dice.choice(list(sent))
+            wires[m].come(message(10 ** 6 + step, b"interrupt", interrupted=seqid))
+            left.add((m, seqid))
+        else:
+            s.net.advance(dice.choice((0, 0.005, 0.05)))
+        for m, wire in enumerate(wires):
+            for seqid, (_, struct) in answers(wire.take()).items():
+                assert (m, seqid) not in got and s.net.seconds() - sent[m, seqid] <= 4.06
+                got[m, seqid] = struct
+    s.net.pump([0.05] * 100)
+    for m, wire in enumerate(wires):
+        got.update({(m, seqid): struct for seqid, (_, struct) in answers(wire.take()).items()})
+    assert set(sent) - left <= set(got) <= set(sent)
+    s.net.pump([16, 0, 0, 16, 0])
+    held = s.adds_up()
+    assert held["lookups_held"] == held["connections_held"] == held["body_bytes_held"] == held["clients_held"] == 0
+    assert all(out == 0 for out in s.router.control.out) and not s.router.control.sent and len(s.router.lookups) == 0
+    assert "decisions_failed" not in s.counters.values
+
+
+# ---- what cannot be used at start
+
+@pytest.mark.parametrize("change, named", [
+    ({"feed": "nowhere"}, "config.feed"), ({"limits": {}}, "config.limits.sockets"), ({"settings": {}}, "conf.extra"),
+    ({"known": {"n": 1}}, "known.events"), ({"seed": None}, "config.seed"), ({"listen": "127.0.0.1:x"}, "EDGE_LISTEN"),
+    ({"known": {"n": 1, "events": [{"n": 1}]}}, "event"), ({"limits": {"sockets": 3, "memory_mb": 1}}, "sockets")])
+def test_a_configuration_that_cannot_be_used_names_the_key(tmp_path, change, named):
+    with pytest.raises(Malformed, match=named):
+        started(tmp_path, {**configuration(), **change})
+    with pytest.raises(Malformed, match="EDGE_CONFIG"):
+        started(tmp_path, "{")
+
+
+def test_the_command_line_says_what_is_wrong_in_one_line(tmp_path, capsys, monkeypatch):
+    monkeypatch.setenv("EDGE_CONFIG", str(tmp_path / "none"))
+    assert main(["check"]) == main(["serve"]) == 2
+    assert capsys.readouterr().err.count("\n") == 2
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configuration(members(1, *FLEET, whole=True))))
+    monkeypatch.setenv("EDGE_CONFIG", str(path))
+    assert main(["check"]) == 0 and "2 object kinds" in capsys.readouterr().out
+    assert main(["version"]) == 0
+    with pytest.raises(SystemExit) as ended:
+        main(["nonsense"])
+    assert ended.value.code == 2
+
+
+# ---- one whole router on loopback, against small stand-ins
+
+class Cache(socketserver.BaseRequestHandler):
+    """Answers every request with its path; asked for part 9 it keeps silent."""
+
+    def handle(self):
+        head = b""
+        while piece := self.request.recv(65536):
+            head += piece
+            while b"\r\n\r\n" in head:
+                one, _, head = head.partition(b"\r\n\r\n")
+                target = one.split(b" ")[1]
+                if not target.endswith(b"/9"):
+                    self.request.sendall(answer(200, target))
+
+
+class FeedStandIn(socketserver.BaseRequestHandler):
+    def handle(self):
+        self.request.recv(65536)
+        self.request.sendall(b"HTTP/1.1 200 OK\r\n\r\n: here\n\n")
+        self.request.recv(1)
+
+
+class Standing:
+    def __init__(self, handler):
+        self.server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), handler)
+        self.server.daemon_threads = True
+        self.port = self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+def ask(connection, data, count):
+    connection.sendall(data)
+    got = b""
+    while len(seen := answers(got)) < count:
+        piece = connection.recv(65536)
+        assert piece
+        got += piece
+    return seen
+
+
+def serving(path):
+    process = subprocess.Popen([sys.executable, "-m", "hookrouter", "serve"], stderr=subprocess.PIPE, text=True,
+                               env={**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n1"})
+    said = process.stderr.readline()
+    assert "serving: n1 on 127.0.0.1:" in said
+    return process, int(said.rsplit(":", 1)[1])
+
+
+def test_a_router_serves_on_loopback_ends_by_itself_and_starts_again(tmp_path):
+    with Standing(Cache) as cache, Standing(FeedStandIn) as feed, socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+        probe.close()
+        fleet = [endpoint("c0", cache.port), endpoint("o0", cache.port, "origin")]
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration(members(1, *fleet, whole=True), listen=f"127.0.0.1:{port}",
+                                                 feed=f"127.0.0.1:{feed.port}")))
+        for _ in range(2):  # the second under the same name and address
+            process, _ = serving(path)
+            try:
+                with socket.create_connection(("127.0.0.1", port), 5) as connection:
+                    connection.settimeout(10)
+                    got = ask(connection, message(1, b"check") + message(2) + message(3, part="9", allow="300"), 3)
+                    assert got[1][1][0][3] is True and got[2][1][0][1] == b"/fetch/clip/7f3a9c21e0b4d655/3"
+                    assert got[3][1].keys() == {1}  # a silent cache: nacked in time
+                    process.send_signal(signal.SIGUSR1)
+                    assert any("lookups_taken.clip 2" in line for line in iter(process.stderr.readline, "")
+                               if "lookups_taken.clip" in line or "body_bytes_held" in line)
+                    process.send_signal(signal.SIGTERM)
+                    assert ask(connection, message(4), 1)[4][1][0][3] is True  # still taken and answered
+                said = process.communicate(timeout=10)[1]
+                assert process.returncode == 0 and "lookups_held 0" in said and "Traceback" not in said
+            finally:
+                process.kill()
+                process.wait()
+
+
+def test_an_address_that_is_taken_ends_the_start_with_one_line(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration(members(1, *FLEET), listen=f"127.0.0.1:{taken.getsockname()[1]}")))
+        ended = subprocess.run([sys.executable, "-m", "hookrouter", "serve"], capture_output=True, text=True, timeout=20,
+                               env={**os.environ, "EDGE_CONFIG": str(path)})
+    assert ended.returncode == 1 and ended.stderr.startswith("hookrouter: cannot listen") and ended.stderr.count("\n") == 1
--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,97 @@
+"""Slots, deadlines and the room for bodies."""
+
+from random import Random
+
+import pytest
+from twisted.internet.task import Clock
+
+from hookrouter.tables.deadlines import Deadlines
+from hookrouter.tables.room import Room
+from hookrouter.tables.slots import Slots
+
+
+def test_a_number_never_meets_the_next_owner_of_its_slot():
+    slots = Slots(2)
+    first, second = slots.take("a"), slots.take("b")
+    assert slots.take("c") is None and len(slots) == 2
+    slots.give_back(first)
+    third = slots.take("c")
+    assert third != first and slots.get(first) is None and slots.get(third) == "c" and slots.get(second) == "b"
+    with pytest.raises(KeyError):
+        slots.give_back(first)
+
+
+def test_random_takes_and_returns_agree_with_a_plain_table():
+    dice, slots, plain, past = Random(6), Slots(10), {}, []
+    for n in range(3000):
+        if plain and dice.random() < 0.5:
+            number = dice.choice(sorted(plain))
+            slots.give_back(number)
+            del plain[number]
+            past.append(number)
+        else:
+            number = slots.take(n)
+            assert (number is None) == (len(plain) == 10) and number not in past
+            if number is not None:
+                plain[number] = n
+        assert len(slots) == len(plain) and sorted(slots.held()) == sorted(plain.values())
+    assert all(slots.get(number) is None for number in past)
+
+
+def test_deadlines_come_in_order_by_one_timer():
+    clock, seen = Clock(), []
+    deadlines = Deadlines(clock)
+    entries = [deadlines.after(after, seen.append, after) for after in (3, 1, 2, 1.5)]
+    deadlines.drop(entries[2])
+    deadlines.drop(entries[2])
+    assert len(clock.getDelayedCalls()) == 1 and len(deadlines) == 3
+    clock.pump([0.5] * 8)
+    assert seen == [1, 1.5, 3] and len(deadlines) == 0 and not clock.getDelayedCalls()
+    deadlines.drop(entries[0])  # called already
+    assert len(deadlines) == 0
+
+
+def test_a_deadline_may_set_and_drop_others_and_an_error_stops_none():
+    clock, seen = Clock(), []
+    deadlines = Deadlines(clock)
+    later = deadlines.after(1, seen.append, "dropped")
+
+    def first():
+        deadlines.drop(later)
+        deadlines.after(0, seen.append, "at once")
+        raise RuntimeError("one call failed")
+
+    deadlines.after(0.5, first)
+    deadlines.after(2, seen.append, "last")
+    with pytest.raises(RuntimeError):
+        clock.advance(0.5)
+    clock.pump([0.5] * 4)
+    assert seen == ["at once", "last"]
+
+
+def test_dropped_deadlines_do_not_pile_up():
+    deadlines = Deadlines(Clock())
+    for _ in range(10_000):
+        deadlines.drop(deadlines.after(1000, print))
+    assert len(deadlines) == 0 and len(deadlines.heap) < 200
+
+
+class Reader:
+    def __init__(self):
+        self.resumed = 0
+
+    def resume(self):
+        self.resumed += 1
+
+
+def test_a_full_room_wakes_its_readers_once_there_is_place():
+    room, reader, gone = Room(100), Reader(), Reader()
+    room.take(150)
+    assert room.full()
+    room.wait(reader)
+    room.wait(gone)
+    room.leave(gone)
+    room.give_back(20)
+    assert reader.resumed == 0
+    room.give_back(80)
+    assert (reader.resumed, gone.resumed) == (1, 0) and not room.full()
