--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -42,15 +42,12 @@
         self.caches, self.place = caches, place
         self.number = self.send = self.up_by = self.idle_until = self.connector = None
         self.answers = http1.Answers(self._on_head, self._on_body, self._on_end, errands.LONGEST_BODY)
-        self.head, self.pieces, self.length, self.broken = None, [], 0, False
+        self.head, self.pieces, self.length = None, [], 0
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
         self.caches.came_up(self)
 
-    def write(self, pieces):
-        self.transport.writeSequence(pieces)
-
     def dataReceived(self, data):
         if self.send is None:
             self.close()  # nothing was asked
@@ -182,6 +179,8 @@
         connection.number = self.connections.take(connection)
         if connection.number is None:
             self.waiting.append(send)
+            self.log("all descriptors for caches are taken, sends wait")
+            self.count("sends_waited")
             if self.idle:  # the longest idle gives its descriptor up
                 oldest = next(iter(self.idle))
                 self._unidle(oldest)
@@ -195,7 +194,7 @@
 
     def _put(self, send, connection):
         connection.send, send.connection, send.written = send, connection, True
-        connection.write(send.pieces)
+        connection.transport.writeSequence(send.pieces)
 
     def _overdue(self, send):
         if send.written:
@@ -228,16 +227,10 @@
 
     def came_up(self, connection):
         self.deadlines.drop(connection.up_by)
-        if connection.send is None:
-            connection.close()
-        else:
-            self._put(connection.send, connection)
+        self._put(connection.send, connection)
 
     def _not_up(self, connection):
-        if connection.send is not None:
-            self._finish(connection.send, errands.Ended(i.UNREACHED))
-        else:
-            connection.close()
+        self._finish(connection.send, errands.Ended(i.UNREACHED))
 
     def went_down(self, connection):
         """The one place where a connection's descriptor is given back."""
--- a/hookrouter/feed/follower.py
+++ b/hookrouter/feed/follower.py
@@ -14,7 +14,7 @@
 
 class Stream(Protocol):
     def __init__(self, feed):
-        self.feed = feed
+        self.feed, self.why = feed, None
         self.answers = http1.Answers(self._on_head, self._on_body, self._on_end, LONGEST_STREAM,
                                      until_close=True)
         self.events = sse.Events()
@@ -38,6 +38,7 @@
             raise http1.Malformed(f"status {answer.status}")
 
     def _on_body(self, piece):
+        self.feed.pause = FIRST_PAUSE
         for _, data in self.events.feed(piece):
             self.feed.came(self, data)
 
@@ -45,7 +46,7 @@
         self.transport.loseConnection()
 
     def connectionLost(self, reason):
-        self.feed.went_down(self)
+        self.feed.went_down(self, self.why or reason.getErrorMessage())
 
 
 class Way(ClientFactory):
@@ -58,7 +59,7 @@
         return self.stream
 
     def clientConnectionFailed(self, connector, reason):
-        self.stream.feed.went_down(self.stream)
+        self.stream.feed.went_down(self.stream, self.stream.why or reason.getErrorMessage())
 
 
 class Feed:
@@ -81,8 +82,9 @@
 
     def stop(self):
         self.stopped = True
+        self.deadlines.drop(self.patience)
         if self.stream is not None:
-            self.end(self.stream, None)
+            self.end(self.stream, "stopped")
 
     def heard(self, stream):
         self.deadlines.drop(self.patience)
@@ -92,19 +94,18 @@
     def end(self, stream, why):
         if stream is not self.stream:
             return
-        if why is not None:
-            self.log("feed connection ended, a new one follows", why)
+        stream.why = why
         if stream.transport is not None:
             stream.transport.abortConnection()
         else:
             self.connector.stopConnecting()
 
-    def went_down(self, stream):
-        if stream is not self.stream:
-            return
+    def went_down(self, stream, why):
+        """The one place where a connection, or the way to it, is over."""
         self.deadlines.drop(self.patience)
         stream.transport = self.stream = self.connector = None
         if not self.stopped:
+            self.log("feed connection ended, a new one follows", why)
             self.patience = self.deadlines.after(self.pause, self.start)
             self.pause = min(LONGEST_PAUSE, 2 * self.pause)
 
@@ -121,7 +122,8 @@
             return  # told already
         if event.n > self.last + 1:
             self.log("feed left numbers out", f"{event.n} came after {self.last}")
-        self.last, self.pause = event.n, FIRST_PAUSE
+            self.count("feed_gaps")
+        self.last = event.n
         self.count("feed_events")
         if isinstance(event, events.Listed):
             self.desk.listed(event)
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -71,9 +71,8 @@
         pass
 
     def _drained(self):
-        if self.draining is not None:
-            self.front.deadlines.drop(self.draining)
-            self.draining = None
+        self.front.deadlines.drop(self.draining)
+        self.draining = None
         unread, self.unread = self.unread, 0
         self.front.room.give_back(unread)
 
--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -1,24 +1,31 @@
-"""Counts of what is taken in, sent and answered: one line each, stable names."""
+"""Counts of what is taken in, sent and answered: stable names, one line each."""
 
-ENDS = ("satisfied", "nacked", "failed", "given_up")
-UNKNOWN = "unknown"
+from .. import interface as i
+
+ENDS = ("satisfied", "nacked", "failed", "given_up")  # of a lookup; with those held they make up the taken
+SENDS = (i.SATISFIED, i.ERRED, i.FULL, i.LATE, i.UNREACHED, i.BROKEN, i.CANCELLED, i.VOID, i.MISSING)
+PLAIN = (
+    "clients_connected", "clients_turned_away", "clients_malformed", "clients_not_reading",
+    "calls_malformed", "calls_of_unknown_kind", "lookups_beyond_limit", "sends", "sends_waited", "probes",
+    "connections", "caches_malformed", "feed_connections", "feed_events", "feed_malformed", "feed_gaps",
+    "room_filled", "decisions_failed", "errors_uncaught",
+)
 
 
 class Counters:
     def __init__(self, kinds):
-        self.values = {}
-        for kind in (*kinds, UNKNOWN):
-            for word in ("taken", *ENDS):
-                self.values[f"lookups_{word}.{kind}"] = 0
+        self.values = dict.fromkeys(PLAIN, 0)
+        self.values.update((f"sends_{end}", 0) for end in SENDS)
+        self.values.update((f"lookups_{word}.{kind}", 0) for kind in kinds for word in ("taken", *ENDS))
 
-    def count(self, name, by=1):
-        self.values[name] = self.values.get(name, 0) + by
+    def count(self, name):
+        self.values[name] += 1
 
     def taken(self, kind):
-        self.count(f"lookups_taken.{kind or UNKNOWN}")
+        self.count(f"lookups_taken.{kind}")
 
     def ended(self, kind, end):
-        self.count(f"lookups_{end}.{kind or UNKNOWN}")
+        self.count(f"lookups_{end}.{kind}")
 
     def send_ended(self, end):
         self.count(f"sends_{end}")
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -42,7 +42,7 @@
         self.deadlines = Deadlines(reactor)
         self.inputs, self.deciding = deque(), False
         clients = start.sockets // 3
-        room = Room(int(start.memory * MEGABYTE * BODIES))
+        room = Room(int(start.memory * MEGABYTE * BODIES), self._filled)
         self.front = Front(self, self.deadlines, room, clients, terms.idle_for / SECONDS, log, self.count)
         self.caches = Caches(reactor, self.deadlines, room, start.sockets - clients - RESERVED, terms, log,
                              self.count)
@@ -100,21 +100,22 @@
 
     def taken(self, call, asked):
         kind = self.kinds.get(asked.kind)
-        self.counters.taken(asked.kind if kind is not None else None)
-        due = self.now() + min(asked.allow, kind.deadline if kind is not None else 0)
-        lookup = Lookup(call, asked, due)
         if kind is None:
-            self.log("client asked for an unknown object kind", asked.kind)
-            self._answer(lookup, "failed", self.front.failed, "unknown kind")
+            self.log("client asked for an unknown object kind, failed", asked.kind)
+            self.count("calls_of_unknown_kind")
+            self.front.failed(call, "unknown kind")
             return
+        lookup = Lookup(call, asked, self.now() + min(asked.allow, kind.deadline))
+        self.counters.taken(asked.kind)
         lookup.number = self.lookups.take(lookup)
-        if lookup.number is None:
-            self.log("more lookups than may be held, failed")
-            self._answer(lookup, "failed", self.front.failed, "too many held")
+        if lookup.number is None:  # the settings have such a lookup refused before it reaches the module
+            self.log("more lookups than may be held, nacked")
+            self.count("lookups_beyond_limit")
+            self._answer(lookup, "nacked", self.front.nacked, 0)
             return
         self.by_call[call] = lookup.number
-        self.tell(i.Lookup(lookup.number, asked.kind, asked.object, asked.part, asked.group, asked.size, due,
-                           asked.repeat))
+        self.tell(i.Lookup(lookup.number, asked.kind, asked.object, asked.part, asked.group, asked.size,
+                           lookup.due, asked.repeat))
 
     def left(self, call):
         """The client waits no more."""
@@ -143,6 +144,10 @@
                 "connections_held": len(self.caches.connections), "sends_waiting": len(self.caches.waiting),
                 "deadlines_held": len(self.deadlines), "body_bytes_held": self.front.room.held}
 
+    def _filled(self):
+        self.log("bodies fill their room, no more is read until some are gone")
+        self.count("room_filled")
+
     # ---- lookups: taken above, given back here
 
     def _answer(self, lookup, end, answer, *values):
@@ -152,7 +157,7 @@
     def _end(self, lookup, end):
         lookup.ended = True
         self.by_call.pop(lookup.call, None)
-        self.counters.ended(lookup.asked.kind if lookup.asked.kind in self.kinds else None, end)
+        self.counters.ended(lookup.asked.kind, end)
         self._let_go(lookup)
 
     def _let_go(self, lookup):
--- a/hookrouter/tables/deadlines.py
+++ b/hookrouter/tables/deadlines.py
@@ -27,8 +27,8 @@
         return entry
 
     def drop(self, entry):
-        """Does nothing for an entry that has been called or dropped."""
-        if entry[2] is None:
+        """Does nothing for an entry that has been called or dropped, nor for None."""
+        if entry is None or entry[2] is None:
             return
         entry[2] = entry[3] = None
         self.dropped += 1
--- a/hookrouter/tables/room.py
+++ b/hookrouter/tables/room.py
@@ -2,8 +2,9 @@
 
 
 class Room:
-    def __init__(self, size):
-        self.size, self.held = size, 0
+    def __init__(self, size, filled):
+        """filled: called each time the first reader has to wait."""
+        self.size, self.held, self.filled = size, 0, filled
         self.waiting = {}  # what has a resume() -> True, in the order in which they came
 
     def take(self, count):
@@ -21,6 +22,8 @@
 
     def wait(self, reader):
         """reader.resume() is called once there is room again."""
+        if not self.waiting:
+            self.filled()
         self.waiting[reader] = True
 
     def leave(self, reader):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -7,6 +7,7 @@
 
 from hookrouter import interface as i
 from hookrouter.control import Control
+from hookrouter.node.counters import PLAIN
 from hookrouter.parsers import thrift
 
 MS = 10
@@ -253,7 +254,8 @@
     def log(self, kind, detail=""):
         self.lines.append((kind, detail))
 
-    def count(self, name, by=1):
+    def count(self, name):
+        assert name in PLAIN
         self.counted.append(name)
 
 
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -15,7 +15,7 @@
 
 class Scene:
     def __init__(self, most=8, room=10 ** 6, **more):
-        self.net, self.noted, self.room, self.ended = Net(), Noted(), Room(room), []
+        self.net, self.noted, self.room, self.ended = Net(), Noted(), Room(room, lambda: self.noted.count("room_filled")), []
         self.deadlines = Deadlines(self.net)
         self.caches = Caches(self.net, self.deadlines, self.room, most, terms(**more), self.noted.log, self.noted.count)
         for n in range(3):
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -34,7 +34,7 @@
 
 class Scene:
     def __init__(self, most=4, room=10_000):
-        self.net, self.desk, self.noted, self.room = Net(), Desk(), Noted(), Room(room)
+        self.net, self.desk, self.noted, self.room = Net(), Desk(), Noted(), Room(room, lambda: self.noted.count("room_filled"))
         self.front = Front(self.desk, Deadlines(self.net), self.room, most, 15.0, self.noted.log, self.noted.count)
         self.front.port = Port()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -137,7 +137,15 @@
     wire = s.client()
     wire.come(message(1, service="nonsense"))
     assert answers(wire.take())[1][1].keys() == {2} and "unknown object kind" in s.out.text
-    assert s.counters.values["lookups_failed.unknown"] == 1 and s.adds_up()["lookups_held"] == 0
+    assert s.counters.values["calls_of_unknown_kind"] == 1 and s.adds_up()["lookups_held"] == 0
+
+
+def test_more_lookups_than_the_settings_let_it_hold_are_nacked_at_once(tmp_path):
+    s = Scene(tmp_path)
+    s.router.lookups.size = 1
+    wire = s.client()
+    wire.come(message(1) + message(2))
+    assert answers(wire.take())[2][1].keys() == {1} and s.adds_up()["lookups_held"] == 1
 
 
 @pytest.mark.parametrize("event", [i.Lookup, i.SendEnd, i.Alarm])
@@ -251,7 +259,7 @@
     held = s.adds_up()
     assert held["lookups_held"] == held["connections_held"] == held["body_bytes_held"] == held["clients_held"] == 0
     assert all(out == 0 for out in s.router.control.out) and not s.router.control.sent and len(s.router.lookups) == 0
-    assert "decisions_failed" not in s.counters.values
+    assert s.counters.values["decisions_failed"] == 0
 
 
 # ---- what cannot be used at start
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -85,7 +85,8 @@
 
 
 def test_a_full_room_wakes_its_readers_once_there_is_place():
-    room, reader, gone = Room(100), Reader(), Reader()
+    filled, reader, gone = [], Reader(), Reader()
+    room = Room(100, lambda: filled.append(True))
     room.take(150)
     assert room.full()
     room.wait(reader)
@@ -94,4 +95,4 @@
     room.give_back(20)
     assert reader.resumed == 0
     room.give_back(80)
-    assert (reader.resumed, gone.resumed) == (1, 0) and not room.full()
+    assert (reader.resumed, gone.resumed, len(filled)) == (1, 0, 1) and not room.full()
