A send that is given up has ended only once its connection is closed

Ruled out: a late answer crossing the close, for the first send was silent. At fault: Caches._finish fired the Deferred right after abortConnection, which closes only a turn of the reactor later; the next send, over an idle connection, was written in between. Now a send that is late, given up or unreadable keeps its place until connectionLost, and ends there.

--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -1,7 +1,8 @@
 """Connections to caches, one request at a time each, kept for the next one; sends and probes over them.
 
 A connection owns its descriptor's slot and gives it back when it is gone. A send owns its deadline and its
-connection while it runs; _finish gives both back and fires its Deferred, once.
+connection while it runs, gives both back when it ends, and then fires its Deferred, once. One that is given
+up has ended when its connection is closed, not before: the next send of its lookup may be out at once.
 """
 
 from collections import deque
@@ -29,13 +30,20 @@
 
 
 class Send:
-    __slots__ = ("place", "pieces", "deadline", "deferred", "connection", "written")
+    """One request and its Deferred, which fires with Ended."""
 
-    def __init__(self, place, pieces):
-        self.place, self.pieces = place, pieces
-        self.deadline = self.connection = self.deferred = None
+    __slots__ = ("caches", "place", "pieces", "deadline", "deferred", "connection", "written", "ended")
+
+    def __init__(self, caches, place, pieces):
+        self.caches, self.place, self.pieces = caches, place, pieces
+        self.deferred = Deferred()
+        self.deadline = self.connection = self.ended = None
         self.written = False
 
+    def give_up(self):
+        """Closes its connection; it ends as cancelled unless it has ended or was given up before."""
+        self.caches.give_up(self, i.CANCELLED)
+
 
 class Connection(Protocol):
     def __init__(self, caches, place):
@@ -58,7 +66,7 @@
             self.caches.log("cache sent what cannot be read, connection ended", f"{self.place.name}: {wrong}")
             self.caches.count("caches_malformed")
             self.caches.lost_answer(self)
-        if self.send is not None and self.caches.room.full():
+        if self.send is not None and self.send.ended is None and self.caches.room.full():
             self.caches.room.wait(self)
             self.transport.pauseProducing()
 
@@ -148,7 +156,7 @@
     # ---- sends and probes
 
     def send(self, name, errand):
-        """A Deferred that fires once, with Ended; cancelled, it fires at once and the connection closes."""
+        """The Send, on its way."""
         self.count("sends")
         place = self.places[name]
         return self._go(place, errands.request(errand, self._host(place)), errand.wait)
@@ -163,11 +171,10 @@
         return f"{place.host}:{place.port}".encode()
 
     def _go(self, place, pieces, wait):
-        send = Send(place, pieces)
-        send.deferred = Deferred(lambda _: self._finish(send, errands.Ended(i.CANCELLED)))
+        send = Send(self, place, pieces)
         send.deadline = self.deadlines.after(max(0, wait) / SECONDS, self._overdue, send)
         self._start(send)
-        return send.deferred
+        return send
 
     def _start(self, send):
         if send.place.idle:
@@ -201,27 +208,28 @@
             end = i.LATE
         else:  # it never left: for want of a descriptor, or of an answer to the connection
             end = i.VOID if send.connection is None else i.UNREACHED
-        self._finish(send, errands.Ended(end))
+        self.give_up(send, end)
 
-    def _finish(self, send, ended, keep=False):
-        """The one end of a send."""
-        if send.deferred is None:
+    def give_up(self, send, end):
+        """Ends so, once its connection is closed, unless it has its end already."""
+        if send.ended is not None:
             return
-        deferred, send.deferred = send.deferred, None
+        send.ended = errands.Ended(end)
+        if send.connection is not None:
+            send.connection.empty()
+            send.connection.close()
+        else:
+            self.waiting.remove(send)
+            self._finish(send)
+
+    def _finish(self, send):
+        """The one end of a send: it holds nothing from here on."""
         self.deadlines.drop(send.deadline)
         connection, send.connection = send.connection, None
-        if connection is None:
-            if send in self.waiting:
-                self.waiting.remove(send)
-        else:
+        if connection is not None:
             connection.send = None
             connection.empty()
-            if keep:
-                self._keep(connection)
-            else:
-                connection.close()
-        if not deferred.called:
-            deferred.callback(ended)
+        send.deferred.callback(send.ended)
 
     # ---- connections
 
@@ -230,7 +238,7 @@
         self._put(connection.send, connection)
 
     def _not_up(self, connection):
-        self._finish(connection.send, errands.Ended(i.UNREACHED))
+        self.give_up(connection.send, i.UNREACHED)
 
     def went_down(self, connection):
         """The one place where a connection's descriptor is given back."""
@@ -238,27 +246,33 @@
         self.deadlines.drop(connection.up_by)
         self.connections.give_back(connection.number)
         connection.transport = connection.connector = None
-        if connection.send is not None:
-            self._finish(connection.send, errands.Ended(i.BROKEN if connection.send.written else i.UNREACHED))
+        send = connection.send
+        if send is not None:
+            send.ended = send.ended or errands.Ended(i.BROKEN if send.written else i.UNREACHED)
+            self._finish(send)
         while self.waiting and len(self.connections) < self.connections.size:
             self._start(self.waiting.popleft())
 
     def answered(self, connection):
-        head = connection.head
-        ended = errands.read_ended(head, tuple(connection.pieces), connection.length, self.names)
-        self._finish(connection.send, ended, keep=head.keep and not connection.answers.buffer)
+        send, head = connection.send, connection.head
+        send.ended = errands.read_ended(head, tuple(connection.pieces), connection.length, self.names)
+        connection.send = send.connection = None
+        connection.empty()
+        if head.keep and not connection.answers.buffer:
+            self._keep(connection)
+        else:
+            connection.close()
+        self._finish(send)
 
     def lost_answer(self, connection):
         if connection.send is not None:
-            self._finish(connection.send, errands.Ended(i.BROKEN))
+            self.give_up(connection.send, i.BROKEN)
         else:
             connection.close()
 
     def _keep(self, connection):
-        if self.places.get(connection.place.name) is not connection.place or self.idle_for <= 0:
-            connection.close()
-            return
-        if self.waiting:  # for another cache, which needs the descriptor
+        current = self.places.get(connection.place.name) is connection.place
+        if not current or self.waiting or self.idle_for <= 0:  # not its cache's now, or wanted elsewhere
             connection.close()
             return
         connection.place.idle.append(connection)
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -186,9 +186,8 @@
         errand = Errand(asked.kind, asked.trace, asked.object, asked.part, asked.key, asked.seen,
                         asked.body, effect.wait, **ways)
         began = self.now()
-        deferred = self.caches.send(effect.cache, errand)
-        lookup.running[n] = deferred
-        deferred.addCallback(self._sent, lookup, n, effect.cache, began)
+        send = lookup.running[n] = self.caches.send(effect.cache, errand)
+        send.deferred.addCallback(self._sent, lookup, n, effect.cache, began)
 
     def _sent(self, ended, lookup, n, cache, began):
         del lookup.running[n]
@@ -216,7 +215,7 @@
     def _cancel(self, effect):
         lookup = self.lookups.get(effect.id)
         if lookup is not None and effect.send in lookup.running:
-            lookup.running[effect.send].cancel()
+            lookup.running[effect.send].give_up()
 
     def _set_alarm(self, effect):
         self.deadlines.after(effect.delay / SECONDS, self.tell, i.Alarm(effect.token))
@@ -227,7 +226,7 @@
 
     def _probe(self, effect):
         began = self.now()
-        self.caches.probe(effect.cache).addCallback(
+        self.caches.probe(effect.cache).deferred.addCallback(
             lambda ended: self.tell(i.ProbeEnd(ended.end, effect.cache, self.now() - began, ended.report)))
 
     def _no_way(self, effect):
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -22,9 +22,9 @@
             self.caches.learn(f"c{n}", ("127.0.0.1", 7000 + n), 0)
 
     def send(self, name="c0", errand=PLAIN):
-        deferred = self.caches.send(name, errand)
-        deferred.addCallback(self.ended.append)
-        return deferred
+        send = self.caches.send(name, errand)
+        send.deferred.addCallback(self.ended.append)
+        return send
 
     def up(self):
         return self.net.ways[-1].up()
@@ -153,17 +153,38 @@
     s.nothing_is_left()
 
 
+@pytest.mark.parametrize("how", ["late", "given up", "unreadable"])
+def test_a_send_has_not_ended_before_its_connection_is_closed(how):
+    """Else the next send of its lookup was out a turn before: two at once, seen on sockets."""
+    s, left = Scene(), []
+    send = s.send()
+    send.deferred.addCallback(lambda _: left.append(len(s.caches.connections)))
+    wire = s.up()
+    if how == "late":
+        s.net.advance(0.9)
+    elif how == "given up":
+        send.give_up()
+    else:
+        wire.come(b"junk\r\n\r\n")
+    assert not wire.open
+    s.net.advance(0)
+    assert left == [0]
+    s.nothing_is_left()
+
+
 def test_silence_is_late_and_a_cancelled_send_ends_at_once():
     s = Scene()
     s.send()
     silent = s.up()
     s.net.pump([0.9, 0])
-    deferred = s.send()
+    send = s.send()
     cancelled = s.up()
-    deferred.cancel()
+    send.give_up()
+    send.give_up()
+    s.net.advance(0)
     assert s.ends() == [i.LATE, i.CANCELLED]
     coming = s.send()
-    coming.cancel()
+    coming.give_up()
     s.net.advance(0)
     assert not silent.open and not cancelled.open and s.ends()[2:] == [i.CANCELLED]
     s.nothing_is_left()
@@ -224,16 +245,16 @@
 
 def test_a_probe_ends_with_its_report():
     s = Scene(reports="probes", report_fields=("inflight", "util"), connect_for=400 * MS)
-    s.caches.probe("c0").addCallback(s.ended.append)
+    s.caches.probe("c0").deferred.addCallback(s.ended.append)
     wire = s.up()
     assert wire.take().startswith(b"GET /busy HTTP/1.1\r\n")
     wire.come(answer(200, b"", b"X-Stats: util:0.61;inflight:7;more:1"))
     assert s.ended[0][:3] == (i.SATISFIED, 0, (7.0, 0.61))
     for text in (b"util:0.61", b"inflight:x;util:1", b""):
-        s.caches.probe("c0").addCallback(s.ended.append)
+        s.caches.probe("c0").deferred.addCallback(s.ended.append)
         wire.come(answer(200, b"", b"X-Stats: " + text))
         assert s.ended[-1].report is None
-    s.caches.probe("c1").addCallback(s.ended.append)
+    s.caches.probe("c1").deferred.addCallback(s.ended.append)
     s.up()
     s.net.advance(0.4)
     assert s.ends()[-1] == i.LATE
@@ -258,7 +279,7 @@
         elif what == 4 and wires:
             dice.choice(wires).abortConnection()
         elif what == 5 and sent:
-            dice.choice(sent).cancel()
+            dice.choice(sent).give_up()
         else:
             s.net.advance(dice.choice((0, 0.01, 0.2)))
         assert len(s.caches.connections) <= 4
