--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -272,6 +272,12 @@
 
     def _keep(self, connection):
         current = self.places.get(connection.place.name) is connection.place
+        if current and self.waiting:
+            for send in self.waiting:
+                if send.place is connection.place:
+                    self.waiting.remove(send)
+                    self._put(send, connection)
+                    return
         if not current or self.waiting or self.idle_for <= 0:  # not its cache's now, or wanted elsewhere
             connection.close()
             return
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -210,6 +210,17 @@
     s.nothing_is_left()
 
 
+def test_a_send_that_waits_takes_a_connection_of_its_cache_as_it_becomes_free():
+    s = Scene(most=1)
+    for name in ("c0", "c1", "c0"):
+        s.send(name)
+    s.up().come(answer(404))
+    s.net.ways[0].wire.come(answer(200, b"x"))
+    s.net.advance(0)
+    s.up().come(answer(500))
+    assert s.ends() == [i.MISSING, i.SATISFIED, i.ERRED] and len(s.net.ways) == 2
+
+
 def test_idle_connections_go_when_their_address_or_name_passes_to_another():
     s = Scene()
     for change in (("c9", ("127.0.0.1", 7000), 0), ("c1", ("127.0.0.1", 7009), 0), ("c2", ("127.0.0.1", 7002), 5)):
