--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -32,10 +32,12 @@
 class Send:
     """One request and its Deferred, which fires with Ended."""
 
-    __slots__ = ("caches", "place", "pieces", "deadline", "deferred", "connection", "written", "ended")
+    __slots__ = ("caches", "place", "pieces", "compares", "deadline", "deferred", "connection", "written",
+                 "ended")
 
-    def __init__(self, caches, place, pieces):
+    def __init__(self, caches, place, pieces, compares):
         self.caches, self.place, self.pieces = caches, place, pieces
+        self.compares = compares  # the client has a copy that may be the one
         self.deferred = Deferred()
         self.deadline = self.connection = self.ended = None
         self.written = False
@@ -76,6 +78,8 @@
     def _on_head(self, answer):
         if self.send is None or self.head is not None:
             raise Malformed("an answer to nothing")
+        if answer.status == 304 and not self.send.compares:
+            raise Malformed("304 where there is no copy")
         self.head = answer
 
     def _on_body(self, piece):
@@ -159,7 +163,8 @@
         """The Send, on its way."""
         self.count("sends")
         place = self.places[name]
-        return self._go(place, errands.request(errand, self._host(place)), errand.wait)
+        return self._go(place, errands.request(errand, self._host(place)), errand.wait,
+                        errand.seen is not None)
 
     def probe(self, name):
         self.count("probes")
@@ -170,8 +175,8 @@
     def _host(self, place):
         return f"{place.host}:{place.port}".encode()
 
-    def _go(self, place, pieces, wait):
-        send = Send(self, place, pieces)
+    def _go(self, place, pieces, wait, compares=False):
+        send = Send(self, place, pieces, compares)
         send.deadline = self.deadlines.after(max(0, wait) / SECONDS, self._overdue, send)
         self._start(send)
         return send
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -138,16 +138,6 @@
     def purged(self, event):
         self.tell(i.Purged(max(0, self.now() - event.made), event.group, event.object))
 
-    def held(self):
-        """What is taken and not given back yet."""
-        return {"lookups_held": len(self.by_call), "clients_held": len(self.front.connections),
-                "connections_held": len(self.caches.connections), "sends_waiting": len(self.caches.waiting),
-                "deadlines_held": len(self.deadlines), "body_bytes_held": self.front.room.held}
-
-    def _filled(self):
-        self.log("bodies fill their room, no more is read until some are gone")
-        self.count("room_filled")
-
     # ---- lookups: taken above, given back here
 
     def _answer(self, lookup, end, answer, *values):
@@ -235,6 +225,18 @@
     def _log(self, effect):
         self.log("module", effect.text)
 
+    # ---- counts
+
+    def held(self):
+        """What is taken and not given back yet."""
+        return {"lookups_held": len(self.by_call), "clients_held": len(self.front.connections),
+                "connections_held": len(self.caches.connections), "sends_waiting": len(self.caches.waiting),
+                "deadlines_held": len(self.deadlines), "body_bytes_held": self.front.room.held}
+
+    def _filled(self):
+        self.log("bodies fill their room, no more is read until some are gone")
+        self.count("room_filled")
+
 
 EFFECTS = {
     i.Ask: Router._ask, i.Obtain: Router._obtain, i.Nack: Router._nack, i.Fail: Router._fail,
--- a/hookrouter/node/service.py
+++ b/hookrouter/node/service.py
@@ -6,6 +6,7 @@
 from twisted.logger import LogLevel, formatEvent, globalLogBeginner
 
 LAST_LOOKUPS = 0.7  # seconds after SIGTERM: connections come for 0.4, lookups for 0.2 more; 0.1 to spare
+BACKLOG = 512  # connections that wait to be accepted: more than clients may hold of 1,024 descriptors
 LOOK_AGAIN = 0.02  # seconds between looks whether all is answered
 
 
@@ -18,7 +19,7 @@
         """Returns the exit code."""
         host, number = self.start.listen
         try:
-            self.port = self.reactor.listenTCP(number, self.router.front, backlog=512, interface=host)
+            self.port = self.reactor.listenTCP(number, self.router.front, backlog=BACKLOG, interface=host)
         except CannotListenError as wrong:
             self.log("cannot listen", str(wrong))
             return 1
@@ -59,7 +60,8 @@
     def _look(self):
         self.router.front.end_idle()
         if len(self.router.front.connections) or len(self.router.lookups):
-            self.router.deadlines.after(LOOK_AGAIN, self._look)
+            self.router.deadlines.after(BACKLOG = 512  # connections that wait to be accepted: more than clients may hold of 1,024 descriptors
+LOOK_AGAIN, self._look)
             return
         self.router.feed.stop()
         self.reactor.stop()
