--- a/hookrouter/node/service.py
+++ b/hookrouter/node/service.py
@@ -60,8 +60,7 @@
     def _look(self):
         self.router.front.end_idle()
         if len(self.router.front.connections) or len(self.router.lookups):
-            self.router.deadlines.after(BACKLOG = 512  # connections that wait to be accepted: more than clients may hold of 1,024 descriptors
-LOOK_AGAIN, self._look)
+            self.router.deadlines.after(LOOK_AGAIN, self._look)
             return
         self.router.feed.stop()
         self.reactor.stop()
