Tests for three places that a change could break unseen: after the answer, after a fault, long waits

Found by changing a line at a time and seeing which tests notice. The way round for a send of an ended lookup is gone: only a faulty module could have taken it, and nothing goes out after the answer.

--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -166,13 +166,10 @@
 
     def _send(self, effect, **ways):
         lookup = self.lookups.get(effect.id)
-        if lookup is None:
-            return
+        if lookup is None or lookup.ended:
+            return  # only a fault of the module brings this here; nothing goes out after the answer
         asked, n = lookup.asked, lookup.sends
         lookup.sends += 1
-        if lookup.ended:  # it ended on its way to the module
-            self.tell(i.SendEnd(lookup.number, n, i.VOID, 0, True, 0, effect.cache, None))
-            return
         errand = Errand(asked.kind, asked.trace, asked.object, asked.part, asked.key, asked.seen,
                         asked.body, effect.wait, **ways)
         began = self.now()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -108,13 +108,15 @@
     assert s.adds_up()["connections_held"] <= 2
 
 
-def test_a_silent_fleet_gets_every_lookup_its_answer_in_time(tmp_path):
+@pytest.mark.parametrize("allow, within", [("1500", 1.6), ("99999999", 4.1)])  # at most the kind's own deadline
+def test_a_silent_fleet_gets_every_lookup_its_answer_in_time(tmp_path, allow, within):
     s = Scene(tmp_path)
     wire = s.client()
-    wire.come(b"".join(message(n) for n in range(1, 6)))
-    for way in s.net.ways:
-        way.up()
-    s.net.pump([0.1] * 16)
+    wire.come(b"".join(message(n, allow=allow) for n in range(1, 6)))
+    while s.net.seconds() < within:
+        for way in s.net.ways:
+            way.over or way.up()
+        s.net.advance(0.1)
     assert len(answers(wire.take())) == 5
     held = s.adds_up()
     assert held["lookups_held"] == held["connections_held"] == 0
@@ -172,6 +174,19 @@
     wire.come(message(2))
     s.net.advance(2)
     assert len(answers(wire.take())) == 1 and s.adds_up()["lookups_held"] == 0
+    assert not s.router.control.held
+
+
+def test_nothing_goes_out_after_the_answer_whatever_the_module_says(tmp_path):
+    s = Scene(tmp_path)
+    wire = s.client()
+    wire.come(message(1))
+    number = next(iter(s.router.control.held))
+    s.router.control.decide = lambda now, inputs: [
+        i.Nack(number, 0), i.Fail(number), i.Ask(number, "c0", 100), i.Cancel(number, 0)]
+    s.router.tell(i.Alarm(0))
+    assert list(answers(wire.take())[1][1]) == [1] and len(s.net.ways) == 1
+    assert s.counters.values["sends"] == 1 and s.adds_up()["lookups_held"] == 0
 
 
 def test_purges_and_lists_reach_the_module_with_their_true_age(tmp_path):
