A client that read all is not ended ten seconds later; an idle end does not wait for a producer

Found by reading the transport's code against ours. Twisted calls pauseProducing at each write beyond its buffer, so a second large answer overwrote the first deadline of Connection.pauseProducing, which then ended the connection ten seconds later although all had been read: its calls would have been lost. And loseConnection waits for a registered producer while it is paused. Tests in memory for both, large answers over loopback.

--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -20,6 +20,7 @@
         self.number = self.idle = self.draining = None
         self.busy = True  # since the last look whether it is idle
         self.unread = 0  # bytes written that wait for the client, once these are many
+        self.ending = False
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -33,7 +34,7 @@
     def _look(self):
         """Ends a connection on which nothing was open or came for a while."""
         if not self.open and not self.busy:
-            self.transport.loseConnection()
+            self.end()
         self.busy = False
         self.idle = self.front.deadlines.after(self.front.idle_for, self._look)
 
@@ -58,10 +59,19 @@
         self.front.room.leave(self)
         self.front.parted(self)
 
+    def end(self):
+        """Once what was written is read. With a producer the transport would wait for that one's end too."""
+        if not self.ending:
+            self.ending = True
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
     # What the transport tells of its buffer: a client that does not read is not read from.
     def pauseProducing(self):
-        self.transport.pauseProducing()
-        self.draining = self.front.deadlines.after(LONGEST_DRAIN, self._not_read)
+        """Called at each write beyond the buffer."""
+        if self.draining is None:
+            self.transport.pauseProducing()
+            self.draining = self.front.deadlines.after(LONGEST_DRAIN, self._not_read)
 
     def resumeProducing(self):
         self._drained()
@@ -208,4 +218,4 @@
         """Ends the connections on which no call is open."""
         for connection in self.connections.held():
             if not connection.open:
-                connection.transport.loseConnection()
+                connection.end()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -153,9 +153,13 @@
     wire.producer.pauseProducing()  # the transport's buffer is long
     s.front.satisfied(s.desk.calls[0][0], (b"x" * 5000,), 5000)
     assert wire.producerState == "paused" and s.room.held > 5000
+    wire.producer.pauseProducing()  # as at each write beyond it
     wire.producer.resumeProducing()
     assert wire.producerState == "producing" and s.room.held == 0
+    s.net.pump([9, 0.9])
     wire.producer.pauseProducing()
+    s.net.advance(1)
+    assert wire.open  # it had read all: that it waited before is forgotten
     s.front.satisfied(s.desk.calls[1][0], (b"x" * 5000,), 5000)
     s.net.pump([5, 5, 0])
     assert not wire.open and s.room.held == 0 and "clients_not_reading" in s.noted.counted
@@ -176,7 +180,7 @@
     idle, busy = s.client(), s.client()
     busy.come(message(1))
     s.net.pump([10, 10, 15])
-    assert not idle.open and busy.open
+    assert not idle.open and idle.producer is None and busy.open  # a producer would hold the end up
     s.front.failed(s.desk.calls[0][0])
     s.net.pump([20, 20])
     assert not busy.open and len(s.front.connections) == 0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -307,7 +307,7 @@
 # ---- one whole router on loopback, against small stand-ins
 
 class Cache(socketserver.BaseRequestHandler):
-    """Answers every request with its path; asked for part 9 it keeps silent."""
+    """Answers every request with its path, part 7 with much more; asked for part 9 it keeps silent."""
 
     def handle(self):
         head = b""
@@ -317,7 +317,7 @@
                 one, _, head = head.partition(b"\r\n\r\n")
                 target = one.split(b" ")[1]
                 if not target.endswith(b"/9"):
-                    self.request.sendall(answer(200, target))
+                    self.request.sendall(answer(200, target * (7_000 if target.endswith(b"/7") else 1)))
 
 
 class FeedStandIn(socketserver.BaseRequestHandler):
@@ -374,11 +374,13 @@
             try:
                 with socket.create_connection(("127.0.0.1", port), 5) as connection:
                     connection.settimeout(10)
+                    big = ask(connection, b"".join(message(n, part="7") for n in range(10, 18)), 8)
+                    assert {len(struct[0][1]) for _, struct in big.values()} == {7_000 * 30}
                     got = ask(connection, message(1, b"check") + message(2) + message(3, part="9", allow="300"), 3)
                     assert got[1][1][0][3] is True and got[2][1][0][1] == b"/fetch/clip/7f3a9c21e0b4d655/3"
                     assert got[3][1].keys() == {1}  # a silent cache: nacked in time
                     process.send_signal(signal.SIGUSR1)
-                    assert any("lookups_taken.clip 2" in line for line in iter(process.stderr.readline, "")
+                    assert any("lookups_taken.clip 10" in line for line in iter(process.stderr.readline, "")
                                if "lookups_taken.clip" in line or "body_bytes_held" in line)
                     process.send_signal(signal.SIGTERM)
                     assert ask(connection, message(4), 1)[4][1][0][3] is True  # still taken and answered
