--- a/hookrouter/caches/errands.py
+++ b/hookrouter/caches/errands.py
@@ -5,8 +5,8 @@
 
 from .. import interface as i
 from ..parsers import http1
+from ..terms import TENTHS
 
-TENTHS = 10  # of a millisecond, in one
 LONGEST_BODY = 240_000  # bytes, of any object's part
 NOTES = {b"hit": i.FOUND, b"filled": i.FILLED, b"via_origin": i.FROM_ORIGIN, b"joined": i.JOINED,
          b"stale": i.AGED}
--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -14,10 +14,9 @@
 from ..parsers import http1
 from ..parsers.http1 import Malformed
 from ..tables.slots import Slots
+from ..terms import SECOND
 from . import errands
 
-SECONDS = 10_000  # tenths of a millisecond, in one
-
 
 class Place:
     """Where a cache listens, and the idle connections to it, the last used last."""
@@ -127,9 +126,9 @@
 class Caches:
     def __init__(self, reactor, deadlines, room, most, terms, log, count):
         self.reactor, self.deadlines, self.room, self.log, self.count = reactor, deadlines, room, log, count
-        self.connect_for = terms.connect_for / SECONDS
+        self.connect_for = terms.connect_for / SECOND
         # Left before the cache closes it, by the time a connection may take: no request crosses the close.
-        self.idle_for = max(0, terms.idle_for - terms.connect_for) / SECONDS
+        self.idle_for = max(0, terms.idle_for - terms.connect_for) / SECOND
         self.names = terms.report_fields if terms.reports != "none" else ()
         self.places = {}
         self.connections = Slots(most)
@@ -170,14 +169,14 @@
         self.count("probes")
         place = self.places[name]
         # No time is stated for a probe but that of a connection.
-        return self._go(place, errands.probe(self.names, self._host(place)), self.connect_for * SECONDS)
+        return self._go(place, errands.probe(self.names, self._host(place)), self.connect_for * SECOND)
 
     def _host(self, place):
         return f"{place.host}:{place.port}".encode()
 
     def _go(self, place, pieces, wait, compares=False):
         send = Send(self, place, pieces, compares)
-        send.deadline = self.deadlines.after(max(0, wait) / SECONDS, self._overdue, send)
+        send.deadline = self.deadlines.after(max(0, wait) / SECOND, self._overdue, send)
         self._start(send)
         return send
 
--- a/hookrouter/feed/events.py
+++ b/hookrouter/feed/events.py
@@ -8,7 +8,6 @@
 from ..terms import Malformed
 
 PHASES = {"active": i.READY, "leaving": i.DRAINING, "left": i.GONE}
-TENTHS = 10  # of a millisecond, in one
 
 
 class Listed(NamedTuple):
--- a/hookrouter/front/calls.py
+++ b/hookrouter/front/calls.py
@@ -4,12 +4,12 @@
 
 from ..parsers import thrift
 from ..parsers.thrift import Malformed
+from ..terms import TENTHS
 
 MOST_FIELDS = 32  # in one call: the service's own have eleven at most
 LONGEST_FIELD = 256  # bytes; the longest of the service's own has 32
 LONGEST_ALLOW = 10 ** 8  # milliseconds, over a day: no client waits longer
 HEX = frozenset("0123456789abcdefABCDEF")
-TENTHS = 10  # of a millisecond, in one
 
 
 class Asked(NamedTuple):
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -13,8 +13,8 @@
 from ..tables.deadlines import Deadlines
 from ..tables.room import Room
 from ..tables.slots import Slots
+from ..terms import SECOND
 
-SECONDS = 10_000  # tenths of a millisecond, in one
 MEGABYTE = 1_000_000  # bytes, the smaller reading of the limit
 BODIES = 0.25  # of the memory, for bodies that wait: the program takes some 25 MB, copies under way the rest
 RESERVED = 24  # descriptors: standard three, the reactor's own, listener, feed, and some that are closing
@@ -43,7 +43,7 @@
         self.inputs, self.deciding = deque(), False
         clients = start.sockets // 3
         room = Room(int(start.memory * MEGABYTE * BODIES), self._filled)
-        self.front = Front(self, self.deadlines, room, clients, terms.idle_for / SECONDS, log, self.count)
+        self.front = Front(self, self.deadlines, room, clients, terms.idle_for / SECOND, log, self.count)
         self.caches = Caches(reactor, self.deadlines, room, start.sockets - clients - RESERVED, terms, log,
                              self.count)
         self.feed = Feed(reactor, self.deadlines, self, start.feed, start.last, log, self.count)
@@ -59,7 +59,7 @@
 
     def now(self):
         """Unix time in tenths of a millisecond; it never goes back."""
-        self.latest = max(self.latest, int(self.wall() * SECONDS))
+        self.latest = max(self.latest, int(self.wall() * SECOND))
         return self.latest
 
     def tell(self, event):
@@ -205,7 +205,7 @@
             lookup.running[effect.send].give_up()
 
     def _set_alarm(self, effect):
-        self.deadlines.after(effect.delay / SECONDS, self.tell, i.Alarm(effect.token))
+        self.deadlines.after(effect.delay / SECOND, self.tell, i.Alarm(effect.token))
 
     def _subscribe(self, effect):
         """The feed is always followed; what was missed has come or comes by it."""
--- a/hookrouter/terms.py
+++ b/hookrouter/terms.py
@@ -15,7 +15,8 @@
 NOTES = {"all": "all", "hit": "hit", "off": "none"}
 SIBLINGS = {"off": i.NO_SIBLINGS, "location": i.OWN_LOCATION, "any": i.ANY_SIBLING}
 DISCOVERY = {"pushed": False, "on_request": True}
-TENTHS = 10  # of a millisecond: the interface's unit in the wire's
+TENTHS = 10  # of a millisecond, the interface's unit, in one
+SECOND = 1_000 * TENTHS
 MOST = 1e18  # beyond it no number of the wire makes sense
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -235,6 +235,20 @@
     assert len(lines) == 8 and "hookrouter: kind: 995 more left out" in lines and max(map(len, lines)) < 2100
 
 
+def test_a_flood_of_garbage_neither_fills_the_log_nor_stays_in_memory(tmp_path):
+    dice, s = Random(7), Scene(tmp_path)
+    for _ in range(300):
+        wire = s.client()
+        wire.come(message(1, allow="x") + message(2, b"destroy") + message(3, service="nonsense"))
+        wire.come(bytes(dice.randrange(128, 256) for _ in range(50)))
+        s.net.advance(0)
+        assert not wire.open
+    held, values = s.adds_up(), s.counters.values
+    assert (values["calls_malformed"], values["calls_of_unknown_kind"], values["clients_malformed"]) == (600, 300, 300)
+    assert len(s.out.text.splitlines()) <= 15 and len(s.log.kinds) == 3
+    assert held["clients_held"] == held["body_bytes_held"] == held["lookups_held"] == held["deadlines_held"] == 0
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_a_rough_day_loses_no_lookup_and_leaves_nothing_behind(tmp_path, seed):
     dice, s, sent, got, left = Random(seed), Scene(tmp_path), {}, {}, set()
