A send silent to its lookup's deadline is told as late, not as cancelled

Checked: each send's end logged on both sides. At fault: Router._send and _set_alarm counted the same span from two moments, and Caches took every give_up as a cancel. Both now count from the decision, and a send whose time is over in whole tenths was late.

--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -42,8 +42,11 @@
         self.written = False
 
     def give_up(self):
-        """Closes its connection; it ends as cancelled unless it has ended or was given up before."""
-        self.caches.give_up(self, i.CANCELLED)
+        """Closes its connection; it ends as cancelled unless it has ended, or its time is over just now."""
+        if self.caches.deadlines.due(self.deadline, 1 / SECOND):
+            self.caches.overdue(self)
+        else:
+            self.caches.give_up(self, i.CANCELLED)
 
 
 class Connection(Protocol):
@@ -158,25 +161,24 @@
 
     # ---- sends and probes
 
-    def send(self, name, errand):
-        """The Send, on its way."""
+    def send(self, name, errand, within):
+        """The Send, on its way; silent for that many seconds, it is late."""
         self.count("sends")
         place = self.places[name]
-        return self._go(place, errands.request(errand, self._host(place)), errand.wait,
-                        errand.seen is not None)
+        return self._go(place, errands.request(errand, self._host(place)), within, errand.seen is not None)
 
     def probe(self, name):
         self.count("probes")
         place = self.places[name]
         # No time is stated for a probe but that of a connection.
-        return self._go(place, errands.probe(self.names, self._host(place)), self.connect_for * SECOND)
+        return self._go(place, errands.probe(self.names, self._host(place)), self.connect_for)
 
     def _host(self, place):
         return f"{place.host}:{place.port}".encode()
 
-    def _go(self, place, pieces, wait, compares=False):
+    def _go(self, place, pieces, within, compares=False):
         send = Send(self, place, pieces, compares)
-        send.deadline = self.deadlines.after(max(0, wait) / SECOND, self._overdue, send)
+        send.deadline = self.deadlines.after(within, self.overdue, send)
         self._start(send)
         return send
 
@@ -207,7 +209,7 @@
         connection.send, send.connection, send.written = send, connection, True
         connection.transport.writeSequence(send.pieces)
 
-    def _overdue(self, send):
+    def overdue(self, send):
         if send.written:
             end = i.LATE
         else:  # it never left: for want of a descriptor, or of an answer to the connection
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -38,7 +38,7 @@
         self.kinds = {kind.name: kind for kind in terms.kinds}
         self.lookups = Slots(max(1, terms.most_held))
         self.by_call = {}  # call of the front -> number
-        self.latest = 0
+        self.latest = self.decided = 0
         self.deadlines = Deadlines(reactor)
         self.inputs, self.deciding = deque(), False
         clients = start.sockets // 3
@@ -75,8 +75,9 @@
             self.deciding = False
 
     def _decide(self, event):
+        self.decided = self.now()
         try:
-            effects = self.control.decide(self.now(), [event])
+            effects = self.control.decide(self.decided, [event])
         except Exception:
             self.count("decisions_failed")
             self.log("decision code failed", traceback.format_exc())
@@ -93,6 +94,10 @@
         return [lookup.number for lookup in self.lookups.held()
                 if not lookup.ended and (lookup.number == own or lookup.due <= self.latest)]
 
+    def _until(self, span):
+        """Seconds until that long after the decision: an alarm and a send for one moment end together."""
+        return max(0.0, (self.decided + span) / SECOND - self.wall())
+
     # ---- from the front
 
     def ready(self):
@@ -173,7 +178,7 @@
         errand = Errand(asked.kind, asked.trace, asked.object, asked.part, asked.key, asked.seen,
                         asked.body, effect.wait, **ways)
         began = self.now()
-        send = lookup.running[n] = self.caches.send(effect.cache, errand)
+        send = lookup.running[n] = self.caches.send(effect.cache, errand, self._until(effect.wait))
         send.deferred.addCallback(self._sent, lookup, n, effect.cache, began)
 
     def _sent(self, ended, lookup, n, cache, began):
@@ -205,7 +210,7 @@
             lookup.running[effect.send].give_up()
 
     def _set_alarm(self, effect):
-        self.deadlines.after(effect.delay / SECOND, self.tell, i.Alarm(effect.token))
+        self.deadlines.after(self._until(effect.delay), self.tell, i.Alarm(effect.token))
 
     def _subscribe(self, effect):
         """The feed is always followed; what was missed has come or comes by it."""
--- a/hookrouter/tables/deadlines.py
+++ b/hookrouter/tables/deadlines.py
@@ -37,6 +37,10 @@
             heapify(self.heap)
             self.dropped = 0
 
+    def due(self, entry, unit):
+        """Whether it is called now or has been, in whole units of time."""
+        return entry[2] is None or entry[0] - self.clock.seconds() < unit
+
     def _set(self):
         if self.running:
             return  # set once the calls that are due are through
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -22,7 +22,7 @@
             self.caches.learn(f"c{n}", ("127.0.0.1", 7000 + n), 0)
 
     def send(self, name="c0", errand=PLAIN):
-        send = self.caches.send(name, errand)
+        send = self.caches.send(name, errand, errand.wait / SECOND)
         send.deferred.addCallback(self.ended.append)
         return send
 
@@ -153,6 +153,17 @@
     s.nothing_is_left()
 
 
+def test_a_send_given_up_at_the_moment_its_time_is_over_was_late():
+    """The alarm for the same moment comes first: seen on sockets, the module learned of no send silent to the end."""
+    s, sends = Scene(), []
+    s.deadlines.after(0.9, lambda: [send.give_up() for send in sends])
+    sends += [s.send("c0"), s.send("c1", PLAIN._replace(wait=901 * MS))]
+    for way in s.net.ways:
+        way.up()
+    s.net.pump([0.9, 0])
+    assert s.ends() == [i.LATE, i.CANCELLED]
+
+
 @pytest.mark.parametrize("how", ["late", "given up", "unreadable"])
 def test_a_send_has_not_ended_before_its_connection_is_closed(how):
     """Else the next send of its lookup was out a turn before: two at once, seen on sockets."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -120,6 +120,7 @@
     assert len(answers(wire.take())) == 5
     held = s.adds_up()
     assert held["lookups_held"] == held["connections_held"] == 0
+    assert s.counters.values["sends_cancelled"] == 0 < s.counters.values["sends_late"]
 
 
 def test_a_client_that_leaves_is_owed_nothing_and_its_sends_end(tmp_path):
