A log that nobody reads no longer keeps the router from ending

Seen: started with standard error into a pipe whose reader had gone, it never ended after SIGTERM. At fault: Log._write raised BrokenPipeError out of Service.stop, before the end was set in motion. Such errors are passed over now.

--- a/hookrouter/node/log.py
+++ b/hookrouter/node/log.py
@@ -40,4 +40,7 @@
         self._write(line)
 
     def _write(self, line):
-        print(f"hookrouter: {line}", file=self.out or sys.stderr, flush=True)
+        try:
+            print(f"hookrouter: {line}", file=self.out or sys.stderr, flush=True)
+        except OSError:
+            pass  # nobody reads it any more: that must not keep the router from serving or ending
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -250,6 +250,16 @@
     assert held["clients_held"] == held["body_bytes_held"] == held["lookups_held"] == held["deadlines_held"] == 0
 
 
+def test_a_log_that_nobody_reads_stops_nothing():
+    class Closed:
+        def write(self, text):
+            raise BrokenPipeError
+
+    log = Log(Net().seconds, Closed())
+    log("kind")
+    log.plain("line")
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_a_rough_day_loses_no_lookup_and_leaves_nothing_behind(tmp_path, seed):
     dice, s, sent, got, left = Random(seed), Scene(tmp_path), {}, {}, set()
