--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -162,6 +162,11 @@
 
     # ---- effects
 
+    def _owed(self, effect):
+        """The effect's lookup where it still lacks its answer."""
+        lookup = self.lookups.get(effect.id)
+        return None if lookup is None or lookup.ended else lookup
+
     def _ask(self, effect):
         self._send(effect)
 
@@ -170,8 +175,8 @@
                    held_only=effect.held_only, unkept=effect.unkept, renew=effect.renew)
 
     def _send(self, effect, **ways):
-        lookup = self.lookups.get(effect.id)
-        if lookup is None or lookup.ended:
+        lookup = self._owed(effect)
+        if lookup is None:
             return  # only a fault of the module brings this here; nothing goes out after the answer
         asked, n = lookup.asked, lookup.sends
         lookup.sends += 1
@@ -195,13 +200,13 @@
                             ended.report))
 
     def _nack(self, effect):
-        lookup = self.lookups.get(effect.id)
-        if lookup is not None and not lookup.ended:
+        lookup = self._owed(effect)
+        if lookup is not None:
             self._answer(lookup, "nacked", self.front.nacked, effect.stay_away)
 
     def _fail(self, effect):
-        lookup = self.lookups.get(effect.id)
-        if lookup is not None and not lookup.ended:
+        lookup = self._owed(effect)
+        if lookup is not None:
             self._answer(lookup, "failed", self.front.failed)
 
     def _cancel(self, effect):
