SIGHUP reloads, silent and idle clients give way, rows of gone caches are used again

Reload: SIGHUP had no handler.

Now: Listener accepts no more than there are free slots; silent and half-heard connections end within 2 s and are, with idle ones, ended earlier where descriptors run short; half frames and client bodies have rooms of their own; a client that opens too many calls, one number twice or withdraws as it asks is ended before any of it is taken; numbers are read in plain digits only; the id of an open lookup is refused. Signals are kept from the first moment. The feed moves with its numbers going on, is left after 1.8 s of silence. A send leaves within a drain's grace or never; a connection with something unread takes no request. Rows of caches that are gone are used again, in the module and in Caches.

--- a/hookrouter/__main__.py
+++ b/hookrouter/__main__.py
@@ -11,16 +11,22 @@
 WRONG_START = 2  # exit code: the environment or the configuration cannot be used
 
 
-def start_or_say():
+def read():
     from .node.start import read_start
+    return read_start(os.environ)
+
+
+def start_or_say():
     try:
-        return read_start(os.environ)
+        return read()
     except Malformed as wrong:
         print(f"hookrouter: {wrong}", file=sys.stderr)
         return None
 
 
 def serve(options):
+    from .node.signals import Signals
+    signals = Signals()  # before all that takes time: none that comes meanwhile ends the process
     start = start_or_say()
     if start is None:
         return WRONG_START
@@ -34,7 +40,7 @@
     router = Router(start, reactor, log, counters)
     gc.collect()
     gc.freeze()  # what is here now stays: later collections pass it over
-    return Service(router, start, reactor, log, counters).run()
+    return Service(router, start, reactor, log, counters, read).run(signals)
 
 
 def check(options):
@@ -56,7 +62,8 @@
     parser = argparse.ArgumentParser(prog="hookrouter", description="A traffic router for two-tier caches.")
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     for name, call, text in (
-            ("serve", serve, "serve lookups until SIGTERM; reads EDGE_NAME, EDGE_LISTEN and EDGE_CONFIG"),
+            ("serve", serve, "serve lookups until SIGTERM; reads EDGE_NAME, EDGE_LISTEN and the file that "
+                             "EDGE_CONFIG names, that one again on SIGHUP"),
             ("check", check, "read what serve reads, and say what is wrong with it"),
             ("version", version, "print the version")):
         commands.add_parser(name, help=text, description=text).set_defaults(call=call)
--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -17,6 +17,8 @@
 from ..terms import SECOND
 from . import errands
 
+SPARE = 0.02  # seconds between the last moment at which a send may leave and what forbids it
+
 
 class Place:
     """Where a cache listens, and the idle connections to it, the last used last."""
@@ -32,14 +34,14 @@
 class Send:
     """One request and its Deferred, which fires with Ended."""
 
-    __slots__ = ("caches", "place", "pieces", "compares", "deadline", "deferred", "connection", "written",
-                 "ended")
+    __slots__ = ("caches", "place", "pieces", "compares", "deadline", "leave_by", "deferred", "connection",
+                 "written", "ended")
 
     def __init__(self, caches, place, pieces, compares):
         self.caches, self.place, self.pieces = caches, place, pieces
         self.compares = compares  # the client has a copy that may be the one
         self.deferred = Deferred()
-        self.deadline = self.connection = self.ended = None
+        self.deadline = self.leave_by = self.connection = self.ended = None
         self.written = False
 
     def give_up(self):
@@ -53,7 +55,8 @@
 class Connection(Protocol):
     def __init__(self, caches, place):
         self.caches, self.place = caches, place
-        self.number = self.send = self.up_by = self.idle_until = self.connector = None
+        self.number = self.send = self.idle_until = self.connector = None
+        self.closing = False
         self.answers = http1.Answers(self._on_head, self._on_body, self._on_end, errands.LONGEST_BODY)
         self.head, self.pieces, self.length = None, [], 0
 
@@ -61,8 +64,17 @@
         self.transport.setTcpNoDelay(True)
         self.caches.came_up(self)
 
+    def quiet(self):
+        """Whether it can take a request: what came unasked, or its end, may lie unread before the reactor."""
+        if self.transport.doRead() is not None:
+            self.close()
+        return not self.closing
+
     def dataReceived(self, data):
+        if self.closing:
+            return
         if self.send is None:
+            self.caches.count("caches_unasked")
             self.close()  # nothing was asked
             return
         try:
@@ -106,6 +118,7 @@
 
     def close(self):
         """Ends it at once, whether it is up or not."""
+        self.closing = True
         if self.transport is not None:
             self.transport.abortConnection()
         elif self.connector is not None:
@@ -131,6 +144,8 @@
     def __init__(self, reactor, deadlines, room, most, terms, log, count):
         self.reactor, self.deadlines, self.room, self.log, self.count = reactor, deadlines, room, log, count
         self.connect_for = terms.connect_for / SECOND
+        # A send that has not left by then never does: caches and sources may drain, objects be purged since.
+        self.leave_for = min(self.connect_for, min(terms.drain_grace, terms.purge_grace) / SECOND - SPARE)
         # Left before the cache closes it, by the time a connection may take: no request crosses the close.
         self.idle_for = max(0, terms.idle_for - terms.connect_for) / SECOND
         self.names = terms.report_fields if terms.reports != "none" else ()
@@ -152,8 +167,13 @@
         self.places[name] = Place(name, address, born)
 
     def forget(self, name):
-        if name in self.places:
-            self._close_idle(self.places[name])
+        place = self.places.pop(name, None)
+        if place is not None:
+            self._close_idle(place)
+
+    def keep_only(self, names):
+        for name in [name for name in self.places if name not in names]:
+            self.forget(name)
 
     def _close_idle(self, place):
         for connection in list(place.idle):
@@ -164,27 +184,40 @@
     def send(self, name, errand, within):
         """The Send, on its way; silent for that many seconds, it is late."""
         self.count("sends")
-        place = self.places[name]
+        place = self.places.get(name)
+        if place is None:
+            return self._nowhere()
         return self._go(place, errands.request(errand, place.field), within, errand.seen is not None)
 
     def probe(self, name):
         self.count("probes")
-        place = self.places[name]
+        place = self.places.get(name)
+        if place is None:
+            return self._nowhere()
         # No time is stated for a probe but that of a connection.
         return self._go(place, errands.probe(self.names, place.field), self.connect_for)
 
+    def _nowhere(self):
+        """A send to a cache that was forgotten since it was picked: it never leaves."""
+        send = Send(self, None, (), False)
+        send.deadline = self.deadlines.after(0, self.give_up, send, i.VOID)
+        return send
+
     def _go(self, place, pieces, within, compares=False):
         send = Send(self, place, pieces, compares)
         send.deadline = self.deadlines.after(within, self.overdue, send)
         self._start(send)
+        if not send.written:
+            send.leave_by = self.deadlines.after(self.leave_for, self._not_left, send)
         return send
 
     def _start(self, send):
-        if send.place.idle:
+        while send.place.idle:
             connection = send.place.idle[-1]
             self._unidle(connection)
-            self._put(send, connection)
-            return
+            if connection.quiet():
+                self._put(send, connection)
+                return
         connection = Connection(self, send.place)
         connection.number = self.connections.take(connection)
         if connection.number is None:
@@ -196,12 +229,12 @@
             return
         self.count("connections")
         connection.send, send.connection = send, connection
-        connection.up_by = self.deadlines.after(self.connect_for, self._not_up, connection)
         connection.connector = self.reactor.connectTCP(
             send.place.host, send.place.port, Outgoing(connection), timeout=None)
 
     def _put(self, send, connection):
         connection.send, send.connection, send.written = send, connection, True
+        self.deadlines.drop(send.leave_by)
         connection.transport.writeSequence(send.pieces)
 
     def overdue(self, send):
@@ -220,12 +253,14 @@
             send.connection.empty()
             send.connection.close()
         else:
-            self.waiting.remove(send)
+            if send.place is not None:
+                self.waiting.remove(send)
             self._finish(send)
 
     def _finish(self, send):
         """The one end of a send: it holds nothing from here on."""
         self.deadlines.drop(send.deadline)
+        self.deadlines.drop(send.leave_by)
         connection, send.connection = send.connection, None
         if connection is not None:
             connection.send = None
@@ -235,16 +270,15 @@
     # ---- connections
 
     def came_up(self, connection):
-        self.deadlines.drop(connection.up_by)
-        self._put(connection.send, connection)
+        if connection.send.ended is None:
+            self._put(connection.send, connection)
 
-    def _not_up(self, connection):
-        self.give_up(connection.send, i.UNREACHED)
+    def _not_left(self, send):
+        self.give_up(send, i.VOID if send.connection is None else i.UNREACHED)
 
     def went_down(self, connection):
         """The one place where a connection's descriptor is given back."""
         self._unidle(connection)
-        self.deadlines.drop(connection.up_by)
         self.connections.give_back(connection.number)
         connection.transport = connection.connector = None
         send = connection.send
--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -157,19 +157,19 @@
         if news.mode == i.REMEMBERED and self.subscribes:
             self.effects.append(i.Subscribe(True))
         if news.mode != i.CHANGES:  # what a whole list leaves out is gone
-            self.phase = [i.GONE] * len(self.phase)
+            named = {cache.id for cache in news.caches}
+            self.phase = [phase if name in named else i.GONE for name, phase in zip(self.ids, self.phase)]
         for cache in news.caches:
             n = self.index.get(cache.id)
             if n is None:
-                n = self.index[cache.id] = len(self.ids)
-                self.ids.append(cache.id)
+                n = self.index[cache.id] = self._row()
                 for column, value in (
-                        (self.sort, cache.sort), (self.cell, cache.cell), (self.where, cache.zone),
-                        (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE), (self.out, 0),
-                        (self.heard, 0), (self.room, inf), (self.strikes, 0), (self.rest, REST),
-                        (self.rest_until, None), (self.trickle, None), (self.lost, False),
+                        (self.ids, cache.id), (self.sort, cache.sort), (self.cell, cache.cell),
+                        (self.where, cache.zone), (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE),
+                        (self.out, 0), (self.heard, 0), (self.room, inf), (self.strikes, 0),
+                        (self.rest, REST), (self.rest_until, None), (self.trickle, None), (self.lost, False),
                         (self.purse, 0.0), (self.turn, -1), (self.tardy, False)):
-                    column.append(value)
+                    column[n:n + 1] = [value]
             if cache.born > self.born[n]:
                 self._start_cold(n, cache.born)
             self.weight[n], self.phase[n] = max(cache.weight, 0.01), cache.phase
@@ -180,6 +180,22 @@
                       and self.sort[n] not in (self.origin_sort, self.parent_sort)]
         self.reach = sum(self.weight[n] for n in self.edges)
 
+    def _row(self):
+        """A row for a new cache: of one that is gone and that nothing under way names, or one more.
+
+        Else ids that are always new fill the columns, and each list and lookup reads them all.
+        """
+        gone = [n for n in range(len(self.ids)) if self.phase[n] == i.GONE]
+        if gone:
+            named = {n for sent in self.sent.values() for n in (sent.target, sent.source, sent.via)}
+            for lk in self.held.values():
+                named.update(lk.caches, lk.sources, (target for _, target in lk.doubts.values()))
+            for n in gone:
+                if n not in named:
+                    del self.index[self.ids[n]]
+                    return n
+        return len(self.ids)
+
     def _start_cold(self, n, born):
         """Started anew: its past is void, its budget starts empty."""
         self.born[n], self.purse[n], self.turn[n], self.lost[n] = born, 0.0, -1, False
--- a/hookrouter/feed/follower.py
+++ b/hookrouter/feed/follower.py
@@ -5,10 +5,10 @@
 from ..parsers import http1, sse
 from . import events
 
-SILENCE = 3.0  # seconds: a comment comes every second, so two missed
+SILENCE = 1.8  # seconds: a comment comes every second; what a feed has counts as told 4 s after it stops
 UP_WITHIN = 1.0  # seconds for a connection: more than any way within a site takes
 FIRST_PAUSE = 0.05  # seconds before the next connection, doubled each time nothing came over the last
-LONGEST_PAUSE = 1.0  # seconds: what the feed tells counts as told after 7 s whether it arrived or not
+LONGEST_PAUSE = 0.4  # seconds: what a feed has counts as told 2 s after it broke off; refusals cost little
 LONGEST_STREAM = 2 ** 60  # bytes: one connection may carry events for as long as it lasts
 
 
@@ -86,6 +86,24 @@
         if self.stream is not None:
             self.end(self.stream, "stopped")
 
+    def move(self, address):
+        """The feed is elsewhere now; the numbers go on."""
+        if address == (self.host, self.port):
+            return
+        self.host, self.port = address
+        self.pause = FIRST_PAUSE
+        if self.stream is not None:
+            self.end(self.stream, "the feed has moved")
+        elif not self.stopped:
+            self.deadlines.drop(self.patience)
+            self.start()
+
+    def catch_up(self, events):
+        """Events from elsewhere, in order; those that leave numbers out are left to the feed."""
+        for event in events:
+            if event.n == self.last + 1:
+                self._tell(event)
+
     def heard(self, stream):
         self.deadlines.drop(self.patience)
         if stream is self.stream:
@@ -123,6 +141,9 @@
         if event.n > self.last + 1:
             self.log("feed left numbers out", f"{event.n} came after {self.last}")
             self.count("feed_gaps")
+        self._tell(event)
+
+    def _tell(self, event):
         self.last = event.n
         self.count("feed_events")
         if isinstance(event, events.Listed):
--- a/hookrouter/front/__init__.py
+++ b/hookrouter/front/__init__.py
@@ -4,6 +4,6 @@
 taken, left and ready, and answers to the same four, satisfied, unchanged, nacked and failed.
 """
 
-from .connections import Front
+from .connections import Front, Listener
 
-__all__ = ["Front"]
+__all__ = ["Front", "Listener"]
--- a/hookrouter/front/calls.py
+++ b/hookrouter/front/calls.py
@@ -9,7 +9,13 @@
 MOST_FIELDS = 32  # in one call: the service's own have eleven at most
 LONGEST_FIELD = 256  # bytes; the longest of the service's own has 32
 LONGEST_ALLOW = 10 ** 8  # milliseconds, over a day: no client waits longer
+MOST_GROUPS = 256
+MOST_PARTS = 10 ** 9  # of an object; the service's own have some dozens
+LARGEST = 10 ** 9  # KB of one part
 HEX = frozenset("0123456789abcdefABCDEF")
+DIGITS = frozenset("0123456789")
+ID = 16  # digits of an id of a lookup or object
+LONGEST_MARK = 64  # digits of a key or a tag: twice the longest of the service's own
 
 
 class Asked(NamedTuple):
@@ -43,13 +49,17 @@
             fields[name.decode("ascii")] = value.decode("ascii")
         except UnicodeDecodeError:
             raise Malformed("a field that is no plain text") from None
-    return Asked(
-        trace=digits(fields, "ref"), kind=named(fields, "service"),
-        allow=int(amount(fields, "allow", None, LONGEST_ALLOW) * TENTHS),
-        repeat=fields.get("dup", "") not in ("", "0"), key=digits(fields, "replay", False),
-        object=digits(fields, "lookup"), part=int(amount(fields, "part", 0, 10 ** 9)),
-        group=int(amount(fields, "group", 0, 10 ** 9)), size=amount(fields, "room", 0.0, 10 ** 9),
-        seen=digits(fields, "have", False), body=body)
+    asked = Asked(
+        trace=digits(fields, "ref", ID), kind=named(fields, "service"),
+        allow=int(amount(fields, "allow", LONGEST_ALLOW) * TENTHS),
+        repeat=fields.get("dup", "") not in ("", "0"), key=mark(fields, "replay"),
+        object=digits(fields, "lookup", ID), part=whole(fields, "part", MOST_PARTS - 1),
+        group=whole(fields, "group", MOST_GROUPS - 1),
+        size=amount(fields, "room", LARGEST) if "room" in fields else 0.0, seen=mark(fields, "have"),
+        body=body)
+    if asked.allow <= 0:
+        raise Malformed("allow leaves no time")
+    return asked
 
 
 def named(fields, name):
@@ -59,27 +69,37 @@
     return value
 
 
-def digits(fields, name, needed=True):
-    """Hex digits, which are passed on as they came."""
-    value = fields.get(name, "")
-    if not value and not needed:
-        return None
-    if not named(fields, name) or not HEX.issuperset(value):
-        raise Malformed(f"{name} is not of hex digits")
+def digits(fields, name, length):
+    """So many hex digits, which are passed on as they came."""
+    value = named(fields, name)
+    if len(value) != length or not HEX.issuperset(value):
+        raise Malformed(f"{name} is not of {length} hex digits")
     return value
 
 
-def amount(fields, name, otherwise, most):
+def mark(fields, name):
+    """Hex digits of any length within reason, or None where there are none."""
     value = fields.get(name, "")
-    if not value and otherwise is not None:
-        return otherwise
-    try:
-        value = float(named(fields, name))
-    except ValueError:
-        raise Malformed(f"{name} is no number") from None
-    if not 0 <= value <= most:
-        raise Malformed(f"{name} is not between 0 and {most}")
-    return value
+    if len(value) > LONGEST_MARK or not HEX.issuperset(value):
+        raise Malformed(f"{name} is not of hex digits")
+    return value or None
+
+
+def whole(fields, name, most):
+    """A whole number, as passed on: in plain digits, without what int() reads besides."""
+    value = fields.get(name, "") or "0"
+    plain = DIGITS.issuperset(value) and len(value) <= len(str(most)) and value == str(int(value))
+    if not plain or int(value) > most:
+        raise Malformed(f"{name} is no whole number from 0 to {most}")
+    return int(value)
+
+
+def amount(fields, name, most):
+    """A number in plain digits with at most one point: float() alone reads more than the protocol knows."""
+    value = named(fields, name)
+    if not DIGITS.issuperset(value.replace(".", "", 1)) or value == "." or not float(value) <= most:
+        raise Malformed(f"{name} is no number from 0 to {most}")
+    return float(value)
 
 
 # ---- answers, as pieces to be written one after another
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -1,5 +1,10 @@
-"""Client connections: each owns its descriptor's slot and the calls open on it, and gives both back."""
+"""Client connections: each owns its descriptor's slot and the calls open on it, and gives both back.
 
+Who is silent, in half a frame or idle stands in an order by time: the oldest are ended in time, and before
+it where descriptors or the bytes of half frames run short. So no client can hold up another.
+"""
+
+from twisted.internet import tcp
 from twisted.internet.protocol import Factory, Protocol
 
 from ..parsers import thrift
@@ -9,7 +14,13 @@
 
 LONGEST_FRAME = 65_536  # bytes: a write's body has 48,000 at most, its fields some hundreds
 MOST_OPEN = 32  # calls on one connection, as the protocol has it
+MOST_WITHDRAWN = 8  # calls in the read that brought them: a client that waits at all never does so
 LONGEST_DRAIN = 10.0  # seconds a client may take to read what was written: none waits longer for it
+MOST_UNREAD = 1 / 8  # of the room, of one client
+HEARING = 2.0  # seconds for a first frame, or for the rest of one: no call is longer than some packets
+SOON = 0.1  # seconds of silence or idleness that are left to all: what was sent with the connection is here
+SPARE = 1 / 16  # of the descriptors, made free at a time where they run short
+LOOK = 0.1  # seconds between looks at who is silent or idle for too long
 
 
 class Connection(Protocol):
@@ -17,10 +28,10 @@
         self.front = front
         self.frames = thrift.Frames(LONGEST_FRAME)
         self.open = {}  # sequence number -> (name of the method, bytes of the body)
-        self.number = self.idle = self.draining = None
-        self.busy = True  # since the last look whether it is idle
+        self.number = self.draining = None
+        self.newest = 0  # sequence number of a call
         self.unread = 0  # bytes written that wait for the client, once these are many
-        self.ending = False
+        self.ending = False  # nothing more is read
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -29,36 +40,63 @@
             self.transport.abortConnection()
             return
         self.transport.registerProducer(self, True)
-        self._look()
-
-    def _look(self):
-        """Ends a connection on which nothing was open or came for a while."""
-        if not self.open and not self.busy:
-            self.end()
-        self.busy = False
-        self.idle = self.front.deadlines.after(self.front.idle_for, self._look)
 
     def dataReceived(self, data):
+        if self.ending:
+            return
+        frames = ()
         try:
-            for frame in self.frames.feed(data):
-                self.busy = True
-                self._read(thrift.Message(frame))
+            frames = self.frames.feed(data)
+            messages = [thrift.Message(frame) for frame in frames]
+            withdrawn = self._count(messages)
+            for message in messages:
+                if message.seqid not in withdrawn or message.name != b"execute":
+                    self._read(message)
         except Malformed as wrong:
             self.front.log("client sent what cannot be read, connection ended", str(wrong))
             self.front.count("clients_malformed")
-            self.transport.abortConnection()
-        if self.front.room.full():
-            self.front.room.wait(self)
-            self.transport.pauseProducing()
+            self.cut()
+        else:
+            self.front.heard(self, bool(frames))
+
+    def _count(self, messages):
+        """Looked at before any is taken: who opens too many, or one number twice, gets none of them.
+
+        Numbers of the calls that are withdrawn again in the same read: they are not taken at all.
+        """
+        count, asked, withdrawn = len(self.open), set(), set()
+        for message in messages:
+            if message.kind == thrift.CALL:
+                if message.seqid <= self.newest:
+                    raise Malformed(f"sequence number {message.seqid} after {self.newest}")
+                self.newest = message.seqid
+                if message.name == b"execute":
+                    asked.add(message.seqid)
+                    count += 1
+                if count > MOST_OPEN:
+                    raise Malformed(f"more than {MOST_OPEN} calls open")
+            elif message.kind == thrift.ONEWAY and message.name == b"interrupt":
+                count -= 1
+                withdrawn.add(message.arguments().get(1))
+            else:
+                raise Malformed(f"a message of kind {message.kind}")
+        withdrawn &= asked
+        if len(withdrawn) > MOST_WITHDRAWN:
+            raise Malformed(f"{len(withdrawn)} calls withdrawn as they were made")
+        return withdrawn
 
     def connectionLost(self, reason):
         if self.number is None:
             return
-        self.front.deadlines.drop(self.idle)
         self._drained()
-        self.front.room.leave(self)
         self.front.parted(self)
 
+    def cut(self):
+        """At once, with all that is open on it."""
+        self.ending = True
+        self.transport.abortConnection()
+        self.front.give_up(self)
+
     def end(self):
         """Once what was written is read. With a producer the transport would wait for that one's end too."""
         if not self.ending:
@@ -75,7 +113,7 @@
 
     def resumeProducing(self):
         self._drained()
-        self.resume()
+        self.transport.resumeProducing()
 
     def stopProducing(self):
         pass
@@ -89,23 +127,12 @@
     def _not_read(self):
         self.front.log("client does not read its answers, connection ended", f"{self.unread} bytes waited")
         self.front.count("clients_not_reading")
-        self.transport.abortConnection()
-
-    def resume(self):
-        """Read on, unless something else still forbids it."""
-        if self.front.room.full():
-            self.front.room.wait(self)
-        elif self.draining is None:
-            self.transport.resumeProducing()
+        self.cut()
 
     def _read(self, message):
-        if message.kind not in (thrift.CALL, thrift.ONEWAY):
+        kind, method = METHODS.get(message.name, (thrift.CALL, None))
+        if message.kind != kind:
             raise Malformed(f"a message of kind {message.kind}")
-        if message.seqid in self.open:
-            self.front.log("client used a sequence number that is still open, call passed over")
-            self.front.count("calls_malformed")
-            return
-        method = METHODS.get(message.name)
         if method is None:
             self._refuse(message, thrift.UNKNOWN_METHOD, "unknown method")
             return
@@ -117,24 +144,29 @@
         method(self, message, arguments)
 
     def _refuse(self, message, code, text):
-        self._unreadable(text)
-        if message.kind == thrift.CALL:
-            self.write(thrift.application_exception(message.name, message.seqid, code, text))
+        self._unusable(text)
+        self.write(thrift.application_exception(message.name, message.seqid, code, text))
 
-    def _unreadable(self, text):
-        self.front.log("client made a call that cannot be read", text)
+    def _unusable(self, text):
+        self.front.log("client made a call that cannot be used", text)
         self.front.count("calls_malformed")
 
     def _execute(self, message, arguments):
         if len(self.open) >= MOST_OPEN:
-            self._refuse(message, thrift.INTERNAL_ERROR, f"more than {MOST_OPEN} calls open")
-            return
+            raise Malformed(f"more than {MOST_OPEN} calls open")
         try:
             asked = calls.read_asked(arguments)
         except Malformed as wrong:
-            self._unreadable(str(wrong))
+            self._unusable(str(wrong))
             self.write(calls.failed(message.name, message.seqid, str(wrong)))
             return
+        if asked.body and self.front.room.full():
+            self.front.log("bodies of calls fill their room, nacked")
+            self.front.count("calls_without_room")
+            self.write(calls.nacked(message.name, message.seqid, 0))
+            return
+        if not self.open:
+            self.front.idle.pop(self, None)
         self.open[message.seqid] = message.name, len(asked.body)
         self.front.room.take(len(asked.body))
         self.front.desk.taken((self.number, message.seqid), asked)
@@ -151,49 +183,144 @@
         """The method's name of an open call, which is open no longer; None where it was not."""
         name, size = self.open.pop(seqid, (None, 0))
         self.front.room.give_back(size)
+        if not self.open:
+            self.front.rests(self)
         return name
 
     def write(self, pieces):
-        self.busy = True
         self.transport.writeSequence(pieces)
         if self.draining is not None:
             size = sum(map(len, pieces))
             self.unread += size
             self.front.room.take(size)
+            if self.unread > self.front.room.size * MOST_UNREAD:
+                self._not_read()
+
 
+METHODS = {b"execute": (thrift.CALL, Connection._execute), b"check": (thrift.CALL, Connection._check),
+           b"interrupt": (thrift.ONEWAY, Connection._interrupt)}
 
-METHODS = {b"execute": Connection._execute, b"interrupt": Connection._interrupt, b"check": Connection._check}
+
+class Listener(tcp.Port):
+    """Accepts no more at a time than there are slots: who finds none waits in the listening queue."""
+
+    def doRead(self):
+        self.numberAccepts = self.factory.free()
+        return tcp.Port.doRead(self)
 
 
 class Front(Factory):
-    """desk: what is told of lookups. An answer to a call that is no longer open goes nowhere."""
+    """desk: what is told of lookups. An answer to a call that is no longer open goes nowhere.
+
+    half: bytes of half frames that all connections may hold.
+    """
 
     noisy = False
 
-    def __init__(self, desk, deadlines, room, most, idle_for, log, count):
+    def __init__(self, desk, deadlines, room, most, half, idle_for, log, count):
         self.desk, self.deadlines, self.room, self.idle_for = desk, deadlines, room, idle_for
         self.log, self.count = log, count
         self.connections = Slots(most)
-        self.port = None
+        self.half, self.halves, self.half_held = half, {}, 0  # bytes of a half frame by connection, and all
+        self.silent, self.idle = {}, {}  # connection -> since when, the longest first
+        self.look = self.port = None
 
     def buildProtocol(self, address):
         return Connection(self)
 
+    # ---- connections
+
+    def free(self):
+        return max(1, self.connections.size - len(self.connections))
+
     def joined(self, connection):
         number = self.connections.take(connection)
         self.count("clients_connected" if number is not None else "clients_turned_away")
-        if len(self.connections) >= self.connections.size and self.port is not None:
-            self.log("all descriptors for clients are taken, more wait")
-            self.port.stopReading()  # the rest wait in the listening queue
+        if number is not None:
+            self.silent[connection] = self.deadlines.clock.seconds()
+            if self.look is None:
+                self.look = self.deadlines.after(LOOK, self._look)
+        if len(self.connections) >= self.connections.size:
+            self._make_room()
         return number
 
     def parted(self, connection):
         self.connections.give_back(connection.number)
+        self.give_up(connection)
         if self.port is not None and self.port.connected:
             self.port.startReading()
+
+    def give_up(self, connection):
+        """Nothing more is awaited from it, nor owed to it."""
         for seqid in list(connection.open):
             connection.close_call(seqid)
             self.desk.left((connection.number, seqid))
+        self._half(connection, 0)
+        self.silent.pop(connection, None)
+        self.idle.pop(connection, None)
+
+    def heard(self, connection, whole):
+        """It sent something, and with that whole frames or none."""
+        if connection.ending:
+            return
+        left = len(connection.frames.buffer)
+        if left or connection in self.halves:
+            self._half(connection, left)
+        if whole or not left:
+            self.silent.pop(connection, None)
+        if left:
+            self.silent.setdefault(connection, self.deadlines.clock.seconds())
+        if whole and not connection.open:
+            self.rests(connection)
+        while self.half_held > self.half:
+            self._cut(next(iter(self.halves)), "half frames fill their room")
+
+    def _half(self, connection, size):
+        self.half_held += size - self.halves.pop(connection, 0)
+        if size:
+            self.halves[connection] = size
+
+    def rests(self, connection):
+        """No call is open on it from now on."""
+        self.idle.pop(connection, None)
+        if not connection.ending:
+            self.idle[connection] = self.deadlines.clock.seconds()
+
+    def _look(self):
+        now = self.deadlines.clock.seconds()
+        for connection in self._since(self.silent, now - HEARING):
+            self._cut(connection, "silent for too long")
+        for connection in self._since(self.idle, now - self.idle_for):
+            self.idle.pop(connection)
+            connection.end()
+        if len(self.connections) >= self.connections.size:
+            self._make_room()
+        self.look = self.deadlines.after(LOOK, self._look) if len(self.connections) else None
+
+    def _since(self, waiting, moment):
+        """Those that wait since then or longer."""
+        found = []
+        for connection, since in waiting.items():
+            if since > moment:
+                break
+            found.append(connection)
+        return found
+
+    def _make_room(self):
+        """Some of the silent go first, then some of the idle; where all are busy, whoever comes waits."""
+        soon = self.deadlines.clock.seconds() - SOON
+        several = max(1, int(self.connections.size * SPARE))
+        for connection in (self._since(self.silent, soon) or self._since(self.idle, soon))[:several]:
+            self._cut(connection, "descriptors for clients are short")
+        if self.port is not None:
+            self.port.stopReading()
+
+    def _cut(self, connection, why):
+        self.log("client is silent or idle, connection ended", why)
+        self.count("clients_shed")
+        connection.cut()
+
+    # ---- answers
 
     def _answer(self, call, pieces_of, *values):
         number, seqid = call
@@ -214,8 +341,14 @@
     def failed(self, call, text=""):
         self._answer(call, calls.failed, text)
 
+    # ---- the end
+
     def end_idle(self):
         """Ends the connections on which no call is open."""
         for connection in self.connections.held():
             if not connection.open:
                 connection.end()
+
+    def cut_off(self):
+        for connection in self.connections.held():
+            connection.cut()
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -16,7 +16,11 @@
 from ..terms import SECOND
 
 MEGABYTE = 1_000_000  # bytes, the smaller reading of the limit
-BODIES = 0.25  # of the memory, for bodies that wait: the program takes some 25 MB, copies under way the rest
+PROGRAM = 24  # MB that the program takes itself, before it holds anything
+LEAST_BODIES = 2  # MB for bodies, however little the program leaves
+BODIES = 0.5  # of what it leaves, for bodies from caches: the rest is for buffers and the garbage of a moment
+CALLS = 0.25  # of that, for bodies from clients and what they have not read: neither starves the other
+HALVES = 0.125  # of that, for half frames
 RESERVED = 24  # descriptors: standard three, the reactor's own, listener, feed, and some that are closing
 
 
@@ -41,9 +45,12 @@
         self.latest = self.decided = 0
         self.deadlines = Deadlines(reactor)
         self.inputs, self.deciding = deque(), False
+        self.by_trace = {}  # id that a client gave -> the lookup that is open or sent under it
         clients = start.sockets // 3
-        room = Room(int(start.memory * MEGABYTE * BODIES), self._filled)
-        self.front = Front(self, self.deadlines, room, clients, terms.idle_for / SECOND, log, self.count)
+        left = max(LEAST_BODIES, start.memory - PROGRAM) * MEGABYTE
+        room, asked = Room(int(left * BODIES), self._filled), Room(int(left * CALLS), self._filled)
+        self.front = Front(self, self.deadlines, asked, clients, int(left * HALVES),
+                           terms.idle_for / SECOND, log, self.count)
         self.caches = Caches(reactor, self.deadlines, room, start.sockets - clients - RESERVED, terms, log,
                              self.count)
         self.feed = Feed(reactor, self.deadlines, self, start.feed, start.last, log, self.count)
@@ -110,6 +117,11 @@
             self.count("calls_of_unknown_kind")
             self.front.failed(call, "unknown kind")
             return
+        if asked.trace in self.by_trace:  # caches could not tell the sends of the two apart
+            self.log("client used the id of an open lookup, failed", asked.trace)
+            self.count("ids_used_twice")
+            self.front.failed(call, "id is in use")
+            return
         lookup = Lookup(call, asked, self.now() + min(asked.allow, kind.deadline))
         self.counters.taken(asked.kind)
         lookup.number = self.lookups.take(lookup)
@@ -119,6 +131,7 @@
             self._answer(lookup, "nacked", self.front.nacked, 0)
             return
         self.by_call[call] = lookup.number
+        self.by_trace[asked.trace] = lookup
         self.tell(i.Lookup(lookup.number, asked.kind, asked.object, asked.part, asked.group, asked.size,
                            lookup.due, asked.repeat))
 
@@ -131,6 +144,8 @@
     # ---- from the feed
 
     def listed(self, event):
+        if event.whole:
+            self.caches.keep_only({cache.id for cache in event.caches})
         for cache, address in zip(event.caches, event.addresses):
             if cache.phase == i.GONE:
                 self.caches.forget(cache.id)
@@ -143,6 +158,11 @@
     def purged(self, event):
         self.tell(i.Purged(max(0, self.now() - event.made), event.group, event.object))
 
+    def reload(self, start):
+        """What can change while it runs: where the feed is, and events that it has not told yet."""
+        self.feed.catch_up(start.known)
+        self.feed.move(start.feed)
+
     # ---- lookups: taken above, given back here
 
     def _answer(self, lookup, end, answer, *values):
@@ -159,6 +179,7 @@
         """Its slot is free once it is answered and none of its sends runs."""
         if lookup.ended and not lookup.running and lookup.number is not None:
             self.lookups.give_back(lookup.number)
+            del self.by_trace[lookup.asked.trace]
 
     # ---- effects
 
@@ -238,7 +259,9 @@
         """What is taken and not given back yet."""
         return {"lookups_held": len(self.by_call), "clients_held": len(self.front.connections),
                 "connections_held": len(self.caches.connections), "sends_waiting": len(self.caches.waiting),
-                "deadlines_held": len(self.deadlines), "body_bytes_held": self.front.room.held}
+                "deadlines_held": len(self.deadlines),
+                "body_bytes_held": self.front.room.held + self.caches.room.held,
+                "half_frame_bytes_held": self.front.half_held}
 
     def _filled(self):
         self.log("bodies fill their room, no more is read until some are gone")
--- a/hookrouter/node/service.py
+++ b/hookrouter/node/service.py
@@ -1,34 +1,43 @@
-"""The life of the process: listens, follows the feed, and ends by itself after SIGTERM."""
+"""The life of the process: listens, follows the feed, reloads on SIGHUP, and ends by itself after SIGTERM."""
 
 import signal
 
 from twisted.internet.error import CannotListenError
 from twisted.logger import LogLevel, formatEvent, globalLogBeginner
 
+from ..front import Listener
+from ..terms import SECOND, Malformed
+
 LAST_LOOKUPS = 0.7  # seconds after SIGTERM: connections come for 0.4, lookups for 0.2 more; 0.1 to spare
+LEAST_END = 3.0  # seconds after SIGTERM until whoever is left is cut off, or the longest deadline if longer:
+MORE_END = 0.5  # and this long more; SIGKILL comes 0.7 s after that time at the earliest
 BACKLOG = 512  # connections that wait to be accepted: more than clients may hold of 1,024 descriptors
 LOOK_AGAIN = 0.02  # seconds between looks whether all is answered
+FIXED = ("name", "listen", "seed", "memory", "sockets", "terms")  # all but the feed's address
 
 
 class Service:
-    def __init__(self, router, start, reactor, log, counters):
+    def __init__(self, router, start, reactor, log, counters, read):
+        """read: gives the start anew, as serve and check read it, or raises Malformed."""
         self.router, self.start, self.reactor, self.log, self.counters = router, start, reactor, log, counters
+        self.read = read
         self.port = None
 
-    def run(self):
+    def run(self, signals):
         """Returns the exit code."""
         host, number = self.start.listen
         try:
-            self.port = self.reactor.listenTCP(number, self.router.front, backlog=BACKLOG, interface=host)
+            self.port = Listener(number, self.router.front, BACKLOG, host, self.reactor)
+            self.port.startListening()
         except CannotListenError as wrong:
             self.log("cannot listen", str(wrong))
             return 1
         self.router.front.port = self.port
         self.router.feed.start()
-        for number, call in ((signal.SIGTERM, self.stop), (signal.SIGINT, self.stop),
-                             (signal.SIGUSR1, self.show)):
-            signal.signal(number, lambda *_, call=call: self.reactor.callFromThread(call))
         self.log("serving", f"{self.start.name} on {host}:{self.port.getHost().port}")
+        calls = {signal.SIGHUP: self.reload, signal.SIGTERM: self.stop, signal.SIGINT: self.stop,
+                 signal.SIGUSR1: self.show}
+        signals.tell(lambda number: self.reactor.callFromThread(calls[number]))
         globalLogBeginner.beginLoggingTo([self._observe], redirectStandardIO=False)
         self.reactor.run(installSignalHandlers=False)
         self.show()
@@ -46,11 +55,29 @@
         for line in self.counters.lines(self.router.held()):
             self.log.plain(line)
 
+    def reload(self):
+        """All of what is read anew can be used, or none of it is."""
+        if self.router.stopping:
+            return
+        try:
+            start = self.read()
+        except Malformed as wrong:
+            self.counters.count("reloads_refused")
+            self.log("reload refused, all stays as it was", str(wrong))
+            return
+        self.counters.count("reloads")
+        left = [key for key in FIXED if getattr(start, key) != getattr(self.start, key)]
+        self.log("reloaded", f"follows {start.feed[0]}:{start.feed[1]}"
+                 + (f"; stays as it was until a restart: {', '.join(left)}" if left else ""))
+        self.router.reload(start)
+
     def stop(self):
         if self.router.stopping:
             return
         self.router.stopping = True
         self.log("stopping", f"{len(self.router.lookups)} lookups held")
+        longest = max((kind.deadline / SECOND for kind in self.start.terms.kinds), default=0)
+        self.router.deadlines.after(max(LEAST_END, longest) + MORE_END, self.router.front.cut_off)
         self.router.deadlines.after(LAST_LOOKUPS, self._close)
 
     def _close(self):
