The router keeps copies of its own and gives them where its link brings them in time

So memory that lies idle carries what is asked for again: what a cache gave with the time of its origin is kept by its kind, object and part, within 0.3 of what the program leaves, last used last; given while fresh and unpurged, where the router's own link (stated) brings it within half the latency budget. Never kept: writes, what a purge told since makes old, an answer with more behind it than its length says. Folded into the sixth mechanism.

--- a/hookrouter/caches/errands.py
+++ b/hookrouter/caches/errands.py
@@ -7,6 +7,7 @@
 from ..parsers import http1
 from ..terms import TENTHS
 
+MOST_DIGITS = 15  # of a time in milliseconds: years have 13
 LONGEST_BODY = 240_000  # bytes, of any object's part
 NOTES = {b"hit": i.FOUND, b"filled": i.FILLED, b"via_origin": i.FROM_ORIGIN, b"joined": i.JOINED,
          b"stale": i.AGED}
@@ -41,6 +42,8 @@
     pieces: tuple = ()
     length: int = 0
     unchanged: bool = False  # the client's own copy is the one
+    made: int | None = None  # when the origin gave this copy out, where it may be kept
+    tag: str = ""
 
 
 def millis(tenths):
@@ -83,7 +86,15 @@
     elif declined and answer.status == 504:
         end = i.VOID
     return Ended(end, NOTES.get(answer.fields.get(b"x-result"), 0),
-                 read_report(answer.fields.get(b"x-stats"), names), pieces, length, answer.status == 304)
+                 read_report(answer.fields.get(b"x-stats"), names), pieces, length, answer.status == 304,
+                 read_made(answer), answer.fields.get(b"x-rev", b"").decode("latin-1"))
+
+
+def read_made(answer):
+    """X-Since-Ms, Unix milliseconds, in tenths; None where nothing came that could be kept."""
+    since = answer.fields.get(b"x-since-ms", b"")
+    told = answer.status == 200 and since.isdigit() and len(since) <= MOST_DIGITS
+    return int(since) * TENTHS if told else None
 
 
 def read_report(text, names):
--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -291,6 +291,8 @@
     def answered(self, connection):
         send, head = connection.send, connection.head
         send.ended = errands.read_ended(head, tuple(connection.pieces), connection.length, self.names)
+        if connection.answers.buffer:  # passed on, for its length says so, but not kept: that may be wrong
+            send.ended = send.ended._replace(made=None)
         connection.send = send.connection = None
         connection.empty()
         if head.keep and not connection.answers.buffer:
--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -12,10 +12,10 @@
  3. setting aside: a cache with failures in a row rests, then gets a trickle that doubles while it goes well;
  4. cold budget: what started lately, or was silent, takes what it can bear, the routers in turns;
  5. further sends, earned by satisfied ones: the next cache and the next parent, at last past the caches;
- 6. copies at hand: renewed before they run out; after a refused fill, what the parent holds or an older one.
+ 6. copies at hand: some of the router's own; renewed before they run out; after a refused fill, older ones.
 
 The five rules are kept in: _admissible and _nackable (effects), the table's DUE and SETTLED (answers),
-_on_list (drains), _affords (cold starts), _oldest (purges).
+_on_list (drains), _affords (cold starts), _oldest, _on_purge and _keep (purges).
 """
 
 from hashlib import blake2b
@@ -56,12 +56,14 @@
 ASK_AGAIN = 20_000  # 2 s at most, half at least: the list's service is shared, and stale lists cost lookups
 LEAST_WAIT = 20  # 2 ms: less time than that cannot bring an answer
 STAY_AWAY = 3_000  # 300 ms at most, half at least: a stall is over by then, a client's budget hardly
+OWN_SHARE = 0.5  # of the budget, for an own copy's way: a hit takes no longer, and a queue there helps nobody
+OWN_LARGEST = 1 / 16  # of the room: one copy beyond it would cost too many others
 PURGE_SLACK = 2  # units lost to rounding when a purge is told and when it is applied
 
 # ---- states and inputs of a lookup
 NEW, PLACING, OUT, PAIRING, PAIR, ENDED = "new", "placing", "out", "pairing", "pair", "ended"
-ARRIVED, SENT, STUCK, FAILED, OVERRUN, SETTLED, DUE = (
-    "arrived", "sent", "stuck", "failed", "overrun", "settled", "due")
+ARRIVED, SENT, STUCK, FAILED, OVERRUN, SETTLED, DUE, AT_HAND = (
+    "arrived", "sent", "stuck", "failed", "overrun", "settled", "due", "at hand")
 UNHEARD = "unheard"  # the alarm of a subscription to ask for again
 
 
@@ -69,10 +71,11 @@
     """A lookup that still lacks its final answer."""
 
     __slots__ = ("id", "kind", "name", "key", "group", "work", "due", "state", "sends", "overruns",
-                 "caches", "doubts", "sources", "straight", "hits_only", "refused")
+                 "caches", "doubts", "sources", "straight", "hits_only", "refused", "own")
 
     def __init__(self, lk, kind, work):
         self.id, self.kind, self.key, self.group = lk.id, kind, lk.object, lk.group
+        self.own = lk.kind, lk.object, lk.part
         self.name = f"{lk.object}|{lk.part}|"  # every part is hashed under a name of its own
         self.work, self.due, self.state = work, lk.due, NEW
         self.sends = self.overruns = 0
@@ -130,14 +133,15 @@
         self.now, self.spare = 0, SPARE_MOST
         self.held, self.sent, self.alarms, self.tokens = {}, {}, {}, 0
         self.purged = {}  # object or group -> when
+        self.own_room, self.own_flows, self.own_flow = terms.own_room, terms.own_flows, terms.own_flow
+        self.copies = {}  # kind, object, part -> (made, bytes, group); the last used last
+        self.copied = self.own_free = 0  # bytes in all; when the router's own link is free again
         self.effects = []
 
     def _cold_terms(self, share, span, multiple, window, users):
-        """First share, time to full, turns in a tenth of full capacity, and for how many a turn stays open.
-
-        One router's share of a cold cache may be less than one lookup. So lumps of work are handed out in
-        turns, by the routers' numbers, as many as all users together may send; an unused turn lapses.
-        """
+        """First share, time to full, turns in a tenth of full capacity, and for how many a turn stays open."""
+        # One router's share of a cold cache may be less than one lookup. So lumps of work are handed out in
+        # turns, by the routers' numbers, as many as all users together may send; an unused turn lapses.
         turns = self.routers / (users * self.lump)
         pace = multiple * COLD_PACE
         return share, max(1, span), pace * turns, (multiple - pace) * COLD_BURST * window * turns
@@ -181,19 +185,14 @@
         self.reach = sum(self.weight[n] for n in self.edges)
 
     def _row(self):
-        """A row for a new cache: of one that is gone and that nothing under way names, or one more.
-
-        Else ids that are always new fill the columns, and each list and lookup reads them all.
-        """
-        gone = [n for n in range(len(self.ids)) if self.phase[n] == i.GONE]
-        if gone:
-            named = {n for sent in self.sent.values() for n in (sent.target, sent.source, sent.via)}
-            for lk in self.held.values():
-                named.update(lk.caches, lk.sources, (target for _, target in lk.doubts.values()))
-            for n in gone:
-                if n not in named:
-                    del self.index[self.ids[n]]
-                    return n
+        """One more, or that of a cache that is gone and unnamed: else ids always new would fill the columns."""
+        named = {n for sent in self.sent.values() for n in (sent.target, sent.source)}
+        for lk in self.held.values():
+            named.update(lk.caches, lk.sources)
+        for n, phase in enumerate(self.phase):
+            if phase == i.GONE and n not in named:
+                del self.index[self.ids[n]]
+                return n
         return len(self.ids)
 
     def _start_cold(self, n, born):
@@ -230,6 +229,8 @@
             lk.doubts.pop(end.send, None)
         if end.end == i.LATE and sent is not None and sent.limited:
             lk.overruns += 1
+        if end.copy is not None and self.own_room and not self.kind[lk.kind].write:
+            self._keep(lk, end)
         lk.refused |= end.end == i.FULL and sent is not None and sent.via is not None
         self._step(lk, SETTLED if end.settled else FAILED)
 
@@ -241,10 +242,13 @@
         name = purge.object if purge.object is not None else purge.group
         made = self.now - max(0, purge.age)
         self.purged[name] = max(made, self.purged.pop(name, made))
-        for name in list(self.purged):  # oldest news first
-            if self.now - self.purged[name] <= 2 * self.purge_done:
+        for old in list(self.purged):  # oldest news first
+            if self.now - self.purged[old] <= 2 * self.purge_done:
                 break
-            del self.purged[name]  # no older copy is left anywhere
+            del self.purged[old]  # no older copy is left anywhere
+        for own, (since, _, group) in list(self.copies.items()):
+            if since <= made + PURGE_SLACK and name in (own[1], group):
+                self._drop(own)
 
     def _pass_over(self, event):
         """Streams, probes and words among routers: nothing here asks for them yet."""
@@ -262,9 +266,10 @@
     def _place(self, lk):
         """One more send where rules, limits and time allow it."""
         kind, left = self.kind[lk.kind], lk.due - self.now
-        if lk.hits_only:
-            return STUCK
-        if left < LEAST_WAIT or lk.sends >= self.most_sends or (lk.sends and self.spare < 1):
+        if self._at_hand(lk):
+            self.effects.append(i.Give(lk.id))
+            return AT_HAND
+        if lk.hits_only or left < LEAST_WAIT or lk.sends >= self.most_sends or (lk.sends and self.spare < 1):
             return STUCK
         if kind.write and self.pass_by:  # passes untouched: it runs at the origin and nothing is kept
             target, source = (self.origins or [None])[0], None
@@ -298,6 +303,38 @@
                     self.effects.append(i.Cancel(lk.id, number))
         return None
 
+    # ---- copies of its own
+
+    def _at_hand(self, lk):
+        """Whether one is fresh and there in time over the router's own link, which carries one after another."""
+        made, size, _ = self.copies.get(lk.own, (-inf, 0, 0))
+        kind, pure = self.kind[lk.kind], size / (self.own_flow or 1)
+        free = max(self.now, self.own_free) + pure / (self.own_flows or 1)
+        budget = OWN_SHARE * (kind.latency_budget + kind.budget_stretch * pure)
+        if self.now - made > (kind.fresh or self.now) or (
+                max(self.now + pure, free) > min(lk.due, self.now + max(pure, budget))):
+            return False
+        self.own_free, self.copies[lk.own] = free, self.copies.pop(lk.own)
+        return True
+
+    def _keep(self, lk, end):
+        """Never what a purge has told to be old, though it may have been sent for before."""
+        made, size = end.copy
+        if made <= max(self.purged.get(lk.key, 0), self.purged.get(lk.group, 0)) + PURGE_SLACK or (
+                size > self.own_room * OWN_LARGEST):
+            return
+        self._drop(lk.own)
+        self.copies[lk.own] = made, size, lk.group
+        self.copied += size
+        while self.copied > self.own_room:
+            self._drop(next(iter(self.copies)))
+        self.effects.append(i.Keep(lk.id, end.send))
+
+    def _drop(self, own):
+        if own in self.copies:
+            self.copied -= self.copies.pop(own)[1]
+            self.effects.append(i.Drop(*own))
+
     # ---- placing
 
     def _rank(self, name, caches):
@@ -442,10 +479,7 @@
         self.average[k] += BLEND * (over - self.average[k])
 
     def _slide(self, n, late, growth=1.0):
-        """CoBlitz's chunk window: slower growth the wider it is, a cut for each that misses.
-
-        Its routers share a cache: each holds a part of the window, which may be less than one send.
-        """
+        """CoBlitz's chunk window: slower growth the wider, a cut for each miss. Routers share it: each has a part."""
         share = self.weight[n] / self.crew
         if n not in self.edges:  # what it carries for all, and what this location's own links take in
             share = min(self.reach / self.crew, self.weight[n] / self.routers / MISSES)
@@ -465,8 +499,7 @@
     # ---- health
 
     def _health(self, n, word):
-        state = WELL if self.trickle[n] is None else TRICKLE
-        CACHE_TABLE[state, word](self, n)
+        CACHE_TABLE[WELL if self.trickle[n] is None else TRICKLE, word](self, n)
 
     def _clear(self, n):
         self.strikes[n] = 0
@@ -568,6 +601,7 @@
 LOOKUP_TABLE = {
     (NEW, ARRIVED): (PLACING, Control._place),
     (PLACING, SENT): (OUT, Control._nothing),
+    (PLACING, AT_HAND): (ENDED, Control._settle),
     (PLACING, STUCK): (ENDED, Control._give_up),
     (OUT, FAILED): (PLACING, Control._place),
     (OUT, OVERRUN): (PAIRING, Control._place),
--- a/hookrouter/interface.py
+++ b/hookrouter/interface.py
@@ -96,6 +96,9 @@
     origin_fall_multiple: float
     origin_fall_for: int
     tick: int
+    own_room: int = 0  # bytes for copies of its own; 0: it keeps none
+    own_flows: float = 0.0  # answers at full pace that the router's own link carries at once
+    own_flow: float = 0.0  # bytes of its own in a tenth of a millisecond, in one answer
 
 
 class Cache(NamedTuple):
@@ -142,6 +145,7 @@
     took: int
     cache: str
     report: tuple | None
+    copy: tuple | None = None  # where the router may keep what came: (when the origin gave it out, bytes)
 
 
 class ClientGone(NamedTuple):
@@ -204,6 +208,25 @@
     id: int
 
 
+class Keep(NamedTuple):
+    """What this send brought becomes a copy of the router's own."""
+
+    id: int
+    send: int
+
+
+class Drop(NamedTuple):
+    kind: str
+    object: str
+    part: int
+
+
+class Give(NamedTuple):
+    """The lookup is satisfied from the router's own copy."""
+
+    id: int
+
+
 class Cancel(NamedTuple):
     id: int
     send: int
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -14,13 +14,11 @@
 from ..tables.room import Room
 from ..tables.slots import Slots
 from ..terms import SECOND
+from .start import room_left
 
-MEGABYTE = 1_000_000  # bytes, the smaller reading of the limit
-PROGRAM = 24  # MB that the program takes itself, before it holds anything
-LEAST_BODIES = 2  # MB for bodies, however little the program leaves
-BODIES = 0.5  # of what it leaves, for bodies from caches: the rest is for buffers and the garbage of a moment
-CALLS = 0.25  # of that, for bodies from clients and what they have not read: neither starves the other
-HALVES = 0.125  # of that, for half frames
+BODIES = 0.25  # of what the program leaves, for bodies from caches; what is not shared out is for garbage
+CALLS = 0.125  # of that, for bodies from clients and what they have not read: neither starves the other
+HALVES = 0.0625  # of that, for half frames
 RESERVED = 24  # descriptors: standard three, the reactor's own, listener, feed, and some that are closing
 
 
@@ -43,11 +41,13 @@
         self.lookups = Slots(max(1, terms.most_held))
         self.by_call = {}  # call of the front -> number
         self.latest = self.decided = 0
+        self.brought = {}  # lookup's number, send -> (what was asked, how it ended), while that is decided on
+        self.copies = {}  # kind, object, part -> (tag, pieces, length)
         self.deadlines = Deadlines(reactor)
         self.inputs, self.deciding = deque(), False
         self.by_trace = {}  # id that a client gave -> the lookup that is open or sent under it
         clients = start.sockets // 3
-        left = max(LEAST_BODIES, start.memory - PROGRAM) * MEGABYTE
+        left = room_left(start.memory)
         room, asked = Room(int(left * BODIES), self._filled), Room(int(left * CALLS), self._filled)
         self.front = Front(self, self.deadlines, asked, clients, int(left * HALVES),
                            terms.idle_for / SECOND, log, self.count)
@@ -94,6 +94,8 @@
             self.inputs.extend(map(i.ClientGone, concerned))
         for effect in effects:
             EFFECTS[type(effect)](self, effect)
+        if isinstance(event, i.SendEnd):
+            self.brought.pop((event.id, event.send), None)
 
     def _concerned(self, event):
         """Those whom nobody will answer now: the event's own, or, with an alarm lost, all that are due."""
@@ -217,8 +219,12 @@
                 self._answer(lookup, "satisfied", self.front.satisfied, ended.pieces, ended.length)
         else:
             self._let_go(lookup)
+        copy = None
+        if ended.made is not None and ended.end == i.SATISFIED:
+            copy = ended.made, ended.length
+            self.brought[lookup.number, n] = lookup.asked, ended
         self.tell(i.SendEnd(lookup.number, n, ended.end, ended.note, lookup.ended, self.now() - began, cache,
-                            ended.report))
+                            ended.report, copy))
 
     def _nack(self, effect):
         lookup = self._owed(effect)
@@ -230,6 +236,25 @@
         if lookup is not None:
             self._answer(lookup, "failed", self.front.failed)
 
+    def _keep(self, effect):
+        asked, ended = self.brought[effect.id, effect.send]
+        self.copies[asked.kind, asked.object, asked.part] = ended.tag, ended.pieces, ended.length
+
+    def _drop(self, effect):
+        self.copies.pop((effect.kind, effect.object, effect.part), None)
+
+    def _give(self, effect):
+        lookup = self._owed(effect)
+        if lookup is None:
+            return
+        self.count("copies_given")
+        asked = lookup.asked
+        tag, pieces, length = self.copies[asked.kind, asked.object, asked.part]
+        if asked.seen == tag:
+            self._answer(lookup, "satisfied", self.front.unchanged)
+        else:
+            self._answer(lookup, "satisfied", self.front.satisfied, pieces, length)
+
     def _cancel(self, effect):
         lookup = self.lookups.get(effect.id)
         if lookup is not None and effect.send in lookup.running:
@@ -261,7 +286,8 @@
                 "connections_held": len(self.caches.connections), "sends_waiting": len(self.caches.waiting),
                 "deadlines_held": len(self.deadlines),
                 "body_bytes_held": self.front.room.held + self.caches.room.held,
-                "half_frame_bytes_held": self.front.half_held}
+                "half_frame_bytes_held": self.front.half_held,
+                "copies_held": len(self.copies), "copy_bytes_held": self.control.copied}
 
     def _filled(self):
         self.log("bodies fill their room, no more is read until some are gone")
@@ -270,6 +296,7 @@
 
 EFFECTS = {
     i.Ask: Router._ask, i.Obtain: Router._obtain, i.Nack: Router._nack, i.Fail: Router._fail,
-    i.Cancel: Router._cancel, i.SetAlarm: Router._set_alarm, i.Subscribe: Router._subscribe,
-    i.Probe: Router._probe, i.Tell: Router._no_way, i.Log: Router._log,
+    i.Keep: Router._keep, i.Drop: Router._drop, i.Give: Router._give, i.Cancel: Router._cancel,
+    i.SetAlarm: Router._set_alarm, i.Subscribe: Router._subscribe, i.Probe: Router._probe,
+    i.Tell: Router._no_way, i.Log: Router._log,
 }
--- a/hookrouter/node/start.py
+++ b/hookrouter/node/start.py
@@ -9,6 +9,16 @@
 from ..feed.events import read_address
 from ..terms import Malformed
 
+MEGABYTE = 1_000_000  # bytes, the smaller reading of the limit
+PROGRAM = 24  # MB that the program takes itself, before it holds anything
+LEAST = 2  # MB for all that it holds, however little the program leaves
+COPIES = 0.3  # of what the program leaves, for copies of its own; the shares of the rest are node/router.py's
+
+
+def room_left(memory):
+    """Bytes for what the router holds."""
+    return max(LEAST, memory - PROGRAM) * MEGABYTE
+
 
 class Start(NamedTuple):
     name: str
@@ -45,12 +55,18 @@
     sockets = limits.get("sockets", terms.whole)
     if sockets < 64:
         raise Malformed(f"config.limits.sockets: {sockets} is too few, 64 at least")
+    memory, flow = limits.get("memory_mb", terms.whole), stated.get("flow_bytes_per_s", terms.number)
+    link = stated.get("link_bytes_per_s", terms.number)
+    if flow <= 0 or link <= 0:
+        raise Malformed("config.flow_bytes_per_s and config.link_bytes_per_s must be above 0")
     known = stated.get("known", terms.named)
     last, events = read_known(known)
     return Start(
         name=environment.get("EDGE_NAME") or stated.get("name", terms.text),
         listen=read_address(environment.get("EDGE_LISTEN") or stated.get("listen", terms.text),
                             "EDGE_LISTEN"),
-        seed=stated.get("seed", seed), memory=limits.get("memory_mb", terms.whole), sockets=sockets,
-        feed=stated.get("feed", read_address), terms=terms.read_terms(stated.get("settings", terms.named)),
+        seed=stated.get("seed", seed), memory=memory, sockets=sockets,
+        feed=stated.get("feed", read_address),
+        terms=terms.read_terms(stated.get("settings", terms.named))._replace(
+            own_room=int(COPIES * room_left(memory)), own_flows=link / flow, own_flow=flow / terms.SECOND),
         last=last, known=events)
--- a/hookrouter/parsers/thrift.py
+++ b/hookrouter/parsers/thrift.py
@@ -137,7 +137,7 @@
 
 
 def read_texts(frame, at, count):
-    """A map of text to text, which each call of the service is: in one loop, a third of the general way's time."""
+    """A map of text to text, as each call has one: in a loop of its own, in a third of the time."""
     texts, size, unpack = [], len(frame) - 4, INT_AT.unpack_from
     for _ in range(2 * count):
         if at > size:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -59,8 +59,8 @@
                     repeat=False)
 
 
-def ended(send, end, number=0, settled=None, note=0, took=100):
-    return i.SendEnd(id=send.id, send=number, end=end, note=note, took=took, cache=send.cache, report=None,
+def ended(send, end, number=0, settled=None, note=0, took=100, copy=None):
+    return i.SendEnd(id=send.id, send=number, end=end, note=note, took=took, cache=send.cache, report=None, copy=copy,
                      settled=end == i.SATISFIED if settled is None else settled)
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -274,6 +274,26 @@
     assert s.adds_up()["lookups_held"] == 1
 
 
+def test_own_copies_are_given_with_their_bytes_and_as_unchanged_where_the_client_has_them(tmp_path):
+    s = Scene(tmp_path)
+    s.net.advance(60)
+    wire, made = s.client(), b"X-Since-Ms: %d" % ((BEGAN + 59) * 1000)
+    wire.come(message(1) + message(2, part="4"))
+    first, second = (way.up() for way in s.net.ways[-2:])
+    first.come(answer(200, b"body", made, b"X-Rev: 4be0c192"))
+    second.come(answer(200, b"body", made) + b"noise")  # its length may be the wrong one: passed on, not kept
+    sent = s.counters.values["sends"]
+    wire.take()
+    wire.come(message(3) + message(4, have="4be0c192"))
+    got = answers(wire.take())
+    assert got[3][1][0][1] == b"body" and got[4][1][0] == {1: b"", 2: {b"same": b"1"}, 3: True}
+    assert s.counters.values["sends"] == sent and s.counters.values["copies_given"] == 2 and not s.router.brought
+    wire.come(message(5, part="4"))
+    assert s.counters.values["sends"] == sent + 1 and s.adds_up()["copy_bytes_held"] == 4
+    s.router.purged(parse_event(json.dumps({"n": 9, "purge": {"group": 17, "at": int((BEGAN + 59.5) * 1000)}})))
+    assert not s.router.copies and s.adds_up()["copy_bytes_held"] == 0
+
+
 def test_caches_that_come_and_go_leave_nothing_behind(tmp_path):
     s = Scene(tmp_path)
     for n in range(2, 200):
