--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -139,7 +139,7 @@
         self.effects = []
 
     def _cold_terms(self, share, span, multiple, window, users):
-        """First share, time to full, turns in a tenth of full capacity, and for how many a turn stays open."""
+        """Share at first, time to full, turns in a tenth of full capacity, for how many a turn stays open."""
         # One router's share of a cold cache may be less than one lookup. So lumps of work are handed out in
         # turns, by the routers' numbers, as many as all users together may send; an unused turn lapses.
         turns = self.routers / (users * self.lump)
@@ -185,7 +185,7 @@
         self.reach = sum(self.weight[n] for n in self.edges)
 
     def _row(self):
-        """One more, or that of a cache that is gone and unnamed: else ids always new would fill the columns."""
+        """One more, or that of a cache that is gone and unnamed: else new ids would fill the columns."""
         named = {n for sent in self.sent.values() for n in (sent.target, sent.source)}
         for lk in self.held.values():
             named.update(lk.caches, lk.sources)
@@ -306,7 +306,7 @@
     # ---- copies of its own
 
     def _at_hand(self, lk):
-        """Whether one is fresh and there in time over the router's own link, which carries one after another."""
+        """Whether one is fresh and there in time over the router's own link, which takes them in order."""
         made, size, _ = self.copies.get(lk.own, (-inf, 0, 0))
         kind, pure = self.kind[lk.kind], size / (self.own_flow or 1)
         free = max(self.now, self.own_free) + pure / (self.own_flows or 1)
@@ -479,7 +479,7 @@
         self.average[k] += BLEND * (over - self.average[k])
 
     def _slide(self, n, late, growth=1.0):
-        """CoBlitz's chunk window: slower growth the wider, a cut for each miss. Routers share it: each has a part."""
+        """CoBlitz's chunk window: slower growth the wider, a cut for each miss; each router has a part."""
         share = self.weight[n] / self.crew
         if n not in self.edges:  # what it carries for all, and what this location's own links take in
             share = min(self.reach / self.crew, self.weight[n] / self.routers / MISSES)
