--- a/hookrouter/node/start.py
+++ b/hookrouter/node/start.py
@@ -55,8 +55,8 @@
     sockets = limits.get("sockets", terms.whole)
     if sockets < 64:
         raise Malformed(f"config.limits.sockets: {sockets} is too few, 64 at least")
-    memory, flow = limits.get("memory_mb", terms.whole), stated.get("flow_bytes_per_s", terms.number)
-    link = stated.get("link_bytes_per_s", terms.number)
+    memory, flow, link = (limits.get("memory_mb", terms.whole), stated.get("flow_bytes_per_s", terms.number),
+                          stated.get("link_bytes_per_s", terms.number))
     if flow <= 0 or link <= 0:
         raise Malformed("config.flow_bytes_per_s and config.link_bytes_per_s must be above 0")
     known = stated.get("known", terms.named)
--- a/hookrouter/terms.py
+++ b/hookrouter/terms.py
@@ -42,7 +42,12 @@
     return read
 
 
-whole = reader(int, "a whole number")
+def whole(value, what):
+    if type(value) is not int:
+        raise Malformed(f"{what}: a whole number is wanted, not {shown(value)}")
+    return number(value, what)
+
+
 text = reader(str, "text")
 flag = reader(bool, "true or false")
 listed = reader(list, "an array")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -397,6 +397,32 @@
         started(tmp_path, "{")
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_whatever_stands_in_the_file_only_the_one_error_comes_out(tmp_path, seed):
+    """A reload reads it under load: anything else would go uncaught there."""
+    dice, path = Random(seed), tmp_path / "config.json"
+    odd = (None, -1, 0, 1e300, 10 ** 400, "", "x", "\x00", [], {}, True, [[]], {"n": "x"}, float("nan"), 2 ** 63)
+
+    def spoil(value):
+        keys = list(value) if isinstance(value, dict) else list(range(len(value)))
+        key = dice.choice(keys)
+        if isinstance(value[key], (dict, list)) and value[key] and dice.random() < 0.8:
+            spoil(value[key])
+        else:
+            value[key] = json.loads(json.dumps(dice.choice(odd)))
+
+    for _ in range(300):
+        stated = json.loads(json.dumps(configuration(members(1, *FLEET, whole=True), {"n": 2, "purge": {"key": "ab", "at": 5}})))
+        for _ in range(dice.randrange(1, 4)):
+            spoil(stated)
+        text = json.dumps(stated).encode()
+        path.write_bytes(text[:dice.randrange(len(text))] if dice.random() < 0.1 else text)
+        try:
+            read_start({"EDGE_CONFIG": str(path)})
+        except Malformed:
+            pass
+
+
 def test_the_command_line_says_what_is_wrong_in_one_line(tmp_path, capsys, monkeypatch):
     monkeypatch.setenv("EDGE_CONFIG", str(tmp_path / "none"))
     assert main(["check"]) == main(["serve"]) == 2
