Own copies: a quarter of the budget at first, all of it before a nack

Kept for what it guards: the router's own link carries some four answers at full pace, and one queue of half a budget left nothing of it for lookups that find no cache. Only idempotent kinds are kept: an effect that runs at a cache must run.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -56,7 +56,7 @@
 ASK_AGAIN = 20_000  # 2 s at most, half at least: the list's service is shared, and stale lists cost lookups
 LEAST_WAIT = 20  # 2 ms: less time than that cannot bring an answer
 STAY_AWAY = 3_000  # 300 ms at most, half at least: a stall is over by then, a client's budget hardly
-OWN_SHARE = 0.5  # of the budget, for an own copy's way: a hit takes no longer, and a queue there helps nobody
+OWN_SHARE = 0.25  # of the budget, for an own copy's way: the queue's rest is for what finds no cache
 OWN_LARGEST = 1 / 16  # of the room: one copy beyond it would cost too many others
 PURGE_SLACK = 2  # units lost to rounding when a purge is told and when it is applied
 
@@ -117,9 +117,9 @@
                                       terms.fall_multiple, terms.fall_for, crew),
                      self._cold_terms(terms.parent_cold_share, terms.parent_cold_for,
                                       terms.parent_fall_multiple, terms.fall_for, self.routers))
-        # By kind: mean sending time, and average and deviation of what answers took beyond it.
+        # By kind: mean sending time, and average and deviation of what answers took beyond it. These begin as
+        # the first deadline and give way to what is seen: one quick hit tells little of fills.
         self.mean_work = [float(kind.latency_budget) for kind in terms.kinds]
-        # They begin as the first deadline and give way to what is seen: one quick hit tells little of fills.
         self.average = [0.0] * len(terms.kinds)
         self.deviation = [FIRST_DEADLINE / DEVIATIONS] * len(terms.kinds)
         # By cache, under a dense index.
@@ -129,14 +129,13 @@
             [], [], [], [], [], [], [])
         self.purse, self.turn, self.lost, self.tardy = [], [], [], []  # tardy: the last answer came late
         self.edges, self.parents, self.origins = [], [], []
-        self.reach = 0  # what the location's own links carry, in sends at full pace
-        self.now, self.spare = 0, SPARE_MOST
-        self.held, self.sent, self.alarms, self.tokens = {}, {}, {}, 0
-        self.purged = {}  # object or group -> when
+        self.now, self.spare, self.reach = 0, SPARE_MOST, 0  # what the location's links carry, at full pace
+        self.held, self.sent, self.alarms = {}, {}, {}
         self.own_room, self.own_flows, self.own_flow = terms.own_room, terms.own_flows, terms.own_flow
-        self.copies = {}  # kind, object, part -> (made, bytes, group); the last used last
-        self.copied = self.own_free = 0  # bytes in all; when the router's own link is free again
-        self.effects = []
+        self.kept = [kind.effect == i.IDEMPOTENT and not kind.write for kind in terms.kinds]
+        self.copied = self.own_free = self.tokens = 0  # bytes in all; when the router's own link is free
+        # Object or group -> when purged; kind, object, part -> (made, bytes, group), the last used last.
+        self.effects, self.purged, self.copies = [], {}, {}
 
     def _cold_terms(self, share, span, multiple, window, users):
         """Share at first, time to full, turns in a tenth of full capacity, for how many a turn stays open."""
@@ -229,7 +228,7 @@
             lk.doubts.pop(end.send, None)
         if end.end == i.LATE and sent is not None and sent.limited:
             lk.overruns += 1
-        if end.copy is not None and self.own_room and not self.kind[lk.kind].write:
+        if end.copy is not None and self.own_room and self.kept[lk.kind]:
             self._keep(lk, end)
         lk.refused |= end.end == i.FULL and sent is not None and sent.via is not None
         self._step(lk, SETTLED if end.settled else FAILED)
@@ -266,8 +265,7 @@
     def _place(self, lk):
         """One more send where rules, limits and time allow it."""
         kind, left = self.kind[lk.kind], lk.due - self.now
-        if self._at_hand(lk):
-            self.effects.append(i.Give(lk.id))
+        if self._given(lk, OWN_SHARE):
             return AT_HAND
         if lk.hits_only or left < LEAST_WAIT or lk.sends >= self.most_sends or (lk.sends and self.spare < 1):
             return STUCK
@@ -288,6 +286,8 @@
 
     def _give_up(self, lk):
         """The final answer, at once: a nack with a time to come back where that is harmless."""
+        if self._given(lk, 1):  # rather at the end of its budget than not at all
+            return self._settle(lk)
         if self._nackable(lk):
             # Not all at once: clients nacked together would come back together.
             self.effects.append(i.Nack(lk.id, self.random.randint(self.stay_away // 2, self.stay_away)))
@@ -305,16 +305,17 @@
 
     # ---- copies of its own
 
-    def _at_hand(self, lk):
-        """Whether one is fresh and there in time over the router's own link, which takes them in order."""
+    def _given(self, lk, share):
+        """Whether one was fresh and there in time over the router's own link, which takes them in order."""
         made, size, _ = self.copies.get(lk.own, (-inf, 0, 0))
         kind, pure = self.kind[lk.kind], size / (self.own_flow or 1)
         free = max(self.now, self.own_free) + pure / (self.own_flows or 1)
-        budget = OWN_SHARE * (kind.latency_budget + kind.budget_stretch * pure)
+        budget = share * (kind.latency_budget + kind.budget_stretch * pure)
         if self.now - made > (kind.fresh or self.now) or (
                 max(self.now + pure, free) > min(lk.due, self.now + max(pure, budget))):
             return False
         self.own_free, self.copies[lk.own] = free, self.copies.pop(lk.own)
+        self.effects.append(i.Give(lk.id))
         return True
 
     def _keep(self, lk, end):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -324,3 +324,14 @@
     gave = sum(isinstance(e, i.Give) for e in effects)
     assert 2 <= gave <= 8 and sends(effects)  # 500 each on a link of two; half of the budget is 3,500
     assert not given(asked(control, 1_010_001, 130, key="k")) and given(asked(control, 1_020_000, 131, key="k"))
+
+
+def test_where_no_cache_is_left_an_own_copy_may_take_the_whole_budget():
+    control = router(**OWN)
+    keeping(control, key="k")
+    control.own_free = 1_010_000 + 4_000  # its link is taken for most of the budget
+    assert sends(asked(control, 1_010_000, 98, key="k"))
+    control.decide(1_010_001, [i.CacheList(i.WHOLE, ())])
+    assert given(asked(control, 1_010_001, key="k"))
+    control.own_free = 1_010_001 + 9 * SECOND
+    assert isinstance(asked(control, 1_010_002, 97, key="k")[-1], i.Nack)
