Answers that a cache loses, hits too, cut no source's window and teach no times

Seen in a trace of each send and of the windows at each nack: from 23 to 34 s sends for a hit only, which need no source, ended late at three of five caches in 20 to 25 of 100, with their answers in time otherwise; sends through the same parents by the other two caches never did. Each silent send cut its source's window (a parent's fell from 14 to 1), struck the source, as hits are not told here, and taught the deadline twice its limit (718 ms above sending time). Ruled out: parents (answers by the sound caches within 30 ms), descriptors, the core (a third). Lines: _learn, the slide of sent.via, the time of a limited send, the strike of the source.

Now a cache keeps the share of such sends that are lost while it answers others; above a tenth, silence there tells nothing of sources or times. It guards against any loss on the way to a cache; it could do harm where a parent hangs and a cache also loses answers: late answers and refusals still cut.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -2,9 +2,8 @@
 
 Called by a host, one Control for each router: Control(seed, terms) at start, then decide(now, inputs) for
 each batch, which returns the effects in order. Types of both are in hookrouter/interface.py. Nothing else is
-read: no clock, no file, no other router. The design (CoBlitz) is in docs/design.md: a part's name is hashed
-with each ready cache of the location, the least busy of the top few is picked, the parent topping the same
-hash fills it.
+read. The design (CoBlitz) is in docs/design.md: a part's name is hashed with each ready cache of the
+location, the least busy of the top few is picked, the parent topping the same hash fills it.
 
 Beside the design stand, six at most:
  1. windows (the paper's) on each source's fills and each cache's sends; beyond them hits only, or a nack;
@@ -46,6 +45,7 @@
 FAILURES = 3  # in a row: one or two are chance where a few in a hundred fail, three hardly
 REST = 10_000  # 1 s without sends once set aside: short beside the troubles, long beside a stall
 LONGEST_REST = 40_000  # 4 s: a well cache is found again soon, and a sick one costs a lookup each time
+ADRIFT = 0.1  # of a cache's sends without a source lost while it answers others: so many are no crowd's
 SILENCE = 20_000  # 2 s without an answer of any kind: in a crowd hits and refusals still come
 TRICKLE_DONE = 16  # sends out at once: beyond it a trickle limits nothing
 COLD_PACE = 0.5  # of the multiple: most start higher and warm sooner than stated; windows guard the answers
@@ -127,7 +127,7 @@
             {}, [], [], [], [], [], [], [])
         self.out, self.heard, self.room, self.strikes, self.rest, self.rest_until, self.trickle = (
             [], [], [], [], [], [], [])
-        self.purse, self.turn, self.lost, self.tardy = [], [], [], []  # tardy: the last answer came late
+        self.purse, self.turn, self.lost, self.tardy, self.adrift = [], [], [], [], []  # tardy: the last late
         self.edges, self.parents, self.origins = [], [], []
         self.now, self.spare, self.reach = 0, SPARE_MOST, 0  # what the location's links carry, at full pace
         self.held, self.sent, self.alarms = {}, {}, {}
@@ -171,7 +171,7 @@
                         (self.where, cache.zone), (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE),
                         (self.out, 0), (self.heard, 0), (self.room, inf), (self.strikes, 0),
                         (self.rest, REST), (self.rest_until, None), (self.trickle, None), (self.lost, False),
-                        (self.purse, 0.0), (self.turn, -1), (self.tardy, False)):
+                        (self.purse, 0.0), (self.turn, -1), (self.tardy, False), (self.adrift, 0.0)):
                     column[n:n + 1] = [value]
             if cache.born > self.born[n]:
                 self._start_cold(n, cache.born)
@@ -370,10 +370,8 @@
 
     def _load(self, n):
         """A cache not yet heard from counts as average, or it would draw all."""
-        out = self.out[n]
-        if not self.heard[n]:
-            known = [self.out[m] for m in self.edges if self.heard[m]]
-            out = max(out, sum(known) / len(known)) if known else out
+        known = [] if self.heard[n] else [self.out[m] for m in self.edges if self.heard[m]]
+        out = max(self.out[n], sum(known) / max(1, len(known)))
         return max(self.idle, max(IDLE_LEAST, out) / self.weight[n])
 
     def _send(self, lk, target, source, left):
@@ -384,18 +382,15 @@
         lk.doubts[number] = self.now, target
         first = lk.overruns == 0 and not kind.write and target not in self.origins
         limited = first and limit < left and self.spare >= 1
-        wait = left
+        wait = limit if limited and not self.pairs else left
         if limited and self.pairs:
             self._alarm(limit, (lk.id, number))
-        elif limited:
-            wait = limit
         lk.caches.append(target)
         if source is not None:
             lk.sources.append(source)
         cost = self.mean_work[lk.kind]
-        self._spend(target, cost)
-        if source is not None and source != target:
-            self._spend(source, cost)
+        for n in {target, source} - {None}:
+            self._spend(n, cost)
         calm = self.out[target] < self.idle * self.weight[target]
         edge = target in self.edges
         via = None if source is None or source == target else source if edge else target
@@ -434,10 +429,13 @@
         budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * work
         if end.end == i.FULL and fills:
             self._slide(sent.via, True)
+        if not fills and end.end in (i.SATISFIED, i.MISSING, i.LATE):
+            self.adrift[sent.target] += BLEND * ((end.end == i.LATE and not mute) - self.adrift[sent.target])
+        stray = end.end == i.LATE and self.adrift[sent.target] > ADRIFT  # tells nothing of times or sources
         if end.end in (i.SATISFIED, i.LATE):
             late = end.end == i.LATE or end.took > budget
-            if fills and not mute:
-                # A cache that answered nothing since tells of itself, not of its source or of the link.
+            if fills and not mute and not stray:
+                # A cache that answered nothing since, or loses what needs no source, tells of itself alone.
                 # A hit tells little of the source; where hits are not told, a quick answer passes for one.
                 hit = found if self.tells_hits else end.took - sent.work < self.average[k]
                 self._slide(sent.via, late, self.step * (HIT_STEP if hit else 1))
@@ -458,7 +456,7 @@
                 self._health(sent.source, GOOD)
                 self.heard[sent.source] = self.now
             return
-        if end.end == i.LATE and sent.limited:  # backing off: it would have taken longer than its limit
+        if end.end == i.LATE and sent.limited and not stray:  # backing off: it takes longer than that
             self._time(k, 2 * end.took - sent.work)
         if end.end == i.MISSING:
             self._health(sent.target, GOOD)  # it answers, though it lacks the object
@@ -472,7 +470,8 @@
         silent = self.now - self.heard[sent.target] > SILENCE
         if end.end in (i.UNREACHED, i.BROKEN, i.LATE) and self.trickle[sent.target] is not None and silent:
             self.lost[sent.target] = True
-        if fills and (end.end in (i.ERRED, i.FULL) or (end.end == i.LATE and (dry or not self.tells_hits))):
+        if fills and (end.end in (i.ERRED, i.FULL) or (
+                end.end == i.LATE and not stray and (dry or not self.tells_hits))):
             self._health(sent.source, BAD)
 
     def _time(self, k, over):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -335,3 +335,25 @@
     assert given(asked(control, 1_010_001, key="k"))
     control.own_free = 1_010_001 + 9 * SECOND
     assert isinstance(asked(control, 1_010_002, 97, key="k")[-1], i.Nack)
+
+
+def test_a_cache_that_loses_answers_shuts_no_window_of_its_sources_and_teaches_no_times():
+    """Seen on sockets: a quarter of the answers of three caches never came, hits too, and all fills were rationed."""
+    control = router(notes="none")
+    c0, p0 = control.index["c0"], control.index["p0"]
+    control.heard[c0], control.room[p0] = 2_000_000, 10.0
+    lost = lambda via: control._learn(  # noqa: E731
+        Sent(c0, p0 if via else c0, p0 if via else None, 0, 100, 1_000_000, True, True),
+        i.SendEnd(1, 0, i.LATE, 0, False, 9_000, "c0", None))
+    lost(True)
+    assert control.room[p0] == 5.0 and control.strikes[p0] == 1  # it may be the source
+    for _ in range(2):
+        lost(False)
+    room, strikes, average = control.room[p0], control.strikes[p0], control.average[0]
+    lost(True)
+    assert (control.room[p0], control.strikes[p0], control.average[0]) == (room, strikes, average)
+    for _ in range(40):  # what needs no source comes again
+        control._learn(Sent(c0, c0, None, 0, 100, 1_000_000, True, True),
+                       i.SendEnd(1, 0, i.MISSING, 0, False, 9, "c0", None))
+    lost(True)
+    assert control.room[p0] < room
