Silence with a source is weighed against silence without one, over all caches

Seen in its trace: one answer in ten never comes, from every cache and the origin alike, and each cut its source's window, 146 sends wide at the start and 5 at ten seconds. So two shares over all caches: where sends that need no source are silent at least half as often as those that do, silence is no source's. A slow source silences only those that need it.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -45,7 +45,7 @@
 FAILURES = 3  # in a row: one or two are chance where a few in a hundred fail, three hardly
 REST = 10_000  # 1 s without sends once set aside: short beside the troubles, long beside a stall
 LONGEST_REST = 40_000  # 4 s: a well cache is found again soon, and a sick one costs a lookup each time
-ADRIFT = 0.1  # of a cache's sends without a source lost while it answers others: so many are no crowd's
+ASTRAY = 0.03  # of sends without a source silent at caches that answer others: so many are lost on the way
 SILENCE = 20_000  # 2 s without an answer of any kind: in a crowd hits and refusals still come
 TRICKLE_DONE = 16  # sends out at once: beyond it a trickle limits nothing
 COLD_PACE = 0.5  # of the multiple: most start higher and warm sooner than stated; windows guard the answers
@@ -127,10 +127,10 @@
             {}, [], [], [], [], [], [], [])
         self.out, self.heard, self.room, self.strikes, self.rest, self.rest_until, self.trickle = (
             [], [], [], [], [], [], [])
-        self.purse, self.turn, self.lost, self.tardy, self.adrift = [], [], [], [], []  # tardy: the last late
+        self.purse, self.turn, self.lost, self.tardy = [], [], [], []  # tardy: the last answer came late
         self.edges, self.parents, self.origins = [], [], []
         self.now, self.spare, self.reach = 0, SPARE_MOST, 0  # what the location's links carry, at full pace
-        self.held, self.sent, self.alarms = {}, {}, {}
+        self.held, self.sent, self.alarms, self.silent = {}, {}, {}, [0.0, 0.0]  # without a source, and with
         self.own_room, self.own_flows, self.own_flow = terms.own_room, terms.own_flows, terms.own_flow
         self.kept = [kind.effect == i.IDEMPOTENT and not kind.write for kind in terms.kinds]
         self.copied = self.own_free = self.tokens = 0  # bytes in all; when the router's own link is free
@@ -171,7 +171,7 @@
                         (self.where, cache.zone), (self.weight, 1.0), (self.born, 0), (self.phase, i.GONE),
                         (self.out, 0), (self.heard, 0), (self.room, inf), (self.strikes, 0),
                         (self.rest, REST), (self.rest_until, None), (self.trickle, None), (self.lost, False),
-                        (self.purse, 0.0), (self.turn, -1), (self.tardy, False), (self.adrift, 0.0)):
+                        (self.purse, 0.0), (self.turn, -1), (self.tardy, False)):
                     column[n:n + 1] = [value]
             if cache.born > self.born[n]:
                 self._start_cold(n, cache.born)
@@ -429,13 +429,14 @@
         budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * work
         if end.end == i.FULL and fills:
             self._slide(sent.via, True)
-        if not fills and end.end in (i.SATISFIED, i.MISSING, i.LATE):
-            self.adrift[sent.target] += BLEND * ((end.end == i.LATE and not mute) - self.adrift[sent.target])
-        stray = end.end == i.LATE and self.adrift[sent.target] > ADRIFT  # tells nothing of times or sources
+        if sent.target in self.edges and end.end in (i.SATISFIED, i.MISSING, i.LATE):
+            self.silent[fills] += BLEND * ((end.end == i.LATE and not mute) - self.silent[fills])
+        # Sends without a source silent half as often as those with one: answers are lost, sources are well.
+        stray = end.end == i.LATE and max(ASTRAY, self.silent[True] / 2) < self.silent[False]
         if end.end in (i.SATISFIED, i.LATE):
             late = end.end == i.LATE or end.took > budget
             if fills and not mute and not stray:
-                # A cache that answered nothing since, or loses what needs no source, tells of itself alone.
+                # A cache that answered nothing since tells of itself, not of its source or of the link.
                 # A hit tells little of the source; where hits are not told, a quick answer passes for one.
                 hit = found if self.tells_hits else end.took - sent.work < self.average[k]
                 self._slide(sent.via, late, self.step * (HIT_STEP if hit else 1))
