A deduplicated lookup without its key is answered as failed; no grace still leaves time to send

Read in the sources: such a lookup went out without a key and its further sends would have run twice, as nobody can tell them apart; a stated grace of 0 made each send without an idle connection end before it left.

--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -145,7 +145,8 @@
         self.reactor, self.deadlines, self.room, self.log, self.count = reactor, deadlines, room, log, count
         self.connect_for = terms.connect_for / SECOND
         # A send that has not left by then never does: caches and sources may drain, objects be purged since.
-        self.leave_for = min(self.connect_for, min(terms.drain_grace, terms.purge_grace) / SECOND - SPARE)
+        grace = min(terms.drain_grace, terms.purge_grace) / SECOND
+        self.leave_for = min(self.connect_for, max(SPARE, grace - SPARE))
         # Left before the cache closes it, by the time a connection may take: no request crosses the close.
         self.idle_for = max(0, terms.idle_for - terms.connect_for) / SECOND
         self.names = terms.report_fields if terms.reports != "none" else ()
--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -7,7 +7,7 @@
 PLAIN = (
     "clients_connected", "clients_turned_away", "clients_malformed", "clients_not_reading",
     "clients_shed", "calls_malformed", "calls_of_unknown_kind", "calls_without_room", "copies_given",
-    "ids_used_twice", "lookups_beyond_limit", "sends", "sends_waited", "probes",
+    "ids_used_twice", "keys_missing", "lookups_beyond_limit", "sends", "sends_waited", "probes",
     "connections", "caches_malformed", "caches_unasked", "feed_connections", "feed_events", "feed_malformed",
     "feed_gaps",
     "room_filled", "reloads", "reloads_refused", "decisions_failed", "errors_uncaught",
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -119,6 +119,11 @@
             self.count("calls_of_unknown_kind")
             self.front.failed(call, "unknown kind")
             return
+        if kind.effect == i.DEDUPLICATED and asked.key is None:  # nobody would know a repeat by it
+            self.log("client left out the key of a deduplicated lookup, failed")
+            self.count("keys_missing")
+            self.front.failed(call, "replay is missing")
+            return
         if asked.trace in self.by_trace:  # caches could not tell the sends of the two apart
             self.log("client used the id of an open lookup, failed", asked.trace)
             self.count("ids_used_twice")
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -169,6 +169,14 @@
     s.nothing_is_left()
 
 
+def test_a_deployment_without_any_grace_still_sends():
+    s = Scene(drain_grace=0)
+    s.send()
+    s.net.advance(0.01)
+    s.up().come(answer(200, b"x"))
+    assert s.ends() == [i.SATISFIED]
+
+
 def test_a_forgotten_cache_takes_no_more_and_holds_nothing():
     s = Scene()
     s.send("c0")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -142,6 +142,8 @@
     wire.come(message(1, service="nonsense"))
     assert answers(wire.take())[1][1].keys() == {2} and "unknown object kind" in s.out.text
     assert s.counters.values["calls_of_unknown_kind"] == 1 and s.adds_up()["lookups_held"] == 0
+    wire.come(message(2, service="hold"))  # without its key a repeat would be a second effect
+    assert answers(wire.take())[2][1].keys() == {2} and not s.net.ways and s.adds_up()["lookups_held"] == 0
 
 
 def test_more_lookups_than_the_settings_let_it_hold_are_nacked_at_once(tmp_path):
