--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -287,7 +287,11 @@
 
     def held(self):
         """What is taken and not given back yet."""
-        return {"lookups_held": len(self.by_call), "clients_held": len(self.front.connections),
+        return {"sends_out": sum(len(lookup.running) for lookup in self.lookups.held()),
+                "sends_believed_out": len(self.control.sent),
+                "caches_set_aside": sum(trickle is not None for trickle in self.control.trickle),
+                "caches_listed": len(self.caches.places), "lookups_held": len(self.by_call),
+                "clients_held": len(self.front.connections),
                 "connections_held": len(self.caches.connections), "sends_waiting": len(self.caches.waiting),
                 "deadlines_held": len(self.deadlines),
                 "body_bytes_held": self.front.room.held + self.caches.room.held,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -371,6 +371,11 @@
             left.add((m, seqid))
         else:
             s.net.advance(dice.choice((0, 0.005, 0.05)))
+        # What the module believes to be out is what is out, and its counts by cache are made of just that.
+        control, out = s.router.control, {(lk.number, n) for lk in s.router.lookups.held() for n in lk.running}
+        assert set(control.sent) == out and sum(control.out) == sum(
+            1 + (sent.via not in (None, sent.target)) for sent in control.sent.values())
+        assert len(out) == len([c for c in s.router.caches.connections.held() if c.send]) + len(s.router.caches.waiting)
         for m, wire in enumerate(wires):
             for seqid, (_, struct) in answers(wire.take()).items():
                 assert (m, seqid) not in got and s.net.seconds() - sent[m, seqid] <= 4.06
