Writes at the origin count as sends without a source

Until windows are narrow hardly a send goes out without a source, so loss was learned only after it had shut them. A write waits for its whole time, so a slow origin seldom silences one, and a hung one answers nobody, which is left out of the shares.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -429,7 +429,7 @@
         budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * work
         if end.end == i.FULL and fills:
             self._slide(sent.via, True)
-        if sent.target in self.edges and end.end in (i.SATISFIED, i.MISSING, i.LATE):
+        if end.end in (i.SATISFIED, i.MISSING, i.LATE):
             self.silent[fills] += BLEND * ((end.end == i.LATE and not mute) - self.silent[fills])
         # Sends without a source silent half as often as those with one: answers are lost, sources are well.
         stray = end.end == i.LATE and max(ASTRAY, self.silent[True] / 2) < self.silent[False]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -357,3 +357,14 @@
                        i.SendEnd(1, 0, i.MISSING, 0, False, 9, "c0", None))
     lost(True)
     assert control.room[p0] < room
+
+
+def test_a_write_lost_at_an_origin_that_answers_others_tells_of_loss_before_any_window_is_shut():
+    control = router(notes="none")
+    c0, p0, o0 = (control.index[name] for name in ("c0", "p0", "o0"))
+    control.heard[c0] = control.heard[o0] = 2_000_000
+    control.room[p0] = 10.0
+    late = lambda cache: i.SendEnd(1, 0, i.LATE, 0, False, 9_000, cache, None)  # noqa: E731
+    control._learn(Sent(o0, None, None, 2, 0, 1_000_000, False, True), late("o0"))
+    control._learn(Sent(c0, p0, p0, 0, 100, 1_000_000, True, True), late("c0"))
+    assert control.room[p0] == 10.0 and control.strikes[p0] == 0
