An interrupt by anything but a number raises nothing; one before its call takes none away

Found on rereading: the number of an interrupt went into a set whatever its type, and a map raised TypeError out of dataReceived; one that came before the call of its number in the same read kept that call from being taken, so it had no answer. Now only the number of a call already met in the read counts. The test fails on the text before.

--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -77,10 +77,11 @@
                     raise Malformed(f"more than {MOST_OPEN} calls open")
             elif message.kind == thrift.ONEWAY and message.name == b"interrupt":
                 count -= 1
-                withdrawn.add(message.arguments().get(1))
+                seqid = message.arguments().get(1)
+                if isinstance(seqid, int) and seqid in asked:  # it may be of any type, and of no call so far
+                    withdrawn.add(seqid)
             else:
                 raise Malformed(f"a message of kind {message.kind}")
-        withdrawn &= asked
         if len(withdrawn) > MOST_WITHDRAWN:
             raise Malformed(f"{len(withdrawn)} calls withdrawn as they were made")
         return withdrawn
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -129,6 +129,14 @@
     assert [call[1] for call, _ in s.desk.calls] == [2] and wire.open
 
 
+def test_an_interrupt_of_no_call_so_far_whatever_its_type_takes_none_away():
+    s = Scene()
+    wire = s.client()
+    by_map = b"".join(thrift.message(thrift.ONEWAY, b"interrupt", 0, thrift.field(thrift.MAP, 1) + thrift.fields_of({}), b"\x00"))
+    wire.come(by_map + message(0, b"interrupt", interrupted=1) + message(1))
+    assert [call[1] for call, _ in s.desk.calls] == [1] and wire.open
+
+
 def test_silent_and_half_heard_clients_are_ended_in_time_the_others_stay():
     s = Scene(most=9)
     silent, half, drip, good = (s.client() for _ in range(4))
