--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -45,7 +45,7 @@
         self.copies = {}  # kind, object, part -> (tag, pieces, length)
         self.deadlines = Deadlines(reactor)
         self.inputs, self.deciding = deque(), False
-        self.by_trace = {}  # id that a client gave -> the lookup that is open or sent under it
+        self.traces = set()  # ids that clients gave, of lookups that are open or sent
         clients = start.sockets // 3
         left = room_left(start.memory)
         room, asked = Room(int(left * BODIES), self._filled), Room(int(left * CALLS), self._filled)
@@ -124,7 +124,7 @@
             self.count("keys_missing")
             self.front.failed(call, "replay is missing")
             return
-        if asked.trace in self.by_trace:  # caches could not tell the sends of the two apart
+        if asked.trace in self.traces:  # caches could not tell the sends of the two apart
             self.log("client used the id of an open lookup, failed", asked.trace)
             self.count("ids_used_twice")
             self.front.failed(call, "id is in use")
@@ -138,7 +138,7 @@
             self._answer(lookup, "nacked", self.front.nacked, 0)
             return
         self.by_call[call] = lookup.number
-        self.by_trace[asked.trace] = lookup
+        self.traces.add(asked.trace)
         self.tell(i.Lookup(lookup.number, asked.kind, asked.object, asked.part, asked.group, asked.size,
                            lookup.due, asked.repeat))
 
@@ -186,7 +186,7 @@
         """Its slot is free once it is answered and none of its sends runs."""
         if lookup.ended and not lookup.running and lookup.number is not None:
             self.lookups.give_back(lookup.number)
-            del self.by_trace[lookup.asked.trace]
+            self.traces.remove(lookup.asked.trace)
 
     # ---- effects
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -59,6 +59,14 @@
     def up(self):
         return self.net.ways[-1].up()
 
+    def stoppable(self):
+        """A service around the router, and when it stopped."""
+        stopped = []
+        self.net.stop = lambda: stopped.append(self.net.seconds())
+        service = Service(self.router, self.start, self.net, self.log, self.counters, None)
+        service.port = type("Port", (), {"stopListening": lambda self: None})()
+        return service, stopped
+
     def adds_up(self):
         values, held = self.counters.values, self.router.held()
         word = lambda name: sum(v for key, v in values.items() if key.startswith(f"lookups_{name}."))  # noqa: E731
@@ -205,10 +213,7 @@
 
 def test_sigterm_answers_what_was_taken_and_then_ends(tmp_path):
     s = Scene(tmp_path)
-    stopped = []
-    s.net.stop = lambda: stopped.append(s.net.seconds())
-    service = Service(s.router, s.start, s.net, s.log, s.counters, None)
-    service.port = type("Port", (), {"connected": True, "stopListening": lambda self: None})()
+    service, stopped = s.stoppable()
     wire, idle = s.client(), s.client()
     wire.come(message(1))
     cache = s.up()
@@ -228,10 +233,7 @@
 
 def test_at_the_end_a_client_that_reads_nothing_is_cut_off_in_time(tmp_path):
     s = Scene(tmp_path)
-    stopped = []
-    s.net.stop = lambda: stopped.append(s.net.seconds())
-    service = Service(s.router, s.start, s.net, s.log, s.counters, None)
-    service.port = type("Port", (), {"connected": False, "stopListening": lambda self: None})()
+    service, stopped = s.stoppable()
     wire = s.client()
     wire.come(message(1))
     wire.loseConnection = lambda: None  # its buffer stays full
@@ -271,7 +273,7 @@
     other.come(message(1, lookup="0" * 16))
     assert answers(other.take())[1][1].keys() == {2} and wire.take() == b"" and s.counters.values["ids_used_twice"] == 1
     s.up().come(answer(200, b"x"))
-    assert answers(wire.take())[1][1][0][1] == b"x" and not s.router.by_trace
+    assert answers(wire.take())[1][1][0][1] == b"x" and not s.router.traces
     other.come(message(2, ref=f"{1:016x}"))
     assert s.adds_up()["lookups_held"] == 1
 
