Fleet-wide purges: the decisions, the store and the operator's file, beside a plain model

Need: purges by object, group, tag and pattern, in one order, with the time of their effect stated, before any network is built on them.

Nothing imports them yet.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the project: python -m benchmarks NAME [--quick]."""
--- /dev/null
+++ b/hookrouter/purges/members.py
@@ -0,0 +1,182 @@
+"""Who must have heard of a purge before it is in effect, by leases; and when each purge was.
+
+A member is a router, or a relay with the routers below it. Its lease says: until then it may answer from
+copies that purges beyond its position have made old. Once it has run out the member holds to copies younger
+than the lease by itself, so no purge waits for it longer than that. Leases end by a purge's acceptance plus
+the lease, whoever is behind: that is the latest time stated.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+DRIFT = 0.01  # share by which the clocks of members may run slower: quartz is a thousand times better
+STRUCK_OFF = 200  # leases without word and a member is none; by FORGOTTEN it knows that long before
+MOST_MEMBERS = 10_000  # of one desk or relay; more hang off relays
+REMEMBERED = 10_000  # purges whose time in effect is remembered
+NEVER = -(1 << 62)
+
+LIVE, LAPSED, UNHEARD = "live", "lapsed", "unheard"
+
+
+class Renewal(NamedTuple):
+    name: str
+    generation: int  # of this life of the member; a later one ends those before
+    on_branch: bool  # its position is one of this order
+    n: int  # all up to here is applied; at a relay by all below that are live
+    all: int  # at a relay: by all below, those whose lease has run out too; else n
+    skew: int
+    relay: bool
+
+
+class Undone(NamedTuple):
+    n: int
+    at: int  # accepted, or read from the store by this life
+    lease_from: int  # who lacks it may have a lease from then on; NEVER: it may be in effect already
+
+
+class Member:
+    __slots__ = ("name", "generation", "n", "all", "until", "skew", "relay", "heard")
+
+    def __init__(self, name, generation, until):
+        self.name, self.generation, self.until = name, generation, until
+        self.n = self.all = -1  # nothing known: it may lack all
+        self.skew, self.relay, self.heard = 0, False, None
+
+
+class Members:
+    """names: (name, generation) of those that a former life knew. assumed: for how long their leases may
+    still run; 0 at a relay, since the desk goes on counting what it granted to the relay's former life."""
+
+    def __init__(self, lease, skew, rounding, now, names=(), assumed=None):
+        self.lease, self.skew, self.rounding = lease, skew, rounding
+        self.span = int(lease * (1 + DRIFT)) + 1
+        until = now + (self.span if assumed is None else assumed)
+        self.rows = {name: Member(name, generation, until) for name, generation in names}
+        self.ghosts = []  # (until, n): routers that a relay's former life may have given leases to
+        self.undone = deque()
+        self.reached = deque()  # (Undone, when all had it): in effect once it has settled
+        self.effects = {}  # n -> (accepted, in effect), the newest last
+
+    # ---- told
+
+    def accepted(self, now, purges):
+        """In order, none left out."""
+        self.undone.extend(Undone(purge.n, now, now) for purge in purges)
+
+    def read_anew(self, now, purges):
+        """After the order was read from the store: the newest purges, those that may not be in effect yet."""
+        self.undone.clear()
+        self.reached.clear()
+        self.undone.extend(Undone(purge.n, now, NEVER) for purge in purges)
+
+    def renew(self, now, renewal, newest, most=None):
+        """The span granted, 0 where it is behind; None where it is an older life of a member, or too many.
+
+        most: at a relay, what is left of its own lease: those below cannot be granted more.
+        """
+        row = self.rows.get(renewal.name)
+        if row is not None and renewal.generation < row.generation:
+            return None
+        if row is None and len(self.rows) >= MOST_MEMBERS:
+            return None
+        if row is None or renewal.generation > row.generation:
+            if row is not None and (row.relay or renewal.relay) and row.until > now:
+                self.ghosts.append((row.until, row.n))
+            row = self.rows[renewal.name] = Member(renewal.name, renewal.generation, now)
+        row.heard, row.relay, row.skew = now, renewal.relay, renewal.skew
+        if not renewal.on_branch:
+            return 0
+        row.n, row.all = renewal.n, min(renewal.n, renewal.all)
+        granted = self._granted(now, row, newest)
+        if most is not None:
+            granted = min(granted, most)
+        if granted <= 0:
+            return 0
+        row.until = max(row.until, now + int(granted * (1 + DRIFT)) + 1)
+        return granted
+
+    def _granted(self, now, row, newest):
+        """One that lacks a purge gets no more than the lease from when that was accepted."""
+        if row.n >= newest:
+            return self.lease
+        lacks = row.n + 1 - (self.undone[0].n if self.undone else newest)
+        if not 0 <= lacks < len(self.undone):
+            return 0  # it lacks one that is in effect
+        return self.undone[lacks].lease_from + self.lease - now
+
+    def other_branch(self):
+        """What members have applied is not of this order: nothing is known until they say so again."""
+        for row in self.rows.values():
+            row.n = row.all = -1
+
+    def left(self, name, generation):
+        """It answers nothing any more, and said so."""
+        row = self.rows.get(name)
+        if row is not None and row.generation == generation:
+            del self.rows[name]
+
+    # ---- asked
+
+    def settling(self):
+        return 2 * max([self.skew, *(row.skew for row in self.rows.values())]) + self.rounding
+
+    def state(self, now, row):
+        if row.heard is None:
+            return UNHEARD
+        return LIVE if row.until > now else LAPSED
+
+    def least(self, now):
+        """(what all live members have, what all members have); None where there are none."""
+        live = [row.n for row in self.rows.values() if row.until > now]
+        self.ghosts = [(until, n) for until, n in self.ghosts if until > now]
+        live.extend(n for _, n in self.ghosts)
+        every = [row.all for row in self.rows.values()]
+        every.extend(n for _, n in self.ghosts)
+        return min(live, default=None), min(every, default=None)
+
+    def settle(self, now):
+        """Purges that are in effect from now on, in order, as (n, accepted, in effect)."""
+        if not self.undone and not self.reached:
+            return []
+        self._strike_off(now)
+        live, every = self.least(now)
+        settling = self.settling()
+        while self.undone:
+            undone = self.undone[0]
+            if live is not None and live < undone.n:
+                break
+            # Who holds to copies younger than the lease may answer from one of just before the purge.
+            if every is not None and every < undone.n and now < undone.at + self.span:
+                break
+            self.reached.append((self.undone.popleft(), now))
+        settled = []
+        while self.reached and self.reached[0][1] + settling <= now:
+            undone, at = self.reached.popleft()
+            settled.append((undone.n, undone.at, at + settling))
+            self.effects[undone.n] = undone.at, at + settling
+            if len(self.effects) > REMEMBERED:
+                del self.effects[next(iter(self.effects))]
+        return settled
+
+    def due(self, now):
+        """When settle() may have something to say by time alone; None: not before something is told."""
+        times = [at + self.settling() for _, at in list(self.reached)[:1]]
+        if self.undone:
+            times.append(self.undone[0].at + self.span)
+            times.extend(row.until for row in self.rows.values() if row.until > now)
+            times.extend(until for until, _ in self.ghosts if until > now)
+        return min(times, default=None)
+
+    def latest(self, accepted):
+        """By when a purge accepted then is in effect, whoever is behind."""
+        return accepted + self.span + self.settling()
+
+    def behind(self, now, n):
+        """Members that lack this purge, as (name, state, position), the farthest behind first."""
+        rows = [(row.name, self.state(now, row), row.all) for row in self.rows.values() if row.all < n]
+        return sorted(rows, key=lambda row: (row[2], row[0]))
+
+    def _strike_off(self, now):
+        gone = [row.name for row in self.rows.values() if now >= row.until + STRUCK_OFF * self.lease]
+        for name in gone:
+            del self.rows[name]
--- /dev/null
+++ b/hookrouter/purges/patterns.py
@@ -0,0 +1,172 @@
+"""Patterns over names, compiled once into sets: matched in time linear in the name, whatever the pattern.
+
+RE2 (Cox, "Regular Expression Matching in the Wild") needs no backtracking, so no pattern of a user's making
+can hold a lookup up. Patterns stand in segments of one set each: one more compiles its segment again, never
+all.
+"""
+
+import re2
+
+from . import words as w
+from .bounds import Bound
+
+LONGEST = 256  # characters of a pattern: names have 80 at most
+# Bytes of RE2's program and caches for one pattern; a set of a segment has SEGMENT times that.
+MEMORY = 1 << 18
+SEGMENT = 64  # patterns in one set: compiling one takes under a millisecond
+REMEMBERED = 4_096  # names whose matches are remembered: some seconds of a router's lookups
+# Names of every shape: what matches them all matches everything.
+PROBES = ("a/0", "segment/0123456789abcdef", "Z9-_/ffffffffffffffff", "~/~", "clip/7", "x/" + "5a" * 40)
+SPECIAL = frozenset("\\.+*?()|[]{}^$")
+
+
+def options(memory):
+    made = re2.Options()
+    made.max_mem, made.log_errors, made.never_capture = memory, False, True
+    return made
+
+
+def expression(sort, what):
+    """The pattern as a regular expression over whole names. ValueError says why there is none."""
+    if sort == w.REGEX:
+        return what
+    if sort == w.PREFIX:
+        return escaped(what) + ".*"
+    return glob(what)
+
+
+def escaped(text):
+    return "".join("\\" + c if c in SPECIAL else c for c in text)
+
+
+def glob(what):
+    """`*` any run of characters, `?` any one, `[ab]`, `[a-z]`, `[!a]` one of a set; all else is itself."""
+    pieces, at = [], 0
+    while at < len(what):
+        c = what[at]
+        at += 1
+        if c in "*?":
+            pieces.append(".*" if c == "*" else ".")
+            continue
+        if c != "[":
+            pieces.append(escaped(c))
+            continue
+        end = what.find("]", at + 1)
+        if end < 0:
+            raise ValueError("a [ without its ]")
+        inner = what[at:end]
+        at = end + 1
+        negated = inner[0] in "!^"
+        inner = inner[negated:]
+        if not inner:
+            raise ValueError("an empty [] in a glob")
+        pieces.append("[" + "^" * negated + "".join(
+            c if c == "-" else escaped(c) for c in inner) + "]")
+    return "".join(pieces)
+
+
+def refusal(sort, what, everything=False):
+    """Why the desk cannot take this pattern, or None. everything: it may match every name."""
+    if not what:
+        return "a pattern must not be empty"
+    if len(what) > LONGEST:
+        return f"{len(what)} characters in a pattern, {LONGEST} at most"
+    if not what.isascii() or not what.isprintable():
+        return "a pattern must be of printable ASCII"
+    try:
+        compiled = re2.compile(expression(sort, what), options(MEMORY))
+    except (ValueError, re2.error) as wrong:
+        return f"the pattern cannot be compiled: {said(wrong)}"
+    if not everything and all(compiled.fullmatch(name) for name in PROBES):
+        return "the pattern matches every name; say so (everything) where that is meant"
+    return None
+
+
+def said(wrong):
+    text = wrong.args[0] if wrong.args else str(wrong)
+    return text.decode("latin-1") if isinstance(text, bytes) else str(text)
+
+
+class Segment:
+    """Up to SEGMENT patterns in one set, with the bound of each."""
+
+    __slots__ = ("first", "expressions", "bounds", "set", "live")
+
+    def __init__(self, first):
+        self.first, self.expressions, self.bounds, self.set, self.live = first, [], [], None, 0
+
+    def compile(self):
+        made = re2.Set.FullMatchSet(options(MEMORY * SEGMENT))
+        for text in self.expressions:
+            made.Add(text)
+        made.Compile()
+        self.set = made
+
+
+class Patterns:
+    """All live patterns; the bounds of those that match a name."""
+
+    def __init__(self, most):
+        self.most = most
+        self.segments, self.count, self.version = [], 0, 0
+        self.known = {}  # (sort, what) -> (its bound, its segment)
+        self.matched = {}  # name -> [patterns seen, bounds, version, merged bound], the last used last
+
+    def __len__(self):
+        return len(self.known)
+
+    def raise_to(self, sort, what, made, told, grace):
+        """True where this pattern is counted; False where it has to be counted against every name."""
+        key = sort, what
+        self.version += 1
+        if key in self.known:
+            self.known[key][0].raise_to(made, told, grace)
+            return True
+        if len(self.known) >= self.most:
+            return False
+        try:
+            text = expression(sort, what)
+            re2.compile(text, options(MEMORY))
+        except (ValueError, re2.error):
+            return False  # a desk of another build took it: safe, if dear
+        if not self.segments or len(self.segments[-1].bounds) >= SEGMENT:
+            self.segments.append(Segment(self.count))
+        segment, bound = self.segments[-1], Bound(made, told)
+        segment.expressions.append(text)
+        segment.bounds.append(bound)
+        segment.compile()
+        segment.live += 1
+        self.count += 1
+        self.known[key] = bound, segment
+        return True
+
+    def forget(self, sort, what):
+        """It counts no more; its segment goes with the last of its patterns."""
+        _, segment = self.known.pop((sort, what))
+        segment.live -= 1
+        if not segment.live:
+            self.segments.remove(segment)
+
+    def bound(self, name):
+        """The one bound of all patterns that match, or None."""
+        row = self.matched.get(name)
+        if row is not None and row[2] == self.version:
+            return row[3]
+        if row is None:
+            row = [0, [], -1, None]
+            if len(self.matched) >= REMEMBERED:
+                del self.matched[next(iter(self.matched))]
+        else:
+            del self.matched[name]
+        self.matched[name] = row
+        seen, bounds = row[0], row[1]
+        for segment in reversed(self.segments):  # the newest first: most of them have been seen
+            if segment.first + len(segment.bounds) <= seen:
+                break
+            bounds.extend(segment.bounds[n] for n in segment.set.Match(name)
+                          or () if segment.first + n >= seen)
+        merged = None
+        for bound in bounds:
+            merged = bound.copy() if merged is None else merged.join(bound)
+        row[0], row[2], row[3] = self.count, self.version, merged
+        return merged
--- /dev/null
+++ b/hookrouter/purges/place.py
@@ -0,0 +1,64 @@
+"""A follower's place in the order: what comes is applied, passed over, or ends the connection, by a table."""
+
+from . import words as w
+
+# How what came stands to the place, and what is done.
+REPEATED, NEXT, GAP, LOWER_EPOCH, SNAPSHOT_PART = (
+    "repeated", "next", "gap", "lower epoch", "part of a snapshot")
+PASS, APPLY, CUT, KEEP = "pass", "apply", "cut", "keep"
+TABLE = {
+    REPEATED: PASS,
+    NEXT: APPLY,
+    GAP: CUT,  # asked for again from the place on
+    LOWER_EPOCH: CUT,  # a former life of the desk, or a restored store that does not know it is one
+    SNAPSHOT_PART: KEEP,
+}
+
+
+class Place:
+    """position: of the newest purge applied; seen: the highest epoch heard of."""
+
+    def __init__(self):
+        self.position, self.seen = w.START, 0
+        self.parts = None  # of a snapshot under way
+
+    def epoch(self, epoch):
+        """Each word of the desk carries its epoch. False: it is one that must not be heard."""
+        if epoch < self.seen:
+            return False
+        self.seen = epoch
+        return True
+
+    def purge(self, purge):
+        """What is done with it: PASS, APPLY, CUT or KEEP."""
+        word = TABLE[self._relation(purge)]
+        if word == APPLY:
+            self.position = w.Position(purge.epoch, purge.n)
+        elif word == KEEP:
+            self.parts.append(purge)
+        return word
+
+    def _relation(self, purge):
+        if self.parts is not None:
+            return SNAPSHOT_PART
+        if purge.n <= self.position.n and purge.epoch <= self.position.epoch:
+            return REPEATED
+        if purge.epoch < self.position.epoch:
+            return LOWER_EPOCH
+        return NEXT if purge.n == self.position.n + 1 else GAP
+
+    def begin(self):
+        """A snapshot begins; what of it has come is worth nothing until it has ended."""
+        self.parts = []
+
+    def end(self, position, count):
+        """The snapshot's purges, or None where it is not whole."""
+        parts, self.parts = self.parts, None
+        if parts is None or len(parts) != count or position.epoch < self.position.epoch:
+            return None
+        self.position = position
+        return parts
+
+    def broken(self):
+        """The connection is over: half a snapshot is none."""
+        self.parts = None
--- /dev/null
+++ b/hookrouter/purges/words.py
@@ -0,0 +1,45 @@
+"""The words of fleet-wide purges, shared by desk, relays and routers."""
+
+from typing import NamedTuple
+
+# What a purge names. A name is KIND/OBJECT; groups are whole numbers in digits.
+OBJECT, GROUP, TAG, PREFIX, GLOB, REGEX = "object", "group", "tag", "prefix", "glob", "regex"
+SORTS = (OBJECT, GROUP, TAG, PREFIX, GLOB, REGEX)
+PATTERNS = frozenset((PREFIX, GLOB, REGEX))
+
+# What a router without a lease does: answers from copies younger than the lease, or nacks.
+YOUNG, NACK = "young", "nack"
+# Where the tags of an object come from.
+ANSWERS, FILE = "answers", "file"
+
+
+class Position(NamedTuple):
+    """A place in the one total order. Epochs rise with each start of the desk; both compare from the left."""
+
+    epoch: int
+    n: int
+
+
+START = Position(0, 0)
+
+
+class Purge(NamedTuple):
+    """One purge. made: when the desk took it, by the desk's clock, which never goes back between purges."""
+
+    epoch: int
+    n: int
+    made: int
+    sort: str
+    what: str
+
+
+class PurgeTerms(NamedTuple):
+    """What the operator's file states of purges, for a router. Spans in tenths of a millisecond."""
+
+    lease: int  # without word of the desk for that long, the router fences itself
+    hold: int  # purges older than that are folded away; no copy older than that may answer
+    grace: int  # from that long after it was told, a purge binds answers of sends that were out, too
+    skew: int  # between the desk's clock, the origin's and this router's, at most
+    fenced: str  # YOUNG or NACK
+    most_names: int  # objects and tags each; beyond it names share bounds, which is safe and costs fills
+    most_tagged: int  # objects whose tags are remembered
--- /dev/null
+++ b/hookrouter/stores/purge_log.py
@@ -0,0 +1,196 @@
+"""The desk's store: purges in order, each sealed over all before it; epochs; the names of members.
+
+SQLite in WAL mode with synchronous FULL: a transaction that has returned is on disk, one that was cut off is
+not there at all (sqlite.org/wal.html). SQLite does not check its pages, so each row carries a seal over
+itself and the seal before it: a flipped, torn, missing or swapped row is found, and named. One process at a
+time holds a store. Calls block; the desk makes them from a thread of their own.
+"""
+
+import sqlite3
+import struct
+from hashlib import blake2b
+from typing import NamedTuple
+
+from ..purges.words import Purge
+
+MARK = 0x686B7072  # the file's application id: "hkpr"
+VERSION = 1
+SEAL = 16  # bytes: what is guarded against is damage, not a forger
+NUMBERS = struct.Struct(">QQQHH")
+ROWS = 10_000  # read at once
+FIRST_SEAL = bytes(SEAL)
+BUSY = 0.2  # seconds for another process to let go: a desk that ends closes its store at once
+
+SCHEMA = """
+CREATE TABLE facts (name TEXT PRIMARY KEY, value) WITHOUT ROWID;
+CREATE TABLE purges (n INTEGER PRIMARY KEY, epoch INTEGER NOT NULL, made INTEGER NOT NULL, sort TEXT NOT NULL,
+                     what TEXT NOT NULL, key TEXT NOT NULL, seal BLOB NOT NULL);
+CREATE TABLE members (name TEXT PRIMARY KEY, generation INTEGER NOT NULL) WITHOUT ROWID;
+"""
+
+
+class Unusable(Exception):
+    """This file cannot be opened as a store; the text says why and what to do."""
+
+
+class Damaged(Unusable):
+    """The store is not as it was written. n: the first purge that cannot be trusted, or None."""
+
+    def __init__(self, text, n=None):
+        super().__init__(text)
+        self.n = n
+
+
+class Loaded(NamedTuple):
+    epoch: int  # the last life's
+    floor: int  # all up to this number is folded away
+    rows: list  # of (Purge, key), in order
+    members: list  # of (name, generation)
+
+
+def seal(before, purge, key):
+    sort, what = purge.sort.encode(), purge.what.encode()
+    packed = NUMBERS.pack(purge.epoch, purge.n, purge.made, len(sort), len(what))
+    return blake2b(b"".join((before, packed, sort, what, key.encode())), digest_size=SEAL).digest()
+
+
+class PurgeLog:
+    def __init__(self, path, must_exist=False):
+        self.path = path
+        try:
+            self.file = sqlite3.connect(f"file:{path}?mode={'rw' if must_exist else 'rwc'}", uri=True,
+                                        isolation_level=None, check_same_thread=False, timeout=BUSY)
+            self._open()
+        except sqlite3.OperationalError as wrong:
+            if "locked" in str(wrong):
+                raise Unusable(f"{path}: another process holds it; a desk may be running on it") from None
+            raise Unusable(f"{path}: {wrong}") from None
+        except sqlite3.DatabaseError as wrong:
+            raise Damaged(f"{path}: {wrong}") from None
+        self.last = None  # seal of the newest row
+
+    def _open(self):
+        run = self.file.execute
+        run("PRAGMA locking_mode = EXCLUSIVE")
+        mark = run("PRAGMA application_id").fetchone()[0]
+        tables = run("SELECT count(*) FROM sqlite_master").fetchone()[0]
+        if mark != MARK and tables:
+            raise Unusable(f"{self.path}: this is no store of purges")
+        run("PRAGMA journal_mode = WAL")
+        run("PRAGMA synchronous = FULL")
+        if not tables:
+            run("BEGIN EXCLUSIVE")
+            for statement in SCHEMA.split(";")[:-1]:
+                run(statement)
+            for name, value in (("version", VERSION), ("epoch", 0), ("floor", 0), ("floor seal", FIRST_SEAL)):
+                run("INSERT INTO facts VALUES (?, ?)", (name, value))
+            run(f"PRAGMA application_id = {MARK}")
+            run("COMMIT")
+        else:
+            run("BEGIN IMMEDIATE")  # held by this process from here on
+            run("COMMIT")
+        if self._fact("version") != VERSION:
+            raise Unusable(f"{self.path}: of version {self._fact('version')}, this program reads {VERSION}")
+
+    def close(self):
+        self.file.close()
+
+    def _fact(self, name):
+        row = self.file.execute("SELECT value FROM facts WHERE name = ?", (name,)).fetchone()
+        if row is None:
+            raise Damaged(f"{self.path}: its {name} is missing")
+        return row[0]
+
+    # ---- read
+
+    def load(self):
+        """All that is there, each seal checked. Damaged names the first row that is not as it was written."""
+        rows = []
+        for purge, key in self._rows():
+            rows.append((purge, key))
+        return Loaded(self._fact("epoch"), self._fact("floor"), rows,
+                      self.file.execute("SELECT name, generation FROM members ORDER BY name").fetchall())
+
+    def _rows(self):
+        before, n = self._fact("floor seal"), self._fact("floor")
+        try:
+            found = self.file.execute("SELECT epoch, n, made, sort, what, key, seal FROM purges ORDER BY n")
+            while batch := found.fetchmany(ROWS):
+                for epoch, number, made, sort, what, key, told in batch:
+                    n += 1
+                    purge = Purge(epoch, number, made, sort, what)
+                    before = self._checked(before, purge, key, told, n)
+                    yield purge, key
+        except sqlite3.DatabaseError as wrong:
+            raise Damaged(f"{self.path}: purge {n + 1} cannot be read: {wrong}", n + 1) from None
+        self.last = before
+
+    def _checked(self, before, purge, key, told, n):
+        if purge.n != n:
+            raise Damaged(f"{self.path}: purge {n} is missing, {purge.n} follows", n)
+        try:
+            whole = seal(before, purge, key) == told
+        except (struct.error, AttributeError, TypeError):
+            whole = False
+        if not whole:
+            raise Damaged(f"{self.path}: purge {n} is not as it was written", n)
+        return told
+
+    def verify(self):
+        """(purges that are sound, what is wrong, a line each)."""
+        sound, wrong = 0, []
+        try:
+            wrong += [f"{self.path}: {row[0]}" for row in self.file.execute("PRAGMA integrity_check(20)")
+                      if row[0] != "ok"]
+        except sqlite3.DatabaseError as error:
+            wrong.append(f"{self.path}: {error}")
+        try:
+            for _ in self._rows():
+                sound += 1
+        except Damaged as error:
+            wrong.append(str(error))
+        return sound, wrong
+
+    # ---- written; each call is one transaction, on disk when it returns
+
+    def _write(self, *steps):
+        run = self.file.execute
+        run("BEGIN IMMEDIATE")
+        try:
+            for statement, rows in steps:
+                self.file.executemany(statement, rows)
+            run("COMMIT")
+        except BaseException:
+            if self.file.in_transaction:
+                run("ROLLBACK")
+            raise
+
+    def begin(self, least):
+        """A new life: an epoch above the last one's and not below least."""
+        epoch = max(least, self._fact("epoch") + 1)
+        self._write(("UPDATE facts SET value = ? WHERE name = 'epoch'", [(epoch,)]))
+        return epoch
+
+    def append(self, batch):
+        """batch: (Purge, key) in order. sqlite3.Error: what is on disk has to be loaded again."""
+        before, rows = self.last, []
+        for purge, key in batch:
+            before = seal(before, purge, key)
+            rows.append((*purge, key, before))
+        columns = "epoch, n, made, sort, what, key, seal"
+        self._write((f"INSERT INTO purges ({columns}) VALUES (?, ?, ?, ?, ?, ?, ?)", rows))
+        self.last = before
+
+    def fold(self, upto):
+        """Folds away all up to this number: its seal goes on standing for them."""
+        row = self.file.execute("SELECT seal FROM purges WHERE n = ?", (upto,)).fetchone()
+        if row is None:
+            return
+        self._write(("UPDATE facts SET value = ? WHERE name = 'floor'", [(upto,)]),
+                    ("UPDATE facts SET value = ? WHERE name = 'floor seal'", [row]),
+                    ("DELETE FROM purges WHERE n <= ?", [(upto,)]))
+
+    def members(self, joined, left):
+        """joined: (name, generation); left: names."""
+        self._write(("INSERT OR REPLACE INTO members VALUES (?, ?)", joined),
+                    ("DELETE FROM members WHERE name = ?", [(name,) for name in left]))
--- /dev/null
+++ b/tests/test_purges.py
@@ -0,0 +1,232 @@
+"""Fleet-wide purges: the decisions, alone and in made-up fleets where everything goes wrong."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from benchmarks.purge_world import GRACE, LEASE, SKEW, World
+from hookrouter.purges import Guard, Position, Purge, PurgeTerms, patterns
+from hookrouter.purges import ledger as g
+from hookrouter.purges import place as p
+from hookrouter.purges import tail as t
+from hookrouter.purges import words as w
+from hookrouter.purges.index import Index
+from hookrouter.purges.members import Members, Renewal
+from hookrouter.purges.tags import Listed, read_tags
+
+SECOND = 10_000
+TERMS = PurgeTerms(lease=LEASE, hold=600 * SECOND, grace=GRACE, skew=SKEW, fenced=w.YOUNG, most_names=50,
+                   most_tagged=9)
+
+
+@pytest.mark.parametrize("block", range(8))
+def test_no_schedule_of_kills_cuts_pauses_and_skew_breaks_a_rule(block):
+    for seed in range(20 * block, 20 * block + 20):
+        assert World(seed).run() == [], seed
+
+
+class Unfenced(Guard):
+    def _age(self):
+        return self.terms.hold
+
+
+class Trusting(Guard):
+    def refused(self, *copy):
+        return False
+
+
+class Skewless(Guard):
+    def told(self, now, purge):
+        super().told(now, purge._replace(made=purge.made - 3 * SKEW))
+
+
+@pytest.mark.parametrize("make", (Unfenced, Trusting, Skewless))
+def test_a_router_without_one_of_its_guards_is_found(make):
+    assert any(World(seed, make).run() for seed in range(60))
+
+
+# ---- which copies may answer, beside a plain list
+
+WHATS = {w.OBJECT: ("aa", "ab", "bb"), w.GROUP: ("1", "2"), w.TAG: ("red", "blue"), w.PREFIX: ("clip/a",
+                                                                                               "page/"),
+         w.GLOB: ("*/?b", "clip/[!a]*"), w.REGEX: ("(clip|page)/b+", "clip/a[ab]")}
+PLAIN = {"clip/a": lambda n: n.startswith("clip/a"), "page/": lambda n: n.startswith("page/"),
+         "*/?b": lambda n: n[-1] == "b" and n[-3] == "/", "clip/[!a]*": lambda n: n.startswith("clip/b"),
+         "(clip|page)/b+": lambda n: n.endswith("/bb"), "clip/a[ab]": lambda n: n.startswith("clip/a")}
+purges = st.sampled_from([(sort, what) for sort, whats in WHATS.items() for what in whats])
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(st.lists(st.tuples(purges, st.integers(0, 9_000)), max_size=30), st.integers(0, 3),
+       st.sampled_from(["clip", "page"]), st.sampled_from(["aa", "ab", "bb"]), st.sampled_from(["1", "2"]),
+       st.sampled_from([None, (), ("red",), ("red", "blue")]), st.integers(0, 9_000))
+def test_the_index_is_never_laxer_than_a_list_of_all_purges_and_stricter_only_where_names_share(
+        events, most, kind, name, group, tags, at):
+    index, told, now = Index(TERMS._replace(most_names=most)), [], 0
+    for (sort, what), span in events:
+        now += span
+        index.add(sort, what, now, now)
+        told.append((now, sort, what))
+        index.newest(kind, name, group, tags)  # so that later patterns meet remembered matches
+
+    def concerned(sort, what):
+        if sort == w.TAG:
+            return tags is None or what in tags
+        return {w.OBJECT: what == name, w.GROUP: what == group}.get(sort) or (
+            sort in w.PATTERNS and PLAIN[what](f"{kind}/{name}"))
+
+    plain = [made for made, sort, what in told if concerned(sort, what)]
+    assert index.newest(kind, name, group, tags) >= max(plain, default=0)
+    due = index.due(now - at, kind, name, group, tags)
+    assert due >= max((made for made in plain if made <= now - at), default=0)
+    if most == 3:  # no name shares a bound then
+        assert index.newest(kind, name, group, tags) == max(plain, default=0)
+
+
+def test_purges_of_one_name_in_quick_succession_come_due_all_the_same():
+    index = Index(TERMS)
+    for n in range(100_000):
+        index.add(w.TAG, "sheet", n, n)  # each within the grace of the one before
+    assert index.due(99_999 - GRACE, "page", "aa", "1", ("sheet",)) >= 99_999 - 2 * GRACE
+    assert len(index) == 1
+
+
+def test_what_is_older_than_the_hold_leaves_and_the_tables_with_it():
+    index = Index(TERMS)
+    for n in range(3_000):
+        index.add(w.SORTS[n % 6], str(n % 256) if n % 6 == 1 else f"x{n}", n, n)
+    held = len(index), len(index.patterns.segments)
+    index.forget(3_000 + TERMS.hold)
+    assert held[0] > 500 and len(index) == 0
+    assert (index.objects.own, index.objects.shared, index.tags.own, index.tags.shared) == ({}, {}, {}, {})
+    assert len(index.patterns.segments) <= 1 < held[1]
+
+
+def test_a_pattern_that_this_build_cannot_compile_counts_against_every_name():
+    index = Index(TERMS)
+    index.add(w.REGEX, "(?<=a)b", 5, 5)
+    assert index.newest("clip", "zz", "1", ()) == 5
+
+
+@pytest.mark.parametrize("sort, what, said", [
+    (w.REGEX, "clip/(", "cannot be compiled"), (w.REGEX, "(?=a)b", "cannot be compiled"),
+    (w.REGEX, "((a{100}){100}){10}", "cannot be compiled"), (w.GLOB, "clip/[ab", "without its ]"),
+    (w.GLOB, "[!]", "an empty []"), (w.REGEX, "", "empty"), (w.PREFIX, "x" * 257, "257 characters"),
+    (w.PREFIX, "clip/\n", "printable"), (w.GLOB, "*", "matches every name"), (w.REGEX, ".*|a",
+                                                                              "matches every name"),
+    (w.GROUP, "256", "from 0 to 255"), (w.GROUP, "07", "from 0 to 255"), (w.TAG, "a b", "without spaces"),
+    (w.OBJECT, "", "1 to 256"), ("page", "x", "no sort of purge")])
+def test_the_desk_refuses_with_the_reason(sort, what, said):
+    assert said in g.refusal(sort, what, False)
+    assert patterns.refusal(w.GLOB, "*", True) is None
+
+
+@pytest.mark.parametrize("text, tags", [
+    (" red,blue  red", ("red", "blue")), ("", ()), (" ".join(f"t{n}" for n in range(33)), None), ("x" * 65,
+                                                                                                  None)])
+def test_tags_that_cannot_be_used_are_unknown_not_none(text, tags):
+    assert read_tags(text) == tags
+
+
+def test_a_listed_object_has_just_the_tags_of_the_file():
+    guard = Guard(TERMS, Listed({"aa": ("red",)}))
+    guard.told(9_000, Purge(1, 1, 9_000, w.TAG, "red"))
+    guard.granted(0, LEASE)
+    assert guard.oldest(9_000, "page", "aa", 1) > 9_000 > guard.oldest(9_000, "page", "zz", 1)
+
+
+# ---- the order, and a follower's place in it
+
+def filled(epochs, recent=4):
+    tail = t.Tail(TERMS.hold, epochs[-1] + 1, recent=recent)
+    for n, epoch in enumerate(epochs, 1):
+        tail.add(Purge(epoch, n, n, w.OBJECT, f"o{n}"))
+    return tail
+
+
+@pytest.mark.parametrize("position, seen, given_then", [
+    ((2, 6), 2, t.RESUME), ((2, 4), 2, t.RESUME), ((1, 3), 1, t.RESUME), ((1, 4), 2, t.SNAPSHOT), ((0, 0), 0,
+                                                                                                   t.SNAPSHOT),
+    ((1, 1), 1, t.SNAPSHOT), ((2, 7), 2, t.SNAPSHOT), ((1, 6), 1, t.SNAPSHOT), ((2, 6), 4, t.RAISE)])
+def test_a_follower_is_given_what_its_position_asks_for(position, seen, given_then):
+    assert filled([1, 1, 1, 2, 2, 2]).place(Position(*position), seen) == given_then
+
+
+def test_a_place_takes_each_purge_once_in_order_and_only_whole_snapshots():
+    place = p.Place()
+    one, two, three = (Purge(5, n, n, w.OBJECT, "a") for n in (1, 2, 3))
+    assert [place.purge(x) for x in (one, one, three, two, one, three)] == [p.APPLY, p.PASS, p.CUT, p.APPLY,
+                                                                            p.PASS, p.APPLY]
+    place.begin()
+    assert place.purge(one) == p.KEEP
+    place.broken()  # cut before its end
+    assert place.end(Position(6, 9), 1) is None and place.position == (5, 3)
+    place.begin()
+    place.purge(one)
+    assert place.end(Position(6, 9), 2) is None  # one of two came
+    place.begin()
+    place.purge(one)
+    assert place.end(Position(6, 9), 1) == [one] and place.position == (6, 9)
+    assert place.epoch(7) and not place.epoch(6)
+
+
+def test_a_batch_is_answered_only_once_written_and_a_failed_one_refused():
+    tail = t.Tail(TERMS.hold, 3)
+    desk = g.Ledger(tail, {}, g.Limits(10, 2))
+
+    def ask(token, key, *items, now=100):
+        return desk.submit(now, g.Submission(token, key, items or ((w.OBJECT, key),), False))
+
+    [first] = ask(1, "a")
+    assert [purge.n for purge, _ in first.batch] == [1]
+    assert ask(2, "b", now=50) == [] and ask(3, "a") == [] and ask(4, "b", (w.OBJECT,
+                                                                            "other"))[0].why == "key"
+    accepted, again, tell, second = desk.written()
+    assert (accepted.token, again.token, again.repeated, tell.purges[0].what) == (1, 3, True, "a")
+    assert second.batch[0][0].made == 100  # the clock went back, the order's times did not
+    assert ask(5, "a")[0].repeated and tail.newest == (3, 1)
+    refused, reopen = desk.failed()
+    assert (refused.token, refused.why) == (2, "busy") and isinstance(reopen, g.Reopen)
+    assert ask(6, "c")[0].why == "busy"
+    desk.reopened(filled([3, 4]), {"b": ()})
+    assert ask(7, "c")[0].batch[0][0][:2] == (5, 3)
+    assert [ask(8, f"p{n}", (w.PREFIX,
+                             f"clip/{n}"))for n in range(3)][2][0].reason.startswith("2 patterns are live")
+    assert "9 purges are live" not in str([ask(n, f"x{n}") for n in range(4)])
+    assert any("may be" in e.reason for n in range(20, 40) for e in ask(n, f"y{n}"))
+
+
+# ---- leases, and from when a purge is in effect
+
+def renewal(name, n, generation=1, branch=True):
+    return Renewal(name, generation, branch, n, n, SKEW, False)
+
+
+def test_a_purge_is_in_effect_once_all_have_it_or_hold_to_young_copies():
+    members = Members(LEASE, SKEW, 20, 0)
+    assert members.renew(0, renewal("a", 0), 0) == members.renew(0, renewal("b", 0), 0) == LEASE
+    members.accepted(100, [Purge(1, 1, 100, w.OBJECT, "x")])
+    assert members.renew(200, renewal("a", 1), 1) == LEASE
+    assert members.renew(5_000, renewal("b", 0), 1) == 100 + LEASE - 5_000  # no more than from the purge on
+    assert members.settle(6_000) == [] and members.behind(6_000, 1) == [("b", "live", 0)]
+    assert members.renew(20_300, renewal("b", 0), 1) == 0
+    end = members.latest(100)
+    assert members.due(20_000) <= end
+    assert members.settle(100 + members.span - 1) == []
+    # What the origin gives out meanwhile may bear an older time.
+    assert members.settle(100 + members.span) == []
+    assert members.settle(end) == [(1, 100, end)]
+    assert members.behind(end, 1) == [("b", "lapsed", 0)]
+
+
+def test_a_desk_that_started_anew_reckons_with_leases_of_its_former_life():
+    members = Members(LEASE, 0, 0, 1_000, [("a", 7)])
+    members.read_anew(1_000, [Purge(1, 1, 100, w.OBJECT, "x")])
+    assert members.settle(1_100) == [] and members.behind(1_100, 1) == [("a", "unheard", -1)]
+    assert members.renew(1_200, renewal("a", 0, 7), 1) == 0  # it may have been in effect before
+    assert members.renew(1_200, renewal("a", 1, 6), 1) is None  # an older life of the same router
+    assert members.renew(1_300, renewal("a", 1, 7), 1) == LEASE
+    assert members.settle(1_300) == [] and [n for n, _, _ in members.settle(1_700)] == [1]
+    members.left("a", 7)
+    members.accepted(2_000, [Purge(2, 2, 2_000, w.OBJECT, "y")])
+    assert members.settle(2_000) == [(2, 2_000, 2_000)]  # nobody is left to wait for
