--- a/benchmarks/purge_world.py
+++ b/benchmarks/purge_world.py
@@ -177,11 +177,12 @@
         for at, purge in self.in_effect:
             if began >= at and made < purge.at and concerns(purge, kind, name):
                 self.breaks.append(f"{router.name} at {self.now}: {kind}/{name} of {made} begun at {began}, "
-                                   f"purged at {purge.at} by {purge.sort} {purge.what}, stated in effect at {at}")
+                                   f"purged at {purge.at} by {purge.sort} {purge.what}, "
+                                   f"stated in effect at {at}")
         for at, purge in router.heard:
             if self.now >= at + GRACE and made < purge.at and concerns(purge, kind, name):
-                self.breaks.append(f"{router.name} at {self.now}: {kind}/{name} of {made}, purged at {purge.at}, "
-                                   f"told at {at}, over a grace ago")
+                self.breaks.append(f"{router.name} at {self.now}: {kind}/{name} of {made}, "
+                                   f"purged at {purge.at}, told at {at}, over a grace ago")
 
 
 class Link:
