--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -220,7 +220,8 @@
             return None
         purge, wall, at = self.accepted[n]
         now = steady()
-        return {"number": wire.number(purge), "sort": purge.sort, "what": purge.what, "accepted_ms": wall // 10,
+        return {"number": wire.number(purge), "sort": purge.sort, "what": purge.what,
+                "accepted_ms": wall // 10,
                 "in_effect_ms": self.effects[n] // 10 if n in self.effects else None,
                 "latest_ms": (wall + self.members.latest(at) - at) // 10,
                 "members": len(self.members.rows),
--- a/hookrouter/desk/web.py
+++ b/hookrouter/desk/web.py
@@ -19,8 +19,8 @@
 
 IDLE = 30.0  # seconds that a connection without a request under way may last
 MOST_SHOWN = 1_000  # purges in one list
-UNKNOWN = ("no purge of that number in this life of the desk; if it was accepted, it is in effect a lease and a "
-           "half after the desk's restart")
+UNKNOWN = ("no purge of that number in this life of the desk; if it was accepted, it is in effect a lease "
+           "and a half after the desk's restart")
 STATUS = {"form": 400, "key": 409, "busy": 503}
 
 
--- a/hookrouter/feed/caller.py
+++ b/hookrouter/feed/caller.py
@@ -40,7 +40,7 @@
         self.caller.answered(self, head, body)
 
     def connectionLost(self, reason):
-        self.caller.failed(self, reason)
+        self.caller.went_down(self, reason)
 
 
 class Way(ClientFactory):
@@ -53,7 +53,7 @@
         return self.connection
 
     def clientConnectionFailed(self, connector, reason):
-        self.connection.caller.failed(self.connection, reason)
+        self.connection.caller.went_down(self.connection, reason)
 
 
 class Caller:
@@ -98,11 +98,19 @@
             self._end().callback((head.status, body))
 
     def failed(self, connection, failure):
+        """Ends the connection, and the call that is out."""
         if connection is self.connection:
             self._drop()
             if self.call is not None:
                 self._end().errback(failure)
 
+    def went_down(self, connection, failure):
+        """It has ended by itself, or never came up: there is nothing left to close."""
+        if connection is self.connection:
+            self.connection, self.connector, self.up = None, None, False
+            if self.call is not None:
+                self._end().errback(failure)
+
     def _overdue(self):
         self.failed(self.connection, Failure(TimeoutError()))
 
--- a/hookrouter/feed/purges.py
+++ b/hookrouter/feed/purges.py
@@ -28,10 +28,12 @@
     path, counted = b"/v1/feed", "purge_connections"
     ended = "purge feed connection ended, a new one follows"
 
-    def __init__(self, reactor, deadlines, desk, address, purges, name, log, count, relay=False):
+    def __init__(self, reactor, deadlines, desk, address, purges, name, log, count, relay=False,
+                 wall=time.time, steady=steady):
         super().__init__(reactor, deadlines, desk, address, 0, log, count)
         self.place, self.name, self.relay = Place(), name, relay
-        self.generation = int(time.time() * 1_000)  # a later life has a later one
+        self.wall, self.steady = wall, steady
+        self.generation = int(wall() * 1_000)  # a later life has a later one
         self.secret, self.skew = purges["secret"], purges["skew"]
         self.every = purges["lease"] / SECOND / RENEWALS
         self.caller = Caller(reactor, deadlines, address)
@@ -121,7 +123,7 @@
         if self.caller.busy() or self.stopped:
             return
         self.again = False
-        asked, wall = steady(), int(time.time() * SECOND)
+        asked, wall = self.steady(), int(self.wall() * SECOND)
         call = self._call(False)
         call.addCallbacks(self._renewed, self._not_renewed, callbackArgs=(asked, wall))
         call.addErrback(lambda failure: self.log("renewal failed", failure.getTraceback(), level="error"))
--- a/hookrouter/node/purging.py
+++ b/hookrouter/node/purging.py
@@ -3,7 +3,8 @@
 """
 
 from .. import interface as i
-from ..feed.purges import PurgeFeed, steady
+from ..feed.purges import PurgeFeed
+from ..feed.purges import steady as boot_time
 from ..purges import Guard
 from ..purges.fence import CURRENT
 from ..purges.tags import Listed, read_tags
@@ -11,15 +12,16 @@
 
 
 class Purging:
-    def __init__(self, start, reactor, deadlines, router, log, count):
+    def __init__(self, start, reactor, deadlines, router, log, count, steady):
         purges = start.purges
+        self.steady = steady or boot_time
         self.router, self.log, self.count = router, log, count
         self.guard = Guard(purge_terms(purges), None if start.tags is None else Listed(start.tags))
         self.judged = {kind.name for kind in start.terms.kinds
                        if kind.effect == i.IDEMPOTENT and not kind.write}
         self.feed = PurgeFeed(reactor, deadlines, self, purges["follow"] or purges["desk"], purges,
                               start.name,
-                              log, count)
+                              log, count, wall=router.wall, steady=self.steady)
         self.state = self.guard.state()
 
     # ---- told by the feed
@@ -50,7 +52,7 @@
     def look(self):
         """Before each decision and each answer: a process that was paused learns here that its lease is over.
         """
-        self.guard.at(steady())
+        self.guard.at(self.steady())
         state = self.guard.state()
         if state != self.state:
             before, self.state = self.state, state
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -33,7 +33,8 @@
 
 
 class Router:
-    def __init__(self, start, reactor, log, counters, wall=time.time):
+    def __init__(self, start, reactor, log, counters, wall=time.time, steady=None):
+        """steady: a clock that no one sets, tenths of a millisecond, for leases; None: the machine's."""
         self.log, self.counters, self.wall = log, counters, wall
         self.count = counters.count
         terms = self.terms = start.terms
@@ -58,7 +59,7 @@
         self.guard = self.purges = None
         if start.purges is not None:  # imported only then
             from .purging import Purging
-            self.purges = Purging(start, reactor, self.deadlines, self, log, self.count)
+            self.purges = Purging(start, reactor, self.deadlines, self, log, self.count, steady)
             self.guard = self.purges.guard
         self.control = Control(start.seed, terms, self.guard)
         for event in start.known:
--- a/hookrouter/purges/place.py
+++ b/hookrouter/purges/place.py
@@ -52,9 +52,12 @@
         self.parts = []
 
     def end(self, position, count):
-        """The snapshot's purges, or None where it is not whole."""
+        """The snapshot's purges, or None where it is not whole.
+
+        The place may go back: to where a store that was restored ends. What was applied stays applied.
+        """
         parts, self.parts = self.parts, None
-        if parts is None or len(parts) != count or position.epoch < self.position.epoch:
+        if parts is None or len(parts) != count:
             return None
         self.position = position
         return parts
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,6 +1,6 @@
 """A small made-up fleet, the plain model of the five rules, and the network in memory."""
 
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError, NotConnectingError
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
@@ -239,7 +239,8 @@
         return self.wire
 
     def stopConnecting(self):
-        assert not self.over
+        if self.over:
+            raise NotConnectingError  # as the reactor does
         self.over = True
         self.factory.clientConnectionFailed(self, Failure(ConnectionRefusedError()))
 
