--- a/benchmarks/purge_effect.py
+++ b/benchmarks/purge_effect.py
@@ -2,6 +2,7 @@
 
 import json
 import statistics
+import subprocess
 import sys
 import tempfile
 import time
@@ -13,12 +14,13 @@
 
 from hookrouter.feed.caller import Caller
 from hookrouter.feed.purges import PurgeFeed
+from hookrouter.purges import wire
 from hookrouter.site import read
 from hookrouter.tables.deadlines import Deadlines
 
 from .purges import SECRET, Desk
 
-GAP = 0.02  # seconds between submissions: no burst, so a wait for the one before does not count
+GAP = 0.05  # seconds between submissions: no burst, so a wait for the one before does not count
 
 
 class Follower:
@@ -59,23 +61,30 @@
 
 
 class Bare(Protocol):
-    """Sends what comes in to all that are connected, and nothing else."""
+    """The same events in the same form, to all that asked for them: no store, no leases, no order to keep."""
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
-        self.factory.all.append(self)
 
     def dataReceived(self, data):
-        for one in self.factory.all:
-            one.transport.write(data)
-
-
-class Heard(Protocol):
-    def connectionMade(self):
-        self.transport.setTcpNoDelay(True)
-
-    def dataReceived(self, data):
-        self.factory.count.applied(data)
+        factory = self.factory
+        if data.startswith(b"GET"):
+            self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            factory.all.append(self)
+            return
+        factory.n += 1
+        event = b"data: " + wire.write(wire.Event("purges", 1, [(1, factory.n, 1, "object",
+                                                                 f"o{factory.n}")])) + b"\n\n"
+        for one in factory.all:
+            one.transport.writeSequence((b"%x\r\n" % len(event), event, b"\r\n"))
+        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+
+class Unleased(PurgeFeed):
+    """Follows, and has no lease to renew."""
+
+    def _renew_later(self, seconds):
+        pass
 
 
 @inlineCallbacks
@@ -113,25 +122,20 @@
     caller.stop()
     desk.kill(15)
 
-    factory, bare_count = Factory.forProtocol(Bare), Count(followers)
-    factory.all = []
-    # In a process of its own as the desk is: this file again, with a port to listen on.
-    import subprocess
     server = subprocess.Popen([sys.executable, "-m", "benchmarks.purge_effect", "bare"],
                               stdout=subprocess.PIPE,
                               text=True)
     port = int(server.stdout.readline())
-    heard = Factory.forProtocol(Heard)
-    heard.count, heard.noisy = bare_count, False
-    from twisted.internet.endpoints import TCP4ClientEndpoint
-    for _ in range(followers):
-        yield TCP4ClientEndpoint(reactor, "127.0.0.1", port).connect(heard)
-    sender = Factory.forProtocol(Protocol)
-    sender.noisy = False
-    feeder = yield TCP4ClientEndpoint(reactor, "127.0.0.1", port).connect(sender)
-    bare = yield timed(bare_count, lambda n: feeder.transport.write(b'{"key": "k%d", "what": "o%d"}' % (n,
-                                                                                                        n)),
-                       times)
+    feeds = [Unleased(reactor, deadlines, Follower(count), ("127.0.0.1", port), purges, f"f{n}",
+                      lambda *args, **more: None, lambda name: None) for n in range(followers)]
+    for feed in feeds:
+        feed.start()
+    caller = Caller(reactor, deadlines, ("127.0.0.1", port))
+    yield deferLater(reactor, 1.0, lambda: None)
+    bare = yield timed(count, lambda n: caller.start(b"POST", b"/", [], b"", 5.0), times)
+    for feed in feeds:
+        feed.stop()
+    caller.stop()
     server.kill()
     server.wait()
 
@@ -146,7 +150,7 @@
 def main():
     if sys.argv[1] == "bare":
         factory = Factory.forProtocol(Bare)
-        factory.all = []
+        factory.all, factory.n = [], 0
         print(reactor.listenTCP(0, factory, interface="127.0.0.1").getHost().port, flush=True)
         reactor.callLater(300, reactor.stop)
         reactor.run()
--- a/benchmarks/purges.py
+++ b/benchmarks/purges.py
@@ -212,51 +212,54 @@
     return made
 
 
-def purged_guard():
-    """10,000 live purges, 1,000 of them patterns."""
+def guard_of(count):
+    """With so many live purges, a tenth of them patterns, and a lease."""
     guard = Guard(PurgeTerms(2 * SECOND, 86_400 * SECOND, 5_000, 200, w.YOUNG, 100_000, 50_000))
     guard.granted(0, 1 << 60)
-    for n in range(10_000):
+    for n in range(count):
         if n % 10:
-            sort, what = ((w.OBJECT, f"{n:016x}"), (w.TAG, f"t{n}"), (w.GROUP, str(n % 256)))[n % 3]
+            sort, what = ((w.OBJECT, f"{n:016x}"), (w.TAG, f"t{n}"))[n % 2]
         else:
-            sort, what = ((w.PREFIX, f"clip/{n:05x}"), (w.GLOB, f"*/{n:04x}*"), (w.REGEX,
-                                                                                 f"clip/{n:04x}[0-9a-f]+"))[
-                n // 10 % 3]
+            sort, what = ((w.PREFIX, f"clip/{n:05x}"), (w.GLOB, f"*/{n:04x}*"),
+                          (w.REGEX, f"clip/{n:04x}[0-9a-f]+"))[n // 10 % 3]
         guard.told(n, Purge(1, n + 1, n, sort, what))
     return guard
 
 
 def lookups(made, guard, names, at):
+    """Seconds for these lookups; an object is of one group."""
+    asked = [(name, int(name, 16) % 256) for name in names]
     began = time.perf_counter()
-    for n, name in enumerate(names):
+    for n, (name, group) in enumerate(asked):
         now = 100 * SECOND + at + n
-        effects = made.decide(now, [i.Lookup(at + n, "clip", name, n % 5, n % 256, 400.0, now + 4 * SECOND,
-                                             False)])
-        send = next(e for e in effects if isinstance(e, (i.Ask, i.Obtain)))
+        lookup = i.Lookup(at + n, "clip", name, n % 5, group, 400.0, now + 4 * SECOND, False)
+        send = next(e for e in made.decide(now, [lookup]) if isinstance(e, (i.Ask, i.Obtain)))
         if guard is not None:
             guard.at(now)
-            guard.refused(now, now, "clip", name, n % 256, now - 10, ("red",))
+            guard.refused(now, now, "clip", name, group, now - 10, ("red",))
             guard.learn(name, now - 10, ("red",))
         made.decide(now + 50, [i.SendEnd(at + n, 0, i.SATISFIED, i.FOUND, True, 50, send.cache, None)])
     return time.perf_counter() - began
 
 
 def lookup_cost(rounds):
-    """The same lookups with and without, in turns; a few thousand objects, the most popular asked for most.
+    """The same lookups in turns: the feature off, on with no live purge, and with 10,000, 1,000 of them
+    patterns.
     """
-    dice, size = random.Random(5), 2_000
-    guard = purged_guard()
-    bare, full, ratios, at = control(None), control(guard), [], 0
-    micros = []
-    for _ in range(rounds * 3):
-        names = [f"{int(dice.paretovariate(0.7)) % 5_000:016x}" for _ in range(size)]
-        without, with_all = lookups(bare, None, names, at), lookups(full, guard, names, at)
-        ratios.append(with_all / without)
-        micros.append(without / size * 1e6)
+    dice, size, at = random.Random(5), 1_000, 0
+    guards = [None, guard_of(0), guard_of(10_000)]
+    controls, times = [control(guard) for guard in guards], []
+    for _ in range(rounds * 6):
+        names = [f"{int(dice.paretovariate(0.5)) % 50_000:016x}" for _ in range(size)]
+        times.append([lookups(made, guard, names, at) for made, guard in zip(controls, guards)])
         at += size
-    return {"lookup_cost_ratio": round(statistics.median(ratios), 3),
-            "lookup_us_without": round(statistics.median(micros), 1), "live_purges": len(guard.index)}
+
+    def ratio(one, other):
+        return round(statistics.median(row[one] / row[other] for row in times), 3)
+
+    return {"lookup_cost_ratio": ratio(2, 1), "lookup_cost_ratio_to_off": ratio(2, 0),
+            "lookup_us_off": round(statistics.median(row[0] for row in times) / size * 1e6, 1),
+            "live_purges": len(guards[2].index), "live_patterns": len(guards[2].index.patterns)}
 
 
 # ---- starting anew, and objects whose tags are not known
--- a/hookrouter/__init__.py
+++ b/hookrouter/__init__.py
@@ -1,3 +1,3 @@
 """hookrouter: a traffic router for two-tier caches."""
 
-__version__ = "0.2.0"
+__version__ = "0.3.0"
--- a/hookrouter/command/purges.py
+++ b/hookrouter/command/purges.py
@@ -133,7 +133,10 @@
                 connection.request(method, path, None if body is None else json.dumps(body), self.fields)
                 answer = connection.getresponse()
                 status, data = answer.status, json.loads(answer.read())
-            except (OSError, http.client.HTTPException, ValueError) as wrong:
+            except ValueError:
+                stop(FAILED,
+                     f"{self.host}:{self.port} does not answer this as a desk does; correct [purges] desk")
+            except (OSError, http.client.HTTPException) as wrong:
                 if last:
                     stop(FAILED,
                          f"no desk at {self.host}:{self.port}: {wrong}; start it, or correct [purges] desk")
--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -310,7 +310,9 @@
 
     def _given(self, lk, share):
         """Whether one was fresh and there in time over the router's own link, which takes them in order."""
-        made, size, _ = self.copies.get(lk.own, (-inf, 0, 0))
+        if lk.own not in self.copies:
+            return False
+        made, size, _ = self.copies[lk.own]
         kind, pure = self.kind[lk.kind], size / (self.own_flow or 1)
         free = max(self.now, self.own_free) + pure / (self.own_flows or 1)
         budget = share * (kind.latency_budget + kind.budget_stretch * pure)
--- a/hookrouter/desk/above.py
+++ b/hookrouter/desk/above.py
@@ -10,6 +10,7 @@
 BEAT = 0.5  # seconds between heartbeats: four in the shortest silence that a follower bears
 SLOW = 5.0  # seconds that a follower may leave what was written unread; then it is cut, and resumes
 EVENTS = 8  # events written to one follower before the others get their turn
+LOOK = 0.002  # seconds until a look whether purges are in effect
 MOST_STREAMS = 2_000  # followers of one desk or relay; more hang off relays
 
 
@@ -59,7 +60,7 @@
     # what it is given
 
     def _write(self, event):
-        self.request.write(b"data: " + wire.write(event) + b"\n\n")
+        self.request.write(self.above.encoded(event))
 
     def pump(self):
         """Up to so many events now, the rest in the reactor's next turn, until it is up to date or paused."""
@@ -112,10 +113,16 @@
     def __init__(self, reactor, log):
         self.reactor, self.log = reactor, log
         self.streams = {}  # Stream -> True, in the order in which they came
-        self.counters = {}
-        self.settle_call = None
+        self.counters, self.last = {}, (None, b"")
+        self.settle_call, self.settling = None, False  # settling: a look is due in a moment
         self.stopped = False
 
+    def encoded(self, event):
+        """The event as it is written; most followers are written the same one after the other."""
+        if event != self.last[0]:
+            self.last = event, b"data: " + wire.write(event) + b"\n\n"
+        return self.last[1]
+
     def count(self, name):
         self.counters[name] = self.counters.get(name, 0) + 1
 
@@ -197,16 +204,24 @@
         return None
 
     def settle(self):
-        """Says what is in effect, and sets the time to look again."""
+        """Looks what is in effect in a moment: many answer for one purge at once, and each look asks all."""
+        if not self.settling:
+            self.settling = True
+            self._settle_in(LOOK)
+
+    def _settle_in(self, seconds):
+        if self.settle_call is not None and self.settle_call.active():
+            self.settle_call.cancel()
+        self.settle_call = self.reactor.callLater(seconds, self._settle)
+
+    def _settle(self):
+        self.settling = False
         now = steady()
         for n, accepted, at in self.members.settle(now):
             self.in_effect(n, accepted, at)
         due = self.members.due(now)
-        if self.settle_call is not None and self.settle_call.active():
-            self.settle_call.cancel()
-        self.settle_call = None
         if due is not None and not self.stopped:
-            self.settle_call = self.reactor.callLater(max(0.0005, (due - now) / 10_000), self.settle)
+            self._settle_in(max(LOOK, (due - now) / 10_000))
 
     def in_effect(self, n, accepted, at):
         """A purge is in effect from then on."""
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -151,6 +151,8 @@
         now, wall = steady(), self.clock()
         self.members.accepted(now, purges)
         for purge in purges:
+            self.accepted.pop(purge.n, None)  # of before a store was restored
+            self.effects.pop(purge.n, None)
             self.accepted[purge.n] = purge, wall, now
         while len(self.accepted) > MOST_LATEST:
             n = next(iter(self.accepted))
--- a/hookrouter/desk/relay.py
+++ b/hookrouter/desk/relay.py
@@ -71,8 +71,7 @@
         self.tail.epoch = max(self.tail.epoch, epoch)
 
     def purged(self, purges):
-        now = steady()
-        self.members.accepted(now, purges)
+        # How long a purge has been in effect is not known here: who lacks one gets no lease until it has it.
         for purge in purges:
             self.tail.add(purge)
         self.tell()
@@ -82,7 +81,6 @@
         """A snapshot: those below go on from their places in the order as it is now."""
         self.tail.take(purges, newest)
         self.members.other_branch()
-        self.members.read_anew(steady(), ())
         for stream in list(self.streams):
             stream.cut()
 
@@ -101,8 +99,8 @@
         self.fence.at(steady())
         return self.fence.left()
 
-    def settle(self):
-        super().settle()
+    def _settle(self):
+        super()._settle()
         self.feed.renew_soon()
 
     def member_joined(self, name, generation):
--- a/hookrouter/feed/purges.py
+++ b/hookrouter/feed/purges.py
@@ -134,7 +134,7 @@
         least, every = self.desk.place(self.place.position.n)
         body = wire.write(wire.Renew(self.name, self.generation, *self.place.position, least, every,
                                      self.place.seen, self.skew, self.relay, leave))
-        fields = [(b"Authorization", b"Bearer " + self.secret.value), (b"Content-Type", b"application/json")]
+        fields = [(b"Authorization", b"Bearer " + self.secret.value)]
         return self.caller.start(b"POST", b"/v1/renew", fields, body, min(CALL_WITHIN, 2 * self.every))
 
     def _renewed(self, answer, asked, wall):
--- a/hookrouter/purges/bounds.py
+++ b/hookrouter/purges/bounds.py
@@ -18,10 +18,6 @@
         # Else the earlier time stays: purges in quick succession would never be due. Early is the safe side.
         self.newest = max(self.newest, made)
 
-    def due(self, since):
-        """The newest of the purges that were told by then."""
-        return self.newest if self.told <= since else self.settled
-
     def copy(self):
         other = Bound(self.newest, self.told)
         other.settled = self.settled
--- a/hookrouter/purges/guard.py
+++ b/hookrouter/purges/guard.py
@@ -11,6 +11,7 @@
 from .tags import Tags
 
 ROUNDING = 20  # 2 ms: copies' times and ages are told in whole milliseconds, each rounded once
+GROUPS = tuple(map(str, range(256)))
 STRICT = 1  # the age asked for where only what the origin gives out anew will do; 0 would mean any
 
 
@@ -21,6 +22,7 @@
         self.terms = terms
         self.index, self.fence = Index(terms), fence.Fence(terms.lease)
         self.tags = Tags(terms.most_tagged) if tags is None else tags
+        self.age = STRICT  # how old a copy may be that no purge heard of concerns
         # What the origin gives out within that span after a purge may bear a time from before it.
         self.settling = 2 * terms.skew + ROUNDING
         # When the newest purge was told, and the newest of those told before the lease: what came while this
@@ -31,13 +33,18 @@
     # ---- told
 
     def at(self, steady):
-        self.fence.at(steady)
+        """The steady clock, before each decision and answer: here a process that was paused learns it."""
+        self.fence.now = max(self.fence.now, steady)
+        if self.fence.now >= self.fence.until:
+            self.fence.at(steady)
+            self.age = self._age()
 
     def granted(self, since, span):
         before = self.fence.state
         self.fence.granted(since, span)
         if before != fence.CURRENT == self.fence.state:
             self.caught_up = self.latest
+            self.age = self._age()
 
     def clock(self, asked, answered, desk):
         """The desk's time in an answer that came between two of this router's (Cristian, 1989)."""
@@ -61,8 +68,8 @@
 
     def oldest(self, now, kind, name, group):
         """No copy from before that may be asked for; never 0."""
-        newest = self.index.newest(kind, name, str(group), self.tags.known(name))
-        return max(newest, now - self._age())
+        newest, floor = self.index.row(kind, name, GROUPS[group], self.tags.known(name))[0], now - self.age
+        return newest if newest > floor else floor
 
     def refused(self, now, began, kind, name, group, made, tags):
         """Whether a copy that came for a send of that time is one that must not answer.
@@ -71,17 +78,19 @@
         """
         if made is None:
             made = 0  # it does not say: as old as can be
-        own = self.tags.known(name) if tags is None else tags
+        if made < began - self.age - self.terms.skew:
+            return True
+        own, group = self.tags.known(name) if tags is None else tags, GROUPS[group]
+        if made >= self.index.row(kind, name, group, own)[0]:
+            return False
         told_by = max(began - self.settling, now - self.terms.grace, self.caught_up)
-        return (made < self.index.due(told_by, kind, name, str(group), own)
-                or made < began - self._age() - self.terms.skew)
+        return made < self.index.due(told_by, kind, name, group, own)
 
     def learn(self, name, made, tags):
         if tags is not None:
             self.tags.learn(name, made, tags)
 
     def _age(self):
-        """How old a copy may be that no purge heard of concerns."""
         if self.fence.state == fence.CURRENT:
             return self.terms.hold
         return self.terms.lease if self.fence.state == fence.FENCED else STRICT
--- a/hookrouter/purges/index.py
+++ b/hookrouter/purges/index.py
@@ -13,6 +13,7 @@
 SHARED = 1 << 14  # bounds for names beyond the most: one purge more costs one object in so many a fill
 MOST_PATTERNS = 4_096  # distinct live ones in a router; the desk refuses before that
 LONGEST_NAME = 256  # characters of a tag or object that is kept as it is
+REMEMBERED = 4_096  # names whose bounds are remembered: a lookup asks three times, and few are asked for most
 
 
 class Names:
@@ -57,6 +58,8 @@
         self.any_tag = None  # the newest purge of any tag, for objects whose tags are not known
         self.all = None  # the newest that counts against every name
         self.live = {}  # (sort, key) -> the newest bound, the last told last
+        # Name -> (what it was asked with, its bounds); void after each change.
+        self.version, self.asked = 0, {}
         self.tables = {w.OBJECT: self.objects, w.GROUP: self.groups, w.TAG: self.tags}
 
     def __len__(self):
@@ -65,6 +68,7 @@
     def add(self, sort, what, made, told):
         """made: the bound, skew included; told: when this router was told, by the clock of its lookups."""
         self.forget(told)
+        self.version += 1
         key = what
         if sort in self.tables:
             key = self.tables[sort].raise_to(what, made, told, self.grace)
@@ -83,15 +87,21 @@
             if newest >= before:
                 break
             del self.live[sort, key]
+            self.version += 1
             if sort in self.tables:
                 self.tables[sort].forget(key)
             else:
                 self.patterns.forget(sort, key)
 
-    def bounds(self, kind, name, group, tags):
-        """All that count for a copy of this object. tags: of the copy or object, None where they are not
-        known.
+    def row(self, kind, name, group, tags):
+        """(its newest bound, when the last of its purges was told, all bounds) for a copy of an object.
+
+        tags: of the copy or object, None where they are not known. Remembered, for a lookup asks three times.
         """
+        row = self.asked.get(name)
+        if (row is not None and row[0] == self.version and row[3] == tags and row[1] == kind
+                and row[2] == group):
+            return row[4]
         found = [*self.objects.find(name), *self.groups.find(group), self.all]
         if tags is None:
             found.append(self.any_tag)
@@ -100,17 +110,24 @@
                 found.extend(self.tags.find(tag))
         if self.patterns.known:
             found.append(self.patterns.bound(f"{kind}/{name}"))
-        return found
+        if row is None and len(self.asked) >= REMEMBERED:
+            del self.asked[next(iter(self.asked))]
+        found = tuple(bound for bound in found if bound is not None)
+        made = (max((bound.newest for bound in found), default=0),
+                max((bound.told for bound in found), default=0), found)
+        self.asked[name] = self.version, kind, group, tags, made
+        return made
 
     def newest(self, kind, name, group, tags):
         """No copy from before that may be asked for; 0 where any will do."""
-        return max((bound.newest for bound in self.bounds(kind, name, group, tags) if bound is not None),
-                   default=0)
+        return self.row(kind, name, group, tags)[0]
 
     def due(self, since, kind, name, group, tags):
         """No copy from before that may answer: the newest of the purges that were told by then."""
-        return max((bound.due(since) for bound in self.bounds(kind, name, group, tags) if bound is not None),
-                   default=0)
+        newest, told, bounds = self.row(kind, name, group, tags)
+        if told <= since:
+            return newest
+        return max((bound.newest if bound.told <= since else bound.settled for bound in bounds), default=0)
 
 
 def raised(bound, made, told, grace):
--- a/hookrouter/purges/members.py
+++ b/hookrouter/purges/members.py
@@ -12,7 +12,6 @@
 DRIFT = 0.01  # share by which the clocks of members may run slower: quartz is a thousand times better
 STRUCK_OFF = 200  # leases without word and a member is none; by FORGOTTEN it knows that long before
 MOST_MEMBERS = 10_000  # of one desk or relay; more hang off relays
-REMEMBERED = 10_000  # purges whose time in effect is remembered
 NEVER = -(1 << 62)
 
 LIVE, LAPSED, UNHEARD = "live", "lapsed", "unheard"
@@ -52,11 +51,10 @@
         self.span = int(lease * (1 + DRIFT)) + 1
         until = now + (self.span if assumed is None else assumed)
         self.rows = {name: Member(name, generation, until) for name, generation in names}
-        self.ghosts = []  # (until, n): routers that a relay's former life may have given leases to
+        self.ghosts = []  # (until, n): leases of former lives, each for a lease at most
         self.struck = set()
         self.undone = deque()
         self.reached = deque()  # (Undone, when all had it): in effect once it has settled
-        self.effects = {}  # n -> (accepted, in effect), the newest last
 
     # ---- told
 
@@ -76,12 +74,14 @@
         most: at a relay, what is left of its own lease: those below cannot be granted more.
         """
         row = self.rows.get(renewal.name)
-        if row is not None and renewal.generation < row.generation:
+        # An earlier life only once the later one's lease is over: its clock may have been set back between.
+        if row is not None and renewal.generation < row.generation and row.until > now:
             return None
         if row is None and len(self.rows) >= MOST_MEMBERS:
             return None
-        if row is None or renewal.generation > row.generation:
-            if row is not None and (row.relay or renewal.relay) and row.until > now:
+        if row is None or renewal.generation != row.generation:
+            if row is not None and row.until > now:
+                # Routers below a relay's former life, or a second one of the same name, may rely on it yet.
                 self.ghosts.append((row.until, row.n))
             row = self.rows[renewal.name] = Member(renewal.name, renewal.generation, now)
         row.heard, row.relay, row.skew = now, renewal.relay, renewal.skew
@@ -154,9 +154,6 @@
         while self.reached and self.reached[0][1] + settling <= now:
             undone, at = self.reached.popleft()
             settled.append((undone.n, undone.at, at + settling))
-            self.effects[undone.n] = undone.at, at + settling
-            if len(self.effects) > REMEMBERED:
-                del self.effects[next(iter(self.effects))]
         return settled
 
     def due(self, now):
--- a/hookrouter/purges/patterns.py
+++ b/hookrouter/purges/patterns.py
@@ -13,7 +13,9 @@
 LONGEST = 256  # characters of a pattern: names have 80 at most
 # Bytes of RE2's program and caches for one pattern; a set of a segment has SEGMENT times that.
 MEMORY = 1 << 18
-SEGMENT = 64  # patterns in one set: compiling one takes under a millisecond
+SEGMENT = 64  # patterns in a set that grows: compiling one takes under a millisecond
+JOINED = 4  # neighbours of one size that are made one set: a match costs by the set, hardly by its patterns
+LARGEST = 1_024  # patterns in one set: compiling it takes some ten milliseconds, once in so many purges
 REMEMBERED = 4_096  # names whose matches are remembered: some seconds of a router's lookups
 # Names of every shape: what matches them all matches everything.
 PROBES = ("a/0", "segment/0123456789abcdef", "Z9-_/ffffffffffffffff", "~/~", "clip/7", "x/" + "5a" * 40)
@@ -90,13 +92,14 @@
 class Segment:
     """Up to SEGMENT patterns in one set, with the bound of each."""
 
-    __slots__ = ("first", "expressions", "bounds", "set", "live")
+    __slots__ = ("first", "expressions", "bounds", "set", "live", "joined")
 
     def __init__(self, first):
         self.first, self.expressions, self.bounds, self.set, self.live = first, [], [], None, 0
+        self.joined = None  # the one that holds its patterns now
 
     def compile(self):
-        made = re2.Set.FullMatchSet(options(MEMORY * SEGMENT))
+        made = re2.Set.FullMatchSet(options(MEMORY * max(SEGMENT, len(self.expressions))))
         for text in self.expressions:
             made.Add(text)
         made.Compile()
@@ -130,6 +133,7 @@
         except (ValueError, re2.error):
             return False  # a desk of another build took it: safe, if dear
         if not self.segments or len(self.segments[-1].bounds) >= SEGMENT:
+            self._join()
             self.segments.append(Segment(self.count))
         segment, bound = self.segments[-1], Bound(made, told)
         segment.expressions.append(text)
@@ -140,9 +144,29 @@
         self.known[key] = bound, segment
         return True
 
+    def _join(self):
+        """Full neighbours of one size become one, so that their number grows with the logarithm."""
+        while len(self.segments) >= JOINED:
+            last = self.segments[-JOINED:]
+            size = len(last[0].bounds)
+            if size * JOINED > LARGEST or any(
+                    len(one.bounds) != size or one.first != last[0].first + n * size
+                    for n, one in enumerate(last)):
+                return
+            whole = Segment(last[0].first)
+            for one in last:
+                whole.expressions += one.expressions
+                whole.bounds += one.bounds
+                whole.live += one.live
+                one.joined = whole
+            whole.compile()
+            self.segments[-JOINED:] = [whole]
+
     def forget(self, sort, what):
         """It counts no more; its segment goes with the last of its patterns."""
         _, segment = self.known.pop((sort, what))
+        while segment.joined is not None:
+            segment = segment.joined
         segment.live -= 1
         if not segment.live:
             self.segments.remove(segment)
--- a/hookrouter/purges/tags.py
+++ b/hookrouter/purges/tags.py
@@ -44,10 +44,11 @@
         if row is not None and row[0] > made:
             self.rows[name] = row
             return
+        if not self.most:
+            return
         if len(self.rows) >= self.most:
             del self.rows[next(iter(self.rows))]
-        if self.most:
-            self.rows[name] = made, tags
+        self.rows[name] = made, tags
 
 
 class Listed:
--- a/hookrouter/stores/purge_log.py
+++ b/hookrouter/stores/purge_log.py
@@ -112,8 +112,9 @@
                       self.file.execute("SELECT name, generation FROM members ORDER BY name").fetchall())
 
     def _rows(self):
-        before, n = self._fact("floor seal"), self._fact("floor")
+        n = 0
         try:
+            before, n = self._fact("floor seal"), self._fact("floor")
             found = self.file.execute("SELECT epoch, n, made, sort, what, key, seal FROM purges ORDER BY n")
             while batch := found.fetchmany(ROWS):
                 for epoch, number, made, sort, what, key, told in batch:
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -29,6 +29,10 @@
     def _age(self):
         return self.terms.hold
 
+    def at(self, steady):
+        super().at(steady)
+        self.age = self.terms.hold
+
 
 class Trusting(Guard):
     def refused(self, *copy):
@@ -227,6 +231,14 @@
     assert members.renew(1_200, renewal("a", 1, 6), 1) is None  # an older life of the same router
     assert members.renew(1_300, renewal("a", 1, 7), 1) == LEASE
     assert members.settle(1_300) == [] and [n for n, _, _ in members.settle(1_700)] == [1]
+    assert members.renew(1_400, renewal("a", 0, 8), 1) == 0  # it starts again; its former life may go on
+    members.accepted(1_500, [Purge(2, 2, 1_500, w.OBJECT, "z")])
+    assert members.renew(1_600, renewal("a", 2, 8), 2) == LEASE
+    assert members.settle(1_600 + LEASE // 2) == []
+    assert members.renew(1_700, renewal("a", 2, 7), 2) is None
+    assert members.settle(1_400 + 2 * LEASE) == [] and [n for n, _,
+                                                        _ in members.settle(1_800 + 2 * LEASE)] == [2]
+    assert members.renew(2_000 + 2 * LEASE, renewal("a", 2, 7), 2) == LEASE  # the later one's lease is over
     members.left("a", 7)
-    members.accepted(2_000, [Purge(2, 2, 2_000, w.OBJECT, "y")])
-    assert members.settle(2_000) == [(2, 2_000, 2_000)]  # nobody is left to wait for
+    members.accepted(90_000, [Purge(2, 3, 90_000, w.OBJECT, "y")])
+    assert members.settle(90_000) == [(3, 90_000, 90_000)]  # nobody is left to wait for
