A lease is given only to members whose names outlive a crash of the desk or relay

Cause: names of members went to the store twice a second. A router that joined within that half second before a crash held a lease of which the next life knew nothing, so a purge could be stated as in effect while it answered old copies.

Change: no lease before the name is on disk, tried again 50 ms later; one that never had a lease is not waited for. Every number on the wire is bounded, names of members are printable. Tests: disk full under a real desk, clock set back, tags in opposite order, no lease before the name is noted.

--- a/hookrouter/desk/above.py
+++ b/hookrouter/desk/above.py
@@ -180,6 +180,9 @@
             self.member_left(asked.name)
             self.settle()
             return self._granted(0)
+        # Else a crash would leave a lease behind of which nobody knows.
+        if not self.noted(asked.name, asked.generation):
+            return self._granted(0)
         on_branch = self.tail.place(Position(asked.epoch, asked.n), asked.seen) == t.RESUME
         known = self.members.rows.get(asked.name)
         before = None if known is None else known.generation
@@ -192,7 +195,6 @@
             return None
         if before != asked.generation:
             self.log("member joined", name=asked.name, generation=asked.generation)
-            self.member_joined(asked.name, asked.generation)
         self.settle()
         return self._granted(span)
 
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -45,6 +45,7 @@
         self.waiting, self.token = {}, 0  # token -> its Deferred
         self.pool = ThreadPool(1, 1, "store")  # one thread: what it is given happens in order
         self.pool.start()
+        # Names to be noted in the store, and struck.
         self.joined, self.gone, self.noting = {}, set(), False
         self.accepted = {}  # n -> (Purge, wall time accepted, steady time), the newest last
         self.effects = {}  # n -> wall time from which it is in effect
@@ -56,6 +57,7 @@
         now = steady()
         self.tail, self.ledger = tail, g.Ledger(tail, keys, self.limits)
         self.members = Members(purges["lease"], purges["skew"], ROUNDING, now, loaded.members)
+        self.names = {name for name, _ in loaded.members}  # that are in the store for sure
         self._doubtful(now)
 
     # ---- the store; what blocks runs in its thread, but for the start
@@ -180,29 +182,39 @@
             self._threaded(self.store.fold, upto).addErrback(self._not_noted)
         self.reactor.callLater(FOLD_EVERY, self._fold)
 
-    def member_joined(self, name, generation):
+    def noted(self, name, generation):
+        """Whether the store knows this member; if not, it does soon."""
+        if name in self.names:
+            return True
         self.joined[name] = generation
         self.gone.discard(name)
+        self._note()
+        return False
 
     def member_left(self, name):
         self.joined.pop(name, None)
         self.gone.add(name)
+        self._note()
 
     def tick(self):
-        """Names of members go to the store now and then: what is not there yet costs a lease's patience at
-        most.
-        """
-        struck = [name for name in self.members.struck_off() if name not in self.members.rows]
-        self.gone.update(struck)
-        if (self.joined or self.gone) and not self.noting and self.ledger.state != g.BROKEN:
-            joined, left = sorted(self.joined.items()), sorted(self.gone)
-            self.joined, self.gone, self.noting = {}, set(), True
-            self._threaded(self.store.members, joined,
-                           left).addErrback(self._not_noted).addCallback(self._noted)
+        self.gone.update(name for name in self.members.struck_off() if name not in self.members.rows)
+        self._note()
         self.settle()
 
+    def _note(self):
+        """One write at a time; a name counts as noted once it is on disk, and as struck before."""
+        if self.noting or not (self.joined or self.gone) or self.ledger.state == g.BROKEN:
+            return
+        joined, left = sorted(self.joined.items()), sorted(self.gone)
+        self.joined, self.gone, self.noting = {}, set(), True
+        self.names.difference_update(left)
+        done = self._threaded(self.store.members, joined, left)
+        done.addCallbacks(lambda _: self.names.update(name for name, _ in joined),
+                          self._not_noted).addCallback(self._noted)
+
     def _noted(self, _):
         self.noting = False
+        self._note()
 
     def _not_noted(self, failure):
         self.log("store cannot be written", failure.getErrorMessage(), level="error")
--- a/hookrouter/desk/relay.py
+++ b/hookrouter/desk/relay.py
@@ -11,6 +11,8 @@
 from .above import Above, steady
 from .desk import Clock
 
+NOTE = 0.01  # seconds
+
 
 class Names:
     """The names of members in a file, replaced whole: half a file is never read."""
@@ -49,7 +51,8 @@
         if names is None:
             log("relay's file of members cannot be read, begun anew", relay["store"], level="error")
         self.members = Members(purges["lease"], purges["skew"], ROUNDING, steady(), names or (), 0)
-        self.changed = False
+        self.noted_names = {name for name, _ in names or ()}  # that are in the file for sure
+        self.new = set()
         address = relay["above"] or purges["desk"]
         self.feed = PurgeFeed(reactor, deadlines, self, address, purges, relay["name"], log, self.count,
                               relay=True)
@@ -103,21 +106,33 @@
         super()._settle()
         self.feed.renew_soon()
 
-    def member_joined(self, name, generation):
-        self.changed = True
+    def noted(self, name, generation):
+        if name in self.noted_names:
+            return True
+        self.new.add(name)
+        if len(self.new) == 1:
+            self.reactor.callLater(NOTE, self._note)  # those that come together make one file
+        return False
 
     def member_left(self, name):
-        self.changed = True
+        self.noted_names.discard(name)
 
     def tick(self):
-        self.changed |= bool(self.members.struck_off())
-        if self.changed:
-            self.changed = False
-            try:
-                self.names.write((row.name, row.generation) for row in self.members.rows.values())
-            except OSError as wrong:
-                self.log("relay's file of members cannot be written", str(wrong), level="error")
+        struck = [name for name in self.members.struck_off() if name not in self.members.rows]
+        self.noted_names.difference_update(struck)
+        if self.new or struck:
+            self._note()
         self.fence.at(steady())
 
+    def _note(self):
+        names = self.noted_names | self.new
+        try:
+            self.names.write((name, 0) for name in sorted(names))
+        except OSError as wrong:
+            self.log("relay's file of members cannot be written, new ones get no lease", str(wrong),
+                     level="error")
+            return
+        self.noted_names, self.new = names, set()
+
     def facts(self):
         return {**super().facts(), "role": "relay", "lease": self.fence.state}
--- a/hookrouter/desk/web.py
+++ b/hookrouter/desk/web.py
@@ -68,14 +68,13 @@
 
     def render_GET(self, request):
         position = wire.read_number((request.getHeader(b"x-position") or b"").decode("latin-1"))
-        seen = (request.getHeader(b"x-epoch") or b"").decode("latin-1")
-        if not seen.isdecimal() or len(seen) > 20:
-            raise wire.Malformed("X-Epoch: a whole number is wanted")
+        epoch = (request.getHeader(b"x-epoch") or b"").decode("latin-1")
+        seen = wire.read_whole(epoch, f"X-Epoch {epoch}")
         if not self.desk.ready():
             return answer(request, 503, {"error": "nothing has been heard from above yet"}, Retry_After=1)
         request.setHeader(b"Content-Type", b"text/event-stream")
         request.setHeader(b"Cache-Control", b"no-store")
-        if not self.desk.follow(request, position, int(seen)):
+        if not self.desk.follow(request, position, seen):
             return answer(request, 409, {"error": "come again"}, Retry_After=1)
         return server.NOT_DONE_YET
 
--- a/hookrouter/feed/purges.py
+++ b/hookrouter/feed/purges.py
@@ -13,6 +13,8 @@
 
 RENEWALS = 4  # in one lease: three may be lost
 CALL_WITHIN = 1.0  # seconds, and never longer than from one renewal to the next two
+# Seconds until the next try where there was no lease: noting a name, or catching up, is quick.
+DENIED_PAUSE = 0.05
 LEAST_PAUSE = 0.002  # seconds between renewals: what comes in one burst is answered for at once
 
 
@@ -148,8 +150,8 @@
             self.count("renewals_refused")
             return
         self.desk.granted(asked, wall, granted.span, granted.at)
-        if self.again:
-            self._renew_later(LEAST_PAUSE)
+        if self.again or not granted.span:
+            self._renew_later(LEAST_PAUSE if self.again else DENIED_PAUSE)
 
     def _not_renewed(self, failure):
         self.count("renewals_failed")
--- a/hookrouter/purges/members.py
+++ b/hookrouter/purges/members.py
@@ -34,9 +34,10 @@
 
 
 class Member:
-    __slots__ = ("name", "generation", "n", "all", "until", "skew", "relay", "heard")
+    __slots__ = ("name", "generation", "n", "all", "until", "skew", "relay", "heard", "had_lease")
 
-    def __init__(self, name, generation, until):
+    def __init__(self, name, generation, until, had_lease=True):
+        self.had_lease = had_lease  # one that never had takes nothing but what the origin gives out anew
         self.name, self.generation, self.until = name, generation, until
         self.n = self.all = -1  # nothing known: it may lack all
         self.skew, self.relay, self.heard = 0, False, None
@@ -83,7 +84,8 @@
             if row is not None and row.until > now:
                 # Routers below a relay's former life, or a second one of the same name, may rely on it yet.
                 self.ghosts.append((row.until, row.n))
-            row = self.rows[renewal.name] = Member(renewal.name, renewal.generation, now)
+            row = self.rows[renewal.name] = Member(renewal.name, renewal.generation, now,
+                                                   row is not None and row.had_lease)
         row.heard, row.relay, row.skew = now, renewal.relay, renewal.skew
         if not renewal.on_branch:
             return 0
@@ -93,6 +95,7 @@
             granted = min(granted, most)
         if granted <= 0:
             return 0
+        row.had_lease = True
         row.until = max(row.until, now + int(granted * (1 + DRIFT)) + 1)
         return granted
 
@@ -131,7 +134,7 @@
         live = [row.n for row in self.rows.values() if row.until > now]
         self.ghosts = [(until, n) for until, n in self.ghosts if until > now]
         live.extend(n for _, n in self.ghosts)
-        every = [row.all for row in self.rows.values()]
+        every = [row.all for row in self.rows.values() if row.had_lease]
         every.extend(n for _, n in self.ghosts)
         return min(live, default=None), min(every, default=None)
 
@@ -171,7 +174,8 @@
 
     def behind(self, now, n):
         """Members that lack this purge, as (name, state, position), the farthest behind first."""
-        rows = [(row.name, self.state(now, row), row.all) for row in self.rows.values() if row.all < n]
+        rows = [(row.name, self.state(now, row), row.all) for row in self.rows.values()
+                if row.all < n and row.had_lease]
         return sorted(rows, key=lambda row: (row[2], row[0]))
 
     def _strike_off(self, now):
--- a/hookrouter/purges/wire.py
+++ b/hookrouter/purges/wire.py
@@ -1,6 +1,6 @@
 """What goes between desk, relays, routers and submitters: JSON, read into types, whatever the bytes."""
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -9,38 +9,43 @@
 MOST_BODY = 1_000_000  # bytes of one request or event: a submission of the most purges has some 300,000
 MOST_IN_EVENT = 500  # purges in one event
 
-Row = tuple[int, int, int, str, str]
+MOST = 1 << 53  # of any number here: beyond it stores and other languages' readers go wrong
+
+Whole = Annotated[int, msgspec.Meta(ge=0, le=MOST)]
+Name = Annotated[str, msgspec.Meta(pattern="^[!-~]{1,64}$")]  # of a member: it stands in logs
+Row = tuple[Whole, Whole, Whole, str, str]
 
 
 class Event(msgspec.Struct, omit_defaults=True):
     """One event of the feed. epoch: of the life of the desk that speaks; purges: rows of Purge."""
 
     t: Literal["purges", "begin", "end", "beat"]
-    epoch: int
+    epoch: Whole
     purges: list[Row] = []
-    n: int = 0  # beat, end: the newest number
-    of: int = 0  # end: the epoch of the newest number
-    count: int = 0  # end: purges in the snapshot
+    n: Whole = 0  # beat, end: the newest number
+    of: Whole = 0  # end: the epoch of the newest number
+    count: Whole = 0  # end: purges in the snapshot
 
 
 class Renew(msgspec.Struct, forbid_unknown_fields=True):
-    name: str
-    generation: int
-    epoch: int  # of the position
-    n: int
-    least: int  # a relay's: applied by all below that are live; else n
-    all: int  # a relay's: applied by all below; else n
-    seen: int  # the highest epoch heard of
-    skew: int
+    name: Name
+    generation: Whole
+    epoch: Whole  # of the position
+    n: Whole
+    # A relay's: applied by all below that are live; else n.
+    least: Annotated[int, msgspec.Meta(ge=-1, le=MOST)]
+    all: Annotated[int, msgspec.Meta(ge=-1, le=MOST)]  # a relay's: applied by all below; else n
+    seen: Whole  # the highest epoch heard of
+    skew: Annotated[int, msgspec.Meta(ge=0, le=10_000)]
     relay: bool = False
     leave: bool = False
 
 
 class Granted(msgspec.Struct):
-    span: int  # tenths of a millisecond from when it was asked for; 0: behind
-    epoch: int
-    at: int  # the desk's clock
-    settling: int  # what the desk adds until it states a purge as in effect
+    span: Whole  # tenths of a millisecond from when it was asked for; 0: behind
+    epoch: Whole
+    at: Whole  # the desk's clock
+    settling: Whole  # what the desk adds until it states a purge as in effect
 
 
 class Item(msgspec.Struct, forbid_unknown_fields=True):
@@ -87,6 +92,10 @@
 
 def read_number(text):
     epoch, _, n = text.partition(".")
-    if not (epoch.isdecimal() and n.isdecimal() and len(text) < 40):
+    return w.Position(read_whole(epoch, text), read_whole(n, text))
+
+
+def read_whole(digits, text):
+    if not (digits.isascii() and digits.isdecimal() and len(digits) <= 16 and int(digits) <= MOST):
         raise Malformed(f"{text[:60]!r} is no number of a purge; wanted is EPOCH.N")
-    return w.Position(int(epoch), int(n))
+    return int(digits)
--- a/tests/test_purge_network.py
+++ b/tests/test_purge_network.py
@@ -15,6 +15,7 @@
 
 from hookrouter import interface as i
 from hookrouter.desk.above import SLOW, Above, Stream
+from hookrouter.desk.desk import Clock
 from hookrouter.feed.events import parse_event
 from hookrouter.feed.purges import PurgeFeed
 from hookrouter.log import Log
@@ -203,6 +204,20 @@
     def __init__(self, net, recent):
         super().__init__(net, lambda *args, **more: None)
         self.tail, self.members = Tail(1 << 60, 5, recent=recent), Members(SECOND, 0, 0, 0)
+        self.clock, self.names, self.asked = (lambda: 77), set(), []
+
+    def noted(self, name, generation):
+        self.asked.append(name)
+        return name in self.names
+
+
+def test_no_lease_is_given_before_its_name_would_outlive_a_crash():
+    above = Lone(Net(), 10)
+    asked = wire.Renew("r1", 1, 0, 0, 0, 0, 0, 0)
+    assert above.renew(asked).span == 0 and above.members.rows == {} and above.asked == ["r1"]
+    above.names.add("r1")
+    assert above.renew(asked).span == SECOND and list(above.members.rows) == ["r1"]
+    assert above.renew(wire.Renew("r1", 0, 0, 0, 0, 0, 0, 0)) is None
 
 
 def test_a_follower_that_does_not_read_holds_no_more_than_it_was_given_and_is_cut(tmp_path):
@@ -527,6 +542,54 @@
         assert "1 purges are sound" in run.call("verify")
 
 
+def limited():
+    import resource
+    resource.setrlimit(resource.RLIMIT_FSIZE, (300_000, 300_000))
+
+
+def test_a_full_disk_refuses_at_once_loses_nothing_acknowledged_and_is_got_over(tmp_path):
+    with Run(tmp_path) as run:
+        process = subprocess.Popen([sys.executable, "-m", "hookrouter", "purges", "serve", "--site",
+                                    str(tmp_path / "desk.ini")], stderr=subprocess.PIPE, text=True,
+                                   preexec_fn=limited)
+        run.all.append(process)
+        assert "serving purges" in process.stderr.readline()
+        connection = http.client.HTTPConnection("127.0.0.1", run.port, timeout=5)
+        acknowledged = []
+        for n in range(200):
+            rows = [{"sort": "object", "what": f"{n}-{k}" + "x" * 100} for k in range(100)]
+            connection.request("POST", "/v1/purges", json.dumps({"key": f"k{n}", "purges": rows}),
+                               {"Authorization": "Bearer 0123456789abcdef"})
+            got = connection.getresponse()
+            body = json.loads(got.read())
+            if got.status != 200:
+                break
+            acknowledged += [row["number"] for row in body["purges"]]
+        assert got.status == 503 and got.headers["Retry-After"] == "1" and "cannot be written" in body["error"]
+        assert len(acknowledged) >= 200
+        assert "store cannot be written" in process.stderr.readline()
+        process.kill()
+        process.wait()
+        run.desk()
+        assert json.loads(run.call("submit", "--tag", "a", "--wait", "--json"))["in_effect_ms"]
+        connection = http.client.HTTPConnection("127.0.0.1", run.port, timeout=5)
+        rows = [{"sort": "object", "what": "0-" + f"{k}" + "x" * 100} for k in range(100)]
+        connection.request("POST", "/v1/purges", json.dumps({"key": "k0", "purges": rows}),
+                           {"Authorization": "Bearer 0123456789abcdef"})
+        again = json.loads(connection.getresponse().read())
+        assert again["repeated"] and [row["number"] for row in again["purges"]] == acknowledged[:100]
+
+
+def test_the_desks_clock_goes_on_where_the_wall_goes_back_and_follows_it_forward():
+    wall, passed = [100.0], [0]
+    clock = Clock(lambda: wall[0], lambda: passed[0])
+    assert clock() == 1_000_000
+    wall[0], passed[0] = 97.0, 10_000  # a second later the wall was set back by four
+    assert clock() == 1_010_000
+    wall[0], passed[0] = 110.0, 20_000
+    assert clock() == 1_100_000
+
+
 def test_a_store_that_was_restored_begins_above_what_followers_know(tmp_path):
     with Run(tmp_path) as run:
         desk = run.desk()
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -95,6 +95,21 @@
     assert len(index) == 1
 
 
+def test_two_tags_of_one_object_in_opposite_order_are_the_same_at_two_routers():
+    told = [Purge(1, 1, 8_000, w.TAG, "red"), Purge(1, 2, 8_500, w.TAG, "blue")]
+    guards = [Guard(TERMS), Guard(TERMS)]
+    for guard, purges_told in zip(guards, (told, told[::-1])):
+        guard.granted(0, LEASE)
+        for purge in purges_told:
+            guard.told(9_000, purge)
+        guard.learn("aa", 8_400, ("red", "blue"))
+    now = 9_000 + GRACE + 4 * SKEW
+    for made in (7_000, 8_400, 9_100):
+        refused = {guard.refused(now, now, "page", "aa", 1, made, ("blue", "red")) for guard in guards}
+        assert refused == {made < 8_500}
+    assert guards[0].oldest(now, "page", "aa", 1) == guards[1].oldest(now, "page", "aa", 1) > 8_500
+
+
 def test_what_is_older_than_the_hold_leaves_and_the_tables_with_it():
     index = Index(TERMS)
     for n in range(3_000):
@@ -236,9 +251,12 @@
     assert members.renew(1_600, renewal("a", 2, 8), 2) == LEASE
     assert members.settle(1_600 + LEASE // 2) == []
     assert members.renew(1_700, renewal("a", 2, 7), 2) is None
-    assert members.settle(1_400 + 2 * LEASE) == [] and [n for n, _,
-                                                        _ in members.settle(1_800 + 2 * LEASE)] == [2]
+    assert members.settle(1_400 + 2 * LEASE) == []
+    assert [n for n, _, _ in members.settle(1_800 + 2 * LEASE)] == [2]
     assert members.renew(2_000 + 2 * LEASE, renewal("a", 2, 7), 2) == LEASE  # the later one's lease is over
     members.left("a", 7)
+    # Behind, and without a lease so far: waits for none.
+    assert members.renew(80_000, renewal("new", 0), 2) == 0
     members.accepted(90_000, [Purge(2, 3, 90_000, w.OBJECT, "y")])
-    assert members.settle(90_000) == [(3, 90_000, 90_000)]  # nobody is left to wait for
+    assert members.settle(90_000) == []  # nobody is left to wait for, but what the skew asks
+    assert members.settle(90_000 + 2 * SKEW) == [(3, 90_000, 90_000 + 2 * SKEW)]
