--- a/hookrouter/node/purging.py
+++ b/hookrouter/node/purging.py
@@ -2,6 +2,9 @@
 answers.
 """
 
+from collections import deque
+from time import perf_counter
+
 from .. import interface as i
 from ..feed.purges import PurgeFeed
 from ..feed.purges import steady as boot_time
@@ -10,10 +13,16 @@
 from ..purges.tags import Listed, read_tags
 from ..site import purge_terms
 
+SLICE = 0.005  # seconds of purges taken in at a time: a snapshot of all takes seconds, lookups must not wait
+
 
 class Purging:
-    def __init__(self, start, reactor, deadlines, router, log, count, steady):
+    def __init__(self, start, reactor, deadlines, router, log, count, steady, watch=perf_counter):
+        """steady: see Router; None: the machine's. watch: seconds, for how long a slice has lasted."""
         purges = start.purges
+        self.deadlines, self.watch = deadlines, watch
+        # Purges told that the guard does not know yet; bounded by the desk's most live.
+        self.backlog = deque()
         self.steady = steady or boot_time
         self.router, self.log, self.count = router, log, count
         self.guard = Guard(purge_terms(purges), None if start.tags is None else Listed(start.tags))
@@ -30,10 +39,20 @@
         """The feed keeps the epoch."""
 
     def purged(self, purges):
-        now = self.router.now()
-        for purge in purges:
+        idle = not self.backlog
+        self.backlog.extend(purges)
+        if idle:
+            self._take_in()
+
+    def _take_in(self):
+        now, until = self.router.now(), self.watch() + SLICE
+        while self.backlog:
+            if self.watch() > until:
+                self.deadlines.after(0, self._take_in)
+                return
             self.count("purges_told")
-            self.guard.told(now, purge)
+            self.guard.told(now, self.backlog.popleft())
+        self.feed.renew_soon()
 
     def whole(self, purges, newest):
         self.purged(purges)  # what was live here stays: it only makes bounds stricter
@@ -45,7 +64,8 @@
         self.look()
 
     def place(self, n):
-        return n, n
+        """Nothing is answered for while some of it is not taken in."""
+        return (-1, -1) if self.backlog else (n, n)
 
     # ---- asked by the router
 
