--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,7 @@
 
 import click
 
-NAMES = ("purges",)
+NAMES = ("lab", "purges")
 
 
 @click.command()
