Signals are kept from the first moment of serve again, before click is imported

Cause: the command line's library takes 40 ms to import, during which SIGHUP ended a router that was starting.

Change: python -m hookrouter serve takes hold of signals before anything else and hands them on.

--- a/hookrouter/command/__init__.py
+++ b/hookrouter/command/__init__.py
@@ -41,10 +41,10 @@
     """
 
 
-def main(arguments=None):
-    """Runs one command; its exit code."""
+def main(arguments=None, signals=None):
+    """Runs one command; its exit code. signals: what keeps signals since the start of the process."""
     try:
-        commands.main(arguments, prog_name="hookrouter")
+        commands.main(arguments, prog_name="hookrouter", obj=signals)
     except SystemExit as ended:
         return ended.code or DONE
     return DONE
--- a/hookrouter/command/router.py
+++ b/hookrouter/command/router.py
@@ -36,7 +36,8 @@
 @site_option
 @click.option("--log-format", type=click.Choice(["text", "json"]),
               help="In place of the file's [log] format.")
-def serve(site_file, log_format):
+@click.pass_obj
+def serve(signals, site_file, log_format):
     """Serve lookups until SIGTERM.
 
     Reads EDGE_NAME, EDGE_LISTEN and the file that EDGE_CONFIG names, that one again on SIGHUP.
@@ -44,7 +45,7 @@
     Example: EDGE_CONFIG=docs/example.json hookrouter serve
     """
     from ..node.signals import Signals
-    signals = Signals()  # before all that takes time: none that comes meanwhile ends the process
+    signals = signals or Signals()  # before all that takes time: none that comes meanwhile ends the process
     sections = read_site(site_file)
     start = start_or_stop(sections)
     from twisted.internet import reactor
