One steady clock for desk and followers; what the purges' code no longer used is gone

Change: the desk takes the followers' clock; the rest is removed; calls broken across lines in odd places are set out. Behaviour is as it was.

--- a/hookrouter/desk/above.py
+++ b/hookrouter/desk/above.py
@@ -1,7 +1,6 @@
 """What desk and relay have in common: an order told to followers, and members whose leases they renew."""
 
-from time import CLOCK_BOOTTIME, clock_gettime_ns
-
+from ..feed.purges import steady
 from ..purges import tail as t
 from ..purges import wire
 from ..purges.members import Renewal
@@ -14,11 +13,6 @@
 MOST_STREAMS = 2_000  # followers of one desk or relay; more hang off relays
 
 
-def steady():
-    """A clock that no one sets, and that goes on while the machine sleeps; tenths of a millisecond."""
-    return clock_gettime_ns(CLOCK_BOOTTIME) // 100_000
-
-
 class Stream:
     """One follower's connection. Nothing is kept for it but its place: what it has not read stays in the
     order.
@@ -107,7 +101,7 @@
 
 class Above:
     """tail, members: the decisions. Subclasses say what is theirs: span_left(), raise_epoch(),
-    told_members().
+    and noted() and member_left(), which names outlive the process.
     """
 
     def __init__(self, reactor, log):
@@ -186,10 +180,9 @@
         on_branch = self.tail.place(Position(asked.epoch, asked.n), asked.seen) == t.RESUME
         known = self.members.rows.get(asked.name)
         before = None if known is None else known.generation
-        span = self.members.renew(now, Renewal(asked.name, asked.generation, on_branch, min(asked.n,
-                                                                                            asked.least),
-                                               asked.all, asked.skew, asked.relay), self.tail.newest.n,
-                                  self.span_left())
+        renewal = Renewal(asked.name, asked.generation, on_branch, min(asked.n, asked.least), asked.all,
+                          asked.skew, asked.relay)
+        span = self.members.renew(now, renewal, self.tail.newest.n, self.span_left())
         if span is None:
             self.count("members_refused")
             return None
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -36,10 +36,10 @@
 
 
 class Desk(Above):
-    def __init__(self, reactor, log, purges, desk, clock=None):
+    def __init__(self, reactor, log, purges, desk):
         """purges, desk: the sections of the operator's file."""
         super().__init__(reactor, log)
-        self.clock = clock or Clock()
+        self.clock = Clock()
         self.hold, self.path = purges["hold"], desk["store"]
         self.limits = g.Limits(desk["most live"], desk["most patterns"])
         self.waiting, self.token = {}, 0  # token -> its Deferred
@@ -136,8 +136,8 @@
             elif isinstance(effect, g.Reopen):
                 self._reopen(least)
             else:
-                self.count("submissions_accepted" if isinstance(effect,
-                                                                g.Accepted) else "submissions_refused")
+                accepted = isinstance(effect, g.Accepted)
+                self.count("submissions_accepted" if accepted else "submissions_refused")
                 self.waiting.pop(effect.token).callback(effect)
 
     def _written(self, _):
@@ -223,8 +223,8 @@
         """A Deferred: fires once the store is closed."""
         super().stop()
         done = self._threaded(self.store.close) if self.ledger.state != g.BROKEN else succeed(None)
-        return done.addErrback(lambda _: None).addCallback(lambda _: self.reactor.callLater(0,
-                                                                                            self.pool.stop))
+        done.addErrback(lambda _: None)
+        return done.addCallback(lambda _: self.reactor.callLater(0, self.pool.stop))
 
     # ---- what is shown
 
--- a/hookrouter/feed/purges.py
+++ b/hookrouter/feed/purges.py
@@ -19,6 +19,7 @@
 
 
 def steady():
+    """A clock that no one sets, and that goes on while the machine sleeps; tenths of a millisecond."""
     return clock_gettime_ns(CLOCK_BOOTTIME) // 100_000
 
 
@@ -40,7 +41,6 @@
         self.every = purges["lease"] / SECOND / RENEWALS
         self.caller = Caller(reactor, deadlines, address)
         self.again, self.timer, self.leaving = False, None, False
-        self.out_of_place = False
 
     def fields(self):
         return [(b"Authorization", b"Bearer " + self.secret.value),
@@ -129,7 +129,6 @@
         call = self._call(False)
         call.addCallbacks(self._renewed, self._not_renewed, callbackArgs=(asked, wall))
         call.addErrback(lambda failure: self.log("renewal failed", failure.getTraceback(), level="error"))
-        self.timer = None
         self._renew_later(self.every)
 
     def _call(self, leave):
@@ -176,5 +175,5 @@
         return self._call(True).addErrback(lambda _: None).addCallback(lambda _: self.stop())
 
 
-EVENTS = {"purges": PurgeFeed._purges, "begin": PurgeFeed._begin, "end": PurgeFeed._end, "beat":
-PurgeFeed._beat}
+EVENTS = {"purges": PurgeFeed._purges, "begin": PurgeFeed._begin, "end": PurgeFeed._end,
+          "beat": PurgeFeed._beat}
--- a/hookrouter/stores/purge_log.py
+++ b/hookrouter/stores/purge_log.py
@@ -105,9 +105,7 @@
 
     def load(self):
         """All that is there, each seal checked. Damaged names the first row that is not as it was written."""
-        rows = []
-        for purge, key in self._rows():
-            rows.append((purge, key))
+        rows = list(self._rows())
         return Loaded(self._fact("epoch"), self._fact("floor"), rows,
                       self.file.execute("SELECT name, generation FROM members ORDER BY name").fetchall())
 
