purges list and status show what was purged before the desk's restart, and whose it was

Need: after a restart of the desk `purges list` was empty although all purges were on disk, and `status` refused their numbers: an operator could not see what was purged, by whom, and whether it is in effect.

Change: the desk recalls its newest 10,000 purges with the keys of their submissions when it reads its store, at the start and after a failure. What is in doubt is settled anew and then stated; older ones are stated as in effect by two leases and the skew after acceptance. A key that is made up says USER@HOST.

--- a/hookrouter/command/purges.py
+++ b/hookrouter/command/purges.py
@@ -1,9 +1,11 @@
 """purges: the desk, relays, submitting, and what is in effect."""
 
+import getpass
 import http.client
 import json
 import os
 import signal
+import socket
 import sys
 import time
 import uuid
@@ -199,7 +201,7 @@
     if not items:
         stop(WRONG, "nothing to purge; name an object, group, tag or pattern (see --help)")
     desk = Desk(sections)
-    body = {"key": key or uuid.uuid4().hex, "purges": items, "everything": everything}
+    body = {"key": key or made_up_key(), "purges": items, "everything": everything}
     accepted = good(desk.call("POST", "/v1/purges", body))
     numbers = [row["number"] for row in accepted["purges"]]
     facts = waited(desk, numbers, span, as_json) if wait else None
@@ -217,6 +219,16 @@
                      f"behind: {behind(facts)}")
 
 
+def made_up_key():
+    """New each time, and it says who: the desk keeps it, and `list` shows it."""
+    try:
+        who = getpass.getuser()
+    except (KeyError, OSError):  # a user without a name
+        who = str(os.getuid())
+    who = "".join(c for c in f"{who}@{socket.gethostname()}" if c.isprintable())
+    return f"{who[:80]}/{uuid.uuid4().hex}"
+
+
 def shortened(numbers):
     return numbers[0] if len(numbers) == 1 else f"{numbers[0]} to {numbers[-1]}"
 
@@ -230,6 +242,12 @@
     return f"{time.strftime('%H:%M:%S', time.localtime(millis / 1000))}.{millis % 1000:03d}"
 
 
+def dated(millis):
+    """With its day where that is not today's."""
+    day = time.strftime("%Y-%m-%d", time.localtime(millis / 1000))
+    return clock(millis) if day == time.strftime("%Y-%m-%d") else f"{day} {clock(millis)}"
+
+
 def waited(desk, numbers, span, quiet):
     """The facts of the last one, once it is in effect or the time is over: the order is one, so all before it
     are.
@@ -256,7 +274,9 @@
 def status(site_file, number, at, as_json):
     """The desk's members and positions, or from when one purge is in effect and who is behind.
 
-    Example: hookrouter purges status --site site.ini 1764576000123.42
+    The part of its number behind the point is enough.
+
+    Example: hookrouter purges status --site site.ini 42
     """
     sections = sections_of(site_file)
     address = None
@@ -272,8 +292,10 @@
     if as_json:
         print(json.dumps(facts))
     elif number:
-        print(f"{number}: accepted {clock(facts['accepted_ms'])}, "
-              + (f"in effect since {clock(facts['in_effect_ms'])}" if facts["in_effect_ms"] else
+        print(f"{facts['number']}: {facts['sort']} {facts['what']}, by {facts['key']}, "
+              f"accepted {clock(facts['accepted_ms'])}, "
+              + (f"in effect since {clock(facts['in_effect_ms'])}{' at the latest' if facts['by'] else ''}"
+                 if facts["in_effect_ms"] else
                  f"in effect by {clock(facts['latest_ms'])} at the latest, behind: {behind(facts)}"))
     else:
         print(f"{facts['role']}: epoch {facts['epoch']}, newest {facts['newest']}, {facts['live']} live, "
@@ -289,18 +311,23 @@
 @click.option("--last", type=click.IntRange(1, 1_000), default=20, help="So many of the newest.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
 def newest(site_file, last, as_json):
-    """The newest purges, and from when each is in effect.
+    """The newest purges, by whom, and from when each is in effect: those of before a restart too.
 
     Example: hookrouter purges list --site site.ini --last 5
     """
-    rows = good(Desk(sections_of(site_file)).call("GET", "/v1/purges"))["purges"][-last:]
+    found = good(Desk(sections_of(site_file)).call("GET", f"/v1/purges?last={last}"))
+    rows, more = found["purges"], found["of"] - len(found["purges"])
     if as_json:
-        print(json.dumps({"purges": rows}))
+        print(json.dumps({"purges": rows, "of": found["of"]}))
         return
-    table(("number", "what", "accepted", "in effect", "after ms"),
-          [(row["number"], f"{row['sort']} {row['what']}", clock(row["accepted_ms"]),
-            clock(row["in_effect_ms"]) if row["in_effect_ms"] else "not yet",
+    table(("number", "what", "by", "accepted", "in effect", "after ms"),
+          [(row["number"], f"{row['sort']} {row['what']}", row["key"], dated(row["accepted_ms"]),
+            ("by " if row["by"] else "") + clock(row["in_effect_ms"]) if row["in_effect_ms"] else "not yet",
             row["in_effect_ms"] - row["accepted_ms"] if row["in_effect_ms"] else "") for row in rows])
+    if more > 0:
+        print(f"{more} more are kept that are older"
+              + (f"; --last {min(1_000, found['of'])} shows {'them' if found['of'] <= 1_000 else 'more'}"
+                 if last < 1_000 else ""), file=sys.stderr)
 
 
 def table(heads, rows):
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -47,7 +47,8 @@
         self.pool.start()
         # Names to be noted in the store, and struck.
         self.joined, self.gone, self.noting = {}, set(), False
-        self.accepted = {}  # n -> (Purge, wall time accepted, steady time), the newest last
+        # n -> (Purge, wall time accepted, steady time; None: by a former life, key), the newest last
+        self.accepted = {}
         self.effects = {}  # n -> wall time from which it is in effect
         try:
             self.store, tail, keys, loaded = self._read(0)
@@ -58,6 +59,7 @@
         self.tail, self.ledger = tail, g.Ledger(tail, keys, self.limits)
         self.members = Members(purges["lease"], purges["skew"], ROUNDING, now, loaded.members)
         self.names = {name for name, _ in loaded.members}  # that are in the store for sure
+        self._recall(loaded.rows)
         self._doubtful(now)
 
     # ---- the store; what blocks runs in its thread, but for the start
@@ -81,9 +83,20 @@
 
     def _doubtful(self, now):
         """What a former life took lately may not be in effect yet."""
-        since = self.clock() - 2 * self.members.span
+        self.recalled = self.clock()  # from when this life counts what those before took
+        since = self.recalled - 2 * self.members.span
         self.members.read_anew(now, [purge for purge in self.tail.recent if purge.made >= since])
 
+    def _recall(self, rows):
+        """What is shown of purges that the store holds: those of this life stay as they are known."""
+        self.floor = self.tail.newest.n - len(rows)  # all up to there is folded away
+        known, self.accepted = self.accepted, {}
+        for purge, key in rows[-MOST_LATEST:]:
+            row = known.get(purge.n)
+            # The time of the order stands in for that of the acceptance, which is after it by one write.
+            self.accepted[purge.n] = row if row and row[0] == purge else (purge, purge.made, None, key)
+        self.effects = {n: at for n, at in self.effects.items() if self.accepted.get(n) == known.get(n)}
+
     def _threaded(self, call, *args):
         return deferToThreadPool(self.reactor, self.pool, call, *args)
 
@@ -97,9 +110,10 @@
         return self._read(least)
 
     def _reopened(self, read):
-        self.store, self.tail, keys, _ = read
+        self.store, self.tail, keys, loaded = read
         self._carry(self.ledger.reopened(self.tail, keys))
         self._doubtful(steady())
+        self._recall(loaded.rows)
         self.log("store read again", epoch=self.tail.epoch, newest=self.tail.newest.n)
         for stream in list(self.streams):
             stream.cut()  # each goes on from its place in the order as it is now
@@ -132,7 +146,7 @@
             if isinstance(effect, g.Write):
                 self._threaded(self.store.append, effect.batch).addCallbacks(self._written, self._failed)
             elif isinstance(effect, g.Tell):
-                self._tell(effect.purges)
+                self._tell(effect.purges, effect.keys)
             elif isinstance(effect, g.Reopen):
                 self._reopen(least)
             else:
@@ -149,13 +163,13 @@
         self.count("batches_failed")
         self._carry(self.ledger.failed())
 
-    def _tell(self, purges):
+    def _tell(self, purges, keys):
         now, wall = steady(), self.clock()
         self.members.accepted(now, purges)
-        for purge in purges:
+        for purge, key in zip(purges, keys):
             self.accepted.pop(purge.n, None)  # of before a store was restored
             self.effects.pop(purge.n, None)
-            self.accepted[purge.n] = purge, wall, now
+            self.accepted[purge.n] = purge, wall, now, key
         while len(self.accepted) > MOST_LATEST:
             n = next(iter(self.accepted))
             del self.accepted[n]
@@ -178,6 +192,7 @@
             return
         upto = self.tail.fold(self.clock())
         if upto and self.ledger.state != g.BROKEN:
+            self.floor = upto
             self.ledger.fold(upto)
             self._threaded(self.store.fold, upto).addErrback(self._not_noted)
         self.reactor.callLater(FOLD_EVERY, self._fold)
@@ -229,18 +244,31 @@
     # ---- what is shown
 
     def purge_facts(self, n):
-        """What is known of a purge of this life, or None."""
+        """What is known of one of the newest purges, or None. With `by`, in_effect_ms is the latest it was."""
         if n not in self.accepted:
             return None
-        purge, wall, at = self.accepted[n]
-        now = steady()
-        return {"number": wire.number(purge), "sort": purge.sort, "what": purge.what,
+        purge, wall, at, key = self.accepted[n]
+        now, former, effect = steady(), at is None, self.effects.get(n)
+        if former:
+            latest = self.recalled + self.members.latest(0)
+            # Not doubtful at the start of this life: in effect by the span that the doubt has, see _doubtful.
+            if effect is None and wall < self.recalled - 2 * self.members.span:
+                effect = latest = wall + 2 * self.members.span + self.members.settling()
+        else:
+            latest = wall + self.members.latest(at) - at
+        return {"number": wire.number(purge), "sort": purge.sort, "what": purge.what, "key": key,
                 "accepted_ms": wall // 10,
-                "in_effect_ms": self.effects[n] // 10 if n in self.effects else None,
-                "latest_ms": (wall + self.members.latest(at) - at) // 10,
+                "in_effect_ms": effect // 10 if effect is not None else None,
+                "by": former, "latest_ms": latest // 10,
                 "members": len(self.members.rows),
-                "behind": [{"name": name, "state": state, "n": place}
-                           for name, state, place in self.members.behind(now, n)[:100]]}
+                "behind": [] if former and effect is not None else [
+                    {"name": name, "state": state, "n": place}
+                    for name, state, place in self.members.behind(now, n)[:100]]}
+
+    def newest(self, most):
+        """(facts of so many of the newest purges, how many the store holds in all)."""
+        numbers = list(self.accepted)[-most:]
+        return [self.purge_facts(n) | {"behind": None} for n in numbers], self.tail.newest.n - self.floor
 
     def facts(self):
         return {**super().facts(), "patterns": self.ledger.patterns, "state": self.ledger.state,
--- a/hookrouter/desk/web.py
+++ b/hookrouter/desk/web.py
@@ -4,8 +4,8 @@
 GET /v1/feed         X-Position: EPOCH.N, X-Epoch: the highest heard of -> server-sent events, each a
 wire.Event POST /v1/renew       wire.Renew -> wire.Granted
 POST /v1/purges      wire.Submit -> numbers; 400 what is wrong, 409 key used otherwise, 503 with Retry-After
-GET /v1/purges/N.N   from when it is in effect, and who is behind
-GET /v1/purges       the newest
+GET /v1/purges/N.N   from when it is in effect, and who is behind; N, or an ending of N.N, will do
+GET /v1/purges       the newest, ?last=N of them, and how many there are
 GET /v1/status       members, positions, counters
 """
 
@@ -19,8 +19,7 @@
 
 IDLE = 30.0  # seconds that a connection without a request under way may last
 MOST_SHOWN = 1_000  # purges in one list
-UNKNOWN = ("no purge of that number in this life of the desk; if it was accepted, it is in effect a lease "
-           "and a half after the desk's restart")
+UNKNOWN = "no purge of that number among the newest that the desk shows; purges list has them"
 STATUS = {"form": 400, "key": 409, "busy": 503}
 
 
@@ -97,9 +96,12 @@
         return OnePurge(self.desk, self.secret, path)
 
     def render_GET(self, request):
-        numbers = list(self.desk.accepted)[-MOST_SHOWN:]
-        return answer(request, 200, {"purges": [self.desk.purge_facts(n) | {"behind": None}
-                                                for n in numbers]})
+        last = request.args.get(b"last", [str(MOST_SHOWN).encode()])[-1].decode("latin-1")
+        most = wire.read_whole(last, f"last={last}")
+        if not 1 <= most <= MOST_SHOWN:
+            raise wire.Malformed(f"last={last}: 1 to {MOST_SHOWN} is wanted")
+        rows, held = self.desk.newest(most)
+        return answer(request, 200, {"purges": rows, "of": held})
 
     def render_POST(self, request):
         asked = wire.read_submit(request.content.read())
@@ -133,8 +135,9 @@
         self.number = number
 
     def render_GET(self, request):
-        facts = self.desk.purge_facts(wire.read_number(self.number.decode("latin-1")).n)
-        if facts is None or facts["number"].encode() != self.number:
+        epoch, n = wire.read_ending(self.number.decode("latin-1"))
+        facts = self.desk.purge_facts(n)
+        if facts is None or not facts["number"].partition(".")[0].endswith(epoch):
             return answer(request, 404, {"error": UNKNOWN})
         return answer(request, 200, facts)
 
--- a/hookrouter/purges/ledger.py
+++ b/hookrouter/purges/ledger.py
@@ -52,6 +52,7 @@
 
 class Tell(NamedTuple):
     purges: tuple
+    keys: tuple  # of their submissions, one for each
 
 
 class Reopen(NamedTuple):
@@ -180,16 +181,17 @@
                             for submission, purges in self.batch for purge in purges))]
 
     def _done(self):
-        effects, told = [], []
+        effects, told, keys = [], [], []
         for submission, purges in self.batch:
             tokens = self._close(submission, purges)
             self.keys[submission.key] = purges
             told.extend(purges)
+            keys.extend([submission.key] * len(purges))
             effects.append(Accepted(submission.token, purges, False))
             effects.extend(Accepted(token, purges, True) for token in tokens)
         for purge in told:
             self.tail.add(purge)
-        return [*effects, Tell(tuple(told)), *self._write()]
+        return [*effects, Tell(tuple(told), tuple(keys)), *self._write()]
 
     def _break(self):
         """All that was not durable is refused; what of it is on disk is found when the store is read again.
--- a/hookrouter/purges/wire.py
+++ b/hookrouter/purges/wire.py
@@ -95,6 +95,12 @@
     return w.Position(read_whole(epoch, text), read_whole(n, text))
 
 
+def read_ending(text):
+    """(ending of an epoch, n) of a number that may lack its beginning, as "42" and "123.42"."""
+    epoch, _, n = text.rpartition(".")
+    return epoch and str(read_whole(epoch, text)), read_whole(n, text)
+
+
 def read_whole(digits, text):
     if not (digits.isascii() and digits.isdecimal() and len(digits) <= 16 and int(digits) <= MOST):
         raise Malformed(f"{text[:60]!r} is no number of a purge; wanted is EPOCH.N")
--- a/tests/test_purge_network.py
+++ b/tests/test_purge_network.py
@@ -523,6 +523,44 @@
         assert [row["name"] for row in run.members(1)] == ["depot"]  # it left: nobody waits for it
 
 
+def test_after_a_kill_the_desk_shows_what_was_purged_before_by_whom_and_from_when(tmp_path):
+    with Run(tmp_path) as run:
+        desk = run.desk()
+        sheet = tmp_path / "sheet"
+        sheet.write_text("".join(f"object {n:016x}\n" for n in range(200)))
+        told = json.loads(run.call("submit", "--from-file", str(sheet), "--wait", "--json"))
+        shown = json.loads(run.call("list", "--json", "--last", "1000"))
+        assert not any(row["by"] for row in shown["purges"])
+        desk.kill()
+        desk.wait()
+        desk = run.desk()
+        found = json.loads(run.call("list", "--json", "--last", "1000"))
+        rows = found["purges"]
+        assert found["of"] == 200 and [row["number"] for row in rows] == told["numbers"]
+        assert [row["what"] for row in rows] == [f"{n:016x}" for n in range(200)]
+        assert all(row["key"] == told["key"] and "@" in row["key"] and row["by"] for row in rows)
+        # Of just before the kill: in doubt for a lease, then in effect, and the time that is stated holds.
+        for _ in range(100):
+            last = json.loads(run.call("status", told["numbers"][-1].split(".")[1], "--json"))
+            if last["in_effect_ms"]:
+                break
+            assert time.time() * 1_000 < last["latest_ms"] + 200
+            time.sleep(0.1)
+        assert last["number"] == told["numbers"][-1] and last["in_effect_ms"] <= last["latest_ms"] + 50
+        epoch, n = told["numbers"][2].split(".")
+        assert json.loads(run.call("status", f"{epoch[-3:]}.{n}", "--json"))["what"] == f"{2:016x}"
+        assert "no purge of that number" in run.call("status", f"{(int(epoch) + 1) % 1000}.{n}", code=2)
+        assert "no number of a purge" in run.call("status", "3.x", code=2)
+        # Two leases and a little after they were made: another life takes them for done.
+        time.sleep(max(0, rows[-1]["accepted_ms"] / 1_000 + 4.1 - time.time()))
+        desk.kill()
+        desk.wait()
+        run.desk()
+        rows = json.loads(run.call("list", "--json"))["purges"]
+        assert len(rows) == 20 and all(row["by"] for row in rows)
+        assert all(4_000 < row["in_effect_ms"] - row["accepted_ms"] < 4_200 for row in rows)
+
+
 def test_the_desk_refuses_in_one_line_and_by_the_secret(tmp_path):
     with Run(tmp_path) as run:
         assert "no desk at" in run.call("submit", "--tag", "a", code=1)
