--- a/hookrouter/command/__init__.py
+++ b/hookrouter/command/__init__.py
@@ -12,6 +12,7 @@
     "serve": ("router", "serve", "Serve lookups until SIGTERM."),
     "check": ("router", "check", "Read what serve reads, and say what is wrong with it."),
     "version": ("router", "version", "Print the version."),
+    "trace": ("trace", "trace", "Read traces of decisions: follow a lookup, account for what was lost."),
     "purges": ("purges", "purges", "Purge copies in the whole fleet, and run the desk that does it."),
 }
 
--- a/hookrouter/command/purges.py
+++ b/hookrouter/command/purges.py
@@ -13,6 +13,7 @@
 import click
 
 from . import FAILED, WRONG, read_site, site_option, stop
+from .shown import table
 
 CALL_WITHIN = 10.0  # seconds for one answer of the desk
 TRIES = 3  # of a call, under the same key: the desk may be starting anew
@@ -330,20 +331,6 @@
                  if last < 1_000 else ""), file=sys.stderr)
 
 
-def table(heads, rows):
-    """For people: by rich on a terminal, plain columns in a pipe."""
-    if sys.stdout.isatty():
-        from rich.console import Console
-        from rich.table import Table
-        made = Table(*heads)
-        for row in rows:
-            made.add_row(*map(str, row))
-        Console().print(made)
-        return
-    for row in (heads, *rows):
-        print("\t".join("" if value is None else str(value) for value in row))
-
-
 @purges.command()
 @site_option
 @click.option("--store", type=click.Path(), help="In place of the file's [desk] store.")
--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -71,7 +71,7 @@
     """A lookup that still lacks its final answer."""
 
     __slots__ = ("id", "kind", "name", "key", "group", "work", "due", "state", "sends", "overruns",
-                 "caches", "doubts", "sources", "straight", "hits_only", "refused", "own")
+                 "caches", "doubts", "sources", "straight", "hits_only", "refused", "own", "why")
 
     def __init__(self, lk, kind, work):
         self.id, self.kind, self.key, self.group = lk.id, kind, lk.object, lk.group
@@ -82,6 +82,7 @@
         self.caches, self.sources = [], []  # tried already
         self.doubts = {}  # sends that run or may have run: number -> (when, target)
         self.straight = self.hits_only = self.refused = False
+        self.why = "time"  # why it was given up: where nothing else is said its time was over
 
 
 class Sent:
@@ -203,7 +204,7 @@
     def _on_lookup(self, lk):
         kind = self.kinds.get(lk.kind)
         if kind is None:
-            self.effects.append(i.Fail(lk.id))
+            self.effects.append(i.Fail(lk.id, "kind"))
             return
         held = self.held[lk.id] = Held(lk, kind, lk.size / self.pace if lk.size and self.pace else 0.0)
         self._alarm(max(0, lk.due - self.now), (lk.id, DUE))
@@ -267,35 +268,42 @@
         """One more send where rules, limits and time allow it."""
         kind, left = self.kind[lk.kind], lk.due - self.now
         if self.guard is not None and not kind.write and self.guard.shut():
-            return STUCK
+            return self._stuck(lk, "fenced")
         if self._given(lk, OWN_SHARE):
             return AT_HAND
-        if lk.hits_only or left < LEAST_WAIT or lk.sends >= self.most_sends or (lk.sends and self.spare < 1):
-            return STUCK
+        if lk.hits_only:
+            return self._stuck(lk, "fills")
+        if left < LEAST_WAIT or lk.sends >= self.most_sends or (lk.sends and self.spare < 1):
+            return self._stuck(lk, "time" if left < LEAST_WAIT else "sends")
         if kind.write and self.pass_by:  # passes untouched: it runs at the origin and nothing is kept
             target, source = (self.origins or [None])[0], None
         else:
             target, source = self._pick(lk)
         if target is None or not self._admissible(lk, target):
-            return STUCK
+            return self._stuck(lk, "caches" if target is None else "effect")
         via = source if target in self.edges else target
         if source is not None and not kind.write and (lk.refused or not self._open(via, lk.kind)):
             if target not in self.edges:
-                return STUCK
+                return self._stuck(lk, "fills")
             lk.hits_only = True  # one more fill would be late like those out; a hit would not
             if not lk.refused or not self._open(via, lk.kind):
                 source = target  # else what refused may hold it: its own source may be the one that is full
         return self._send(lk, target, source, left)
 
+    def _stuck(self, lk, why):
+        lk.why = why
+        return STUCK
+
     def _give_up(self, lk):
         """The final answer, at once: a nack with a time to come back where that is harmless."""
         if self._given(lk, 1):  # rather at the end of its budget than not at all
             return self._settle(lk)
         if self._nackable(lk):
             # Not all at once: clients nacked together would come back together.
-            self.effects.append(i.Nack(lk.id, self.random.randint(self.stay_away // 2, self.stay_away)))
+            stay_away = self.random.randint(self.stay_away // 2, self.stay_away)
+            self.effects.append(i.Nack(lk.id, stay_away, lk.why))
         else:
-            self.effects.append(i.Fail(lk.id))
+            self.effects.append(i.Fail(lk.id, lk.why))
         return self._settle(lk)
 
     def _settle(self, lk):
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -244,7 +244,7 @@
     # ---- what is shown
 
     def purge_facts(self, n):
-        """What is known of one of the newest purges, or None. With `by`, in_effect_ms is the latest it was."""
+        """What is known of one of the newest purges, or None. With `by` it was in effect by in_effect_ms."""
         if n not in self.accepted:
             return None
         purge, wall, at, key = self.accepted[n]
--- a/hookrouter/interface.py
+++ b/hookrouter/interface.py
@@ -202,10 +202,12 @@
 class Nack(NamedTuple):
     id: int
     stay_away: int
+    why: str = ""  # for counters and traces
 
 
 class Fail(NamedTuple):
     id: int
+    why: str = ""
 
 
 class Keep(NamedTuple):
--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -4,6 +4,7 @@
 
 ENDS = ("satisfied", "nacked", "failed", "given_up")  # of a lookup; with those held they make up the taken
 SENDS = (i.SATISFIED, i.ERRED, i.FULL, i.LATE, i.UNREACHED, i.BROKEN, i.CANCELLED, i.VOID, i.MISSING)
+WHYS = ("fenced", "fills", "time", "sends", "caches", "effect", "kind")  # why the module gave lookups up
 PLAIN = (
     "clients_connected", "clients_turned_away", "clients_malformed", "clients_not_reading",
     "clients_shed", "calls_malformed", "calls_of_unknown_kind", "calls_without_room", "copies_given",
@@ -11,7 +12,7 @@
     "connections", "caches_malformed", "caches_unasked", "feed_connections", "feed_events", "feed_malformed",
     "feed_gaps", "purge_connections", "purges_told", "purges_malformed", "purge_gaps", "renewals_refused",
     "renewals_failed", "copies_refused", "room_filled", "reloads", "reloads_refused", "decisions_failed",
-         "errors_uncaught",
+    "errors_uncaught", "traces_failed",
 )
 
 
@@ -19,6 +20,7 @@
     def __init__(self, kinds):
         self.values = dict.fromkeys(PLAIN, 0)
         self.values.update((f"sends_{end}", 0) for end in SENDS)
+        self.values.update((f"given_up_for_{why}", 0) for why in WHYS)
         self.values.update((f"lookups_{word}.{kind}", 0) for kind in kinds for word in ("taken", *ENDS))
 
     def count(self, name):
@@ -30,6 +32,10 @@
     def ended(self, kind, end):
         self.count(f"lookups_{end}.{kind}")
 
+    def given_up(self, why):
+        if why in WHYS:
+            self.count(f"given_up_for_{why}")
+
     def send_ended(self, end):
         self.count(f"sends_{end}")
 
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -62,6 +62,10 @@
             self.purges = Purging(start, reactor, self.deadlines, self, log, self.count, steady)
             self.guard = self.purges.guard
         self.control = Control(start.seed, terms, self.guard)
+        self.trace = None
+        if start.trace is not None:  # imported only then
+            from .tracing import Tracing
+            self.trace = Tracing(start, self.now(), self.guard is not None, self.deadlines, log, self.count)
         for event in start.known:
             if isinstance(event, Listed):
                 self.listed(event)
@@ -100,6 +104,9 @@
             concerned = self._concerned(event)
             effects = [*self.control.effects, *map(i.Fail, concerned)]
             self.inputs.extend(map(i.ClientGone, concerned))
+        if self.trace is not None:
+            asked = self.lookups.get(event.id).asked if isinstance(event, i.Lookup) else None
+            self.trace.decided(self.decided, event, effects, self.control, asked and asked.trace)
         for effect in effects:
             EFFECTS[type(effect)](self, effect)
         if isinstance(event, i.SendEnd):
@@ -244,11 +251,13 @@
     def _nack(self, effect):
         lookup = self._owed(effect)
         if lookup is not None:
+            self.counters.given_up(effect.why)
             self._answer(lookup, "nacked", self.front.nacked, effect.stay_away)
 
     def _fail(self, effect):
         lookup = self._owed(effect)
         if lookup is not None:
+            self.counters.given_up(effect.why)
             self._answer(lookup, "failed", self.front.failed)
 
     def _keep(self, effect):
--- a/hookrouter/node/service.py
+++ b/hookrouter/node/service.py
@@ -52,6 +52,8 @@
         globalLogBeginner.beginLoggingTo([self._observe], redirectStandardIO=False)
         self.reactor.run(installSignalHandlers=False)
         self.show()
+        if self.router.trace is not None:
+            self.router.trace.close()
         self.log.close()
         return 0
 
@@ -80,6 +82,8 @@
         left = [key for key in FIXED if getattr(start, key) != getattr(self.start, key)]
         if bare(start.purges) != bare(self.start.purges) or start.tags != self.start.tags:
             left.append("purges")
+        if start.trace != self.start.trace:
+            left.append("trace")
         self.log("reloaded", f"follows {start.feed[0]}:{start.feed[1]}"
                  + (f"; stays as it was until a restart: {', '.join(left)}" if left else ""))
         self.router.reload(start)
--- a/hookrouter/node/start.py
+++ b/hookrouter/node/start.py
@@ -30,6 +30,7 @@
     terms: i.Terms
     purges: dict | None  # the operator's section, where fleet-wide purges are on
     tags: dict | None  # object -> its tags, where these come from a file
+    trace: dict | None  # the operator's section, where decisions are traced
     last: int  # number of the newest known event
     known: list
 
@@ -91,5 +92,5 @@
         feed=stated.get("feed", read_address),
         terms=stated_terms._replace(
             own_room=int(COPIES * room_left(memory)), own_flows=link / flow, own_flow=flow / terms.SECOND),
-        purges=purges, tags=tags,
+        purges=purges, tags=tags, trace=(sections or {}).get("trace"),
         last=last, known=events)
--- a/hookrouter/site.py
+++ b/hookrouter/site.py
@@ -110,6 +110,13 @@
     return found
 
 
+def directory(text, folder):
+    found = path(text, folder)
+    if not os.path.isdir(found) or not os.access(found, os.W_OK | os.X_OK):
+        raise Wrong(f"{found}: there is no such folder, or it cannot be written")
+    return found
+
+
 def secret(text, folder):
     """A file with a secret that only its owner may read."""
     found = file(text, folder)
@@ -173,6 +180,10 @@
         "above": Key(address, None, "the desk, or the relay above"),
         "store": Key(path, WANTED, "file with the names of its members, on a disk that lasts"),
     },
+    "trace": {
+        "folder": Key(directory, WANTED, "where each router keeps its trace of decisions, under its name"),
+        "size": Key(amount(SIZES, 1_000_000, 1 << 40, "64 MB"), 64_000_000, "on disk for each, at most"),
+    },
     "log": {
         "format": Key(word("text", "json"), "text", "lines for people, or a JSON object each"),
     },
