Crowds: one gate for all fills, budgets watched, two caches of a name, large lookups first

From the traces of all routers, each decision made again beside the others' (docs/results/crowd.md): misses were seen when sends ended, 3 s and more after they went; windows of parents fell to their floor at one late fill in twenty and rose by a twentieth; sends went on to third caches, of which 1 to 3 % were hits; late and refused fills set a seventh of the parents aside (_learn), so that their names went to the origin by another.

Change: _miss counts a send when its budget is over (sizes told); _turn_gate, one gate for all fills where hits are not told, opens by itself after 2 s; _pick stops at two well caches; _open weighs a lookup's own size; below half of the gate nothing is repeated for a fill and no source is blamed; hits-only sends join no fill.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -6,7 +6,7 @@
 location, the least busy of the top few is picked, the parent topping the same hash fills it.
 
 Beside the design stand, six at most:
- 1. windows (the paper's) on each source's fills and each cache's sends; beyond them hits only, or a nack;
+ 1. windows (the paper's) on each cache's sends, a gate on all fills; beyond them hits only, or a nack;
  2. the lead: a part leaves its top cache only for one that is clearly less busy;
  3. setting aside: a cache with failures in a row rests, then gets a trickle that doubles while it goes well;
  4. cold budget: what started lately, or was silent, takes what it can bear, the routers in turns;
@@ -18,6 +18,7 @@
 """
 
 from hashlib import blake2b
+from heapq import heappop, heappush
 from math import inf, log
 from random import Random
 
@@ -37,6 +38,14 @@
 MISSES = 0.4  # of the sends that name a source, at most so many need it in calm: the others are hits
 CLEARLY = 4.0  # times wider is the next parent's window: two cuts apart, which chance alone seldom makes
 HIT_STEP = 0.5  # of a fill's step: most answers are hits, and say at best that the location is calm
+QUIET = 20_000  # 2 s without a miss, and the gate opens by itself: by then what was cut has shown
+DOUBLING = 30_000  # 3 s: of the gate in quiet, for a crowd's cause ends with time and not with own sends
+MOST_DOUBLINGS = 60  # beyond it a gate limits nothing
+GATE_CUT = 0.7  # of the gate stays with each fill that misses: four in a second leave a quarter
+GATE_STEP = 0.05  # more for each fill in time: one late in seven holds it where it is
+GATE_LEAST = 0.05  # of fills: copies go on being made, and it is seen when fills come again
+CROWD = 0.5  # of the gate: below it fills miss at whatever source, so none is to blame and none is repeated
+CANDIDATES = 2  # beyond the first two nothing is kept of a name: a send there is a fill more in a crowd
 WINDOW_FULL = 4.0  # times what a cache's link carries at full pace: beyond it nothing comes in time
 FIRST_DEADLINE = 30_000  # the design's 3 s: the average and deviation begin so and give way to times seen
 LAST_DEADLINE = 100_000  # the design's 10 s, where backing off ends
@@ -88,11 +97,12 @@
 class Sent:
     """A send whose end has not come."""
 
-    __slots__ = ("target", "source", "kind", "work", "at", "limited", "via", "calm")
+    __slots__ = ("target", "source", "kind", "work", "at", "limited", "via", "calm", "missed")
 
     def __init__(self, target, source, via, kind, work, at, limited, calm):
         self.target, self.source, self.via = target, source, via  # via: what feeds it from outside
         self.kind, self.work, self.at, self.limited, self.calm = kind, work, at, limited, calm
+        self.missed = False  # its budget passed, and was counted before its end
 
 
 class Control:
@@ -132,6 +142,9 @@
         self.purse, self.turn, self.lost, self.tardy = [], [], [], []  # tardy: the last answer came late
         self.edges, self.parents, self.origins = [], [], []
         self.now, self.spare, self.reach = 0, SPARE_MOST, 0  # what the location's links carry, at full pace
+        self.gate, self.gate_from = 1.0, 0  # share of fills that is begun, and since when it opens by itself
+        self.gated = terms.notes == "none"  # else hits tell windows of sources nothing wrong
+        self.budgets = []  # (when the budget of a send is over, lookup, number): a heap
         self.held, self.sent, self.alarms, self.silent = {}, {}, {}, [0.0, 0.0]  # without a source, and with
         self.own_room, self.own_flows, self.own_flow = terms.own_room, terms.own_flows, terms.own_flow
         self.kept = [kind.effect == i.IDEMPOTENT and not kind.write for kind in terms.kinds]
@@ -151,6 +164,11 @@
 
     def decide(self, now, inputs):
         self.now, self.effects = now, []
+        while self.budgets and self.budgets[0][0] <= now:  # a crowd is seen then, not when its sends end
+            sent = self.sent.get(heappop(self.budgets)[1:])
+            # Ids are used again: it may be another's, whose budget is not over.
+            if sent is not None and now - sent.at >= int(self._budget(sent)):
+                self._miss(sent)
         for event in inputs:
             HANDLERS[type(event)](self, event)
         return self.effects
@@ -273,6 +291,8 @@
             return AT_HAND
         if lk.hits_only:
             return self._stuck(lk, "fills")
+        if lk.sends and not lk.refused and not kind.write and self._gate() < CROWD:
+            return self._stuck(lk, "sends")
         if left < LEAST_WAIT or lk.sends >= self.most_sends or (lk.sends and self.spare < 1):
             return self._stuck(lk, "time" if left < LEAST_WAIT else "sends")
         if kind.write and self.pass_by:  # passes untouched: it runs at the origin and nothing is kept
@@ -282,11 +302,11 @@
         if target is None or not self._admissible(lk, target):
             return self._stuck(lk, "caches" if target is None else "effect")
         via = source if target in self.edges else target
-        if source is not None and not kind.write and (lk.refused or not self._open(via, lk.kind)):
+        if source is not None and not kind.write and (lk.refused or not self._open(via, lk)):
             if target not in self.edges:
                 return self._stuck(lk, "fills")
             lk.hits_only = True  # one more fill would be late like those out; a hit would not
-            if not lk.refused or not self._open(via, lk.kind):
+            if not lk.refused or not self._open(via, lk):
                 source = target  # else what refused may hold it: its own source may be the one that is full
         return self._send(lk, target, source, left)
 
@@ -362,7 +382,7 @@
         ranked = [n for n in self._rank(lk.name, self.edges) if n not in lk.caches and self._affords(n, cost)]
         # Where all that is left is set aside, that still beats nothing; not where well ones are busy.
         well = [n for n in ranked if self._usable(n)] or [n for n in ranked if not self.lost[n]]
-        fit = [n for n in well if kind.write or self._open(n, lk.kind)]
+        fit = [n for n in well[:CANDIDATES] if kind.write or self._open(n, lk)]
         if well and not fit:
             return None, None  # whatever takes it would answer late, and make others late
         parents = [n for n in self._rank(lk.name, self.parents) if self._affords(n, cost)]
@@ -410,13 +430,16 @@
         via = None if source is None or source == target else source if edge else target
         sent = self.sent[lk.id, number] = Sent(target, source, via, lk.kind, lk.work, self.now, limited, calm)
         self._count(sent, 1)
+        if lk.work:  # else its budget is not known before its end
+            heappush(self.budgets, (self.now + int(self._budget(sent)), lk.id, number))
         if source is None or target in self.origins:
             self.effects.append(i.Ask(lk.id, self.ids[target], wait))
         else:
             self.effects.append(i.Obtain(
                 lk.id, self.ids[target], self.ids[source], wait, self._oldest(lk),
                 1 if edge and not kind.write else 0,
-                self.joins, lk.hits_only, False, edge and via is not None and kind.fresh > 0))
+                self.joins and not lk.hits_only, lk.hits_only, False,
+                edge and via is not None and kind.fresh > 0))
         return SENT
 
     def _count(self, sent, by):
@@ -439,27 +462,25 @@
         # Nothing came from there since the send went out; and what the answer tells of the copy.
         mute, dry = (n is not None and self.heard[n] < sent.at for n in (sent.target, sent.source))
         found = end.note in (i.FOUND, i.AGED)
-        work = sent.work or TYPICAL * self.mean_work[k]
-        budget = self.kind[k].latency_budget + self.kind[k].budget_stretch * work
         if end.end == i.FULL and fills:
             self._slide(sent.via, True)
+            self._turn_gate(True)
         if end.end in (i.SATISFIED, i.MISSING, i.LATE):
             self.silent[fills] += BLEND * ((end.end == i.LATE and not mute) - self.silent[fills])
-        # Sends without a source silent half as often as those with one: answers are lost, sources are well.
-        stray = end.end == i.LATE and max(ASTRAY, self.silent[True] / 2) < self.silent[False]
-        if end.end in (i.SATISFIED, i.LATE):
-            late = end.end == i.LATE or end.took > budget
-            if fills and not mute and not stray:
-                # A cache that answered nothing since tells of itself, not of its source or of the link.
-                # A hit tells little of the source; where hits are not told, a quick answer passes for one.
-                hit = found if self.tells_hits else end.took - sent.work < self.average[k]
+        stray = end.end == i.LATE and self._stray()
+        if end.end == i.LATE and not mute:
+            self._miss(sent)
+        if end.end == i.SATISFIED:
+            late = end.took > self._budget(sent)
+            # A hit tells little of the source; where hits are not told, a quick answer passes for one.
+            hit = found if self.tells_hits else end.took - sent.work < self.average[k]
+            if fills and not sent.missed:
                 self._slide(sent.via, late, self.step * (HIT_STEP if hit else 1))
-            # Sends unanswered at a cache that answers others in time are lost, or wait for their source.
-            astray = end.end == i.LATE and not mute and not self.tardy[sent.target]
-            if not astray and (not fills or found or not self.tells_hits):
+                if late or not hit:
+                    self._turn_gate(late)
+            if not fills or found or not self.tells_hits:
                 self._slide(sent.target, late)
-            if end.end == i.SATISFIED:
-                self.tardy[sent.target] = late
+            self.tardy[sent.target] = late
         if end.end == i.SATISFIED:
             self.spare = min(SPARE_MOST, self.spare + SPARE_SHARE)
             self._time(k, max(0.0, end.took - sent.work))
@@ -485,10 +506,32 @@
         silent = self.now - self.heard[sent.target] > SILENCE
         if end.end in (i.UNREACHED, i.BROKEN, i.LATE) and self.trickle[sent.target] is not None and silent:
             self.lost[sent.target] = True
-        if fills and (end.end in (i.ERRED, i.FULL) or (
+        if fills and self._gate() >= CROWD and (end.end in (i.ERRED, i.FULL) or (
                 end.end == i.LATE and not stray and (dry or not self.tells_hits))):
             self._health(sent.source, BAD)
 
+    def _stray(self):
+        """Sends without a source silent half as often as those with one: answers are lost, not sources."""
+        return max(ASTRAY, self.silent[True] / 2) < self.silent[False]
+
+    def _budget(self, sent):
+        kind = self.kind[sent.kind]
+        return kind.latency_budget + kind.budget_stretch * (sent.work or TYPICAL * self.mean_work[sent.kind])
+
+    def _miss(self, sent):
+        """Its budget is over without an answer: counted once, then or at its end."""
+        # A cache that answered nothing since tells of itself, not of its source or of the link.
+        if sent.missed or self.heard[sent.target] < sent.at:
+            return
+        sent.missed, fills = True, sent.via is not None
+        crowd = self._gate() < CROWD  # then it is no loss on the way
+        if fills and (crowd or not self._stray()):
+            self._slide(sent.via, True)
+            self._turn_gate(True)
+        # Sends unanswered at a cache that answers others in time are lost, or wait for their source.
+        if (crowd or self.tardy[sent.target]) and (not fills or not self.tells_hits):
+            self._slide(sent.target, True)
+
     def _time(self, k, over):
         self.deviation[k] += BLEND * (abs(over - self.average[k]) - self.deviation[k])
         self.average[k] += BLEND * (over - self.average[k])
@@ -506,10 +549,23 @@
             window += growth * min(1, window) / log(max(WINDOW_LEAST, window * self.crew))
         self.room[n] = min(widest, window)
 
-    def _open(self, n, kind):
-        """Room for one more; a part of a send is a chance, and the better the less the kind has to send."""
-        lump = self.mean_work[kind] / max(1.0, *self.mean_work)
-        return self.out[n] + self.random.random() * lump < self.room[n]
+    def _gate(self):
+        doublings = max(0, self.now - self.gate_from) / DOUBLING
+        return min(1.0, self.gate * 2.0 ** min(MOST_DOUBLINGS, doublings))
+
+    def _turn_gate(self, late):
+        """One router sees few fills of each source, and a crowd of them at all: so one gate for all."""
+        if not self.gated:
+            return
+        gate = self._gate()
+        self.gate = max(GATE_LEAST, gate * GATE_CUT) if late else min(1.0, gate + GATE_STEP)
+        self.gate_from = self.now + QUIET if late else max(self.now, self.gate_from)
+
+    def _open(self, n, lk):
+        """Room for one more; a part of a send is a chance, and the better the less it has to send."""
+        lump = self.random.random() * (lk.work or self.mean_work[lk.kind]) / max(1.0, *self.mean_work)
+        gated = self.gated and n not in self.edges
+        return self.out[n] + lump < self.room[n] and (not gated or lump < self._gate())
 
     # ---- health
 
