Two candidates stand once; one block for what a satisfied send tells; the store's own floor

CANDIDATES repeated PART_CANDIDATES, two blocks of _learn asked the same, the desk worked out a floor that the store tells, and read_ending took 003 for 3, so a number could match too much. Change: one constant, one block, loaded.floor, the ending as it was given.

--- a/hookrouter/control.py
+++ b/hookrouter/control.py
@@ -25,7 +25,7 @@
 from . import interface as i
 
 # ---- constants: spans in tenths of a millisecond
-PART_CANDIDATES = 2  # caches; the design's figure for parts
+PART_CANDIDATES = 2  # caches; the design's figure for parts. Beyond them nothing is kept of any name
 WHOLE_CANDIDATES = 1  # caches; the design's figure for whole objects
 LEAD = 2.0  # times busier must the top cache be before the next one is: every move costs a second copy
 IDLE_SHARE = 1.0  # of a cache's link, in sends at full pace: sends below that do not slow each other
@@ -45,7 +45,6 @@
 GATE_STEP = 0.05  # more for each fill in time: one late in seven holds it where it is
 GATE_LEAST = 0.05  # of fills: copies go on being made, and it is seen when fills come again
 CROWD = 0.5  # of the gate: below it fills miss at whatever source, so none is to blame and none is repeated
-CANDIDATES = 2  # beyond the first two nothing is kept of a name: a send there is a fill more in a crowd
 WINDOW_FULL = 4.0  # times what a cache's link carries at full pace: beyond it nothing comes in time
 FIRST_DEADLINE = 30_000  # the design's 3 s: the average and deviation begin so and give way to times seen
 LAST_DEADLINE = 100_000  # the design's 10 s, where backing off ends
@@ -382,7 +381,7 @@
         ranked = [n for n in self._rank(lk.name, self.edges) if n not in lk.caches and self._affords(n, cost)]
         # Where all that is left is set aside, that still beats nothing; not where well ones are busy.
         well = [n for n in ranked if self._usable(n)] or [n for n in ranked if not self.lost[n]]
-        fit = [n for n in well[:CANDIDATES] if kind.write or self._open(n, lk)]
+        fit = [n for n in well[:PART_CANDIDATES] if kind.write or self._open(n, lk)]
         if well and not fit:
             return None, None  # whatever takes it would answer late, and make others late
         parents = [n for n in self._rank(lk.name, self.parents) if self._affords(n, cost)]
@@ -394,7 +393,7 @@
             del parents[0]
         source = (parents or self.origins or [None])[0]
         if fit:
-            top = fit[:PART_CANDIDATES if kind.in_parts else WHOLE_CANDIDATES]
+            top = fit if kind.in_parts else fit[:WHOLE_CANDIDATES]
             target = min(top, key=lambda n: self._load(n) * (1 if n == top[0] else LEAD))
             return target, target if source is None else source
         if self.pass_by and source is not None and not lk.straight:  # past the caches, once
@@ -481,7 +480,6 @@
             if not fills or found or not self.tells_hits:
                 self._slide(sent.target, late)
             self.tardy[sent.target] = late
-        if end.end == i.SATISFIED:
             self.spare = min(SPARE_MOST, self.spare + SPARE_SHARE)
             self._time(k, max(0.0, end.took - sent.work))
             # Where sizes are not told, hits on calm caches are the measure: a crowd's grow with the wait.
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -59,7 +59,7 @@
         self.tail, self.ledger = tail, g.Ledger(tail, keys, self.limits)
         self.members = Members(purges["lease"], purges["skew"], ROUNDING, now, loaded.members)
         self.names = {name for name, _ in loaded.members}  # that are in the store for sure
-        self._recall(loaded.rows)
+        self._recall(loaded)
         self._doubtful(now)
 
     # ---- the store; what blocks runs in its thread, but for the start
@@ -87,11 +87,11 @@
         since = self.recalled - 2 * self.members.span
         self.members.read_anew(now, [purge for purge in self.tail.recent if purge.made >= since])
 
-    def _recall(self, rows):
+    def _recall(self, loaded):
         """What is shown of purges that the store holds: those of this life stay as they are known."""
-        self.floor = self.tail.newest.n - len(rows)  # all up to there is folded away
+        self.floor = loaded.floor  # all up to there is folded away
         known, self.accepted = self.accepted, {}
-        for purge, key in rows[-MOST_LATEST:]:
+        for purge, key in loaded.rows[-MOST_LATEST:]:
             row = known.get(purge.n)
             # The time of the order stands in for that of the acceptance, which is after it by one write.
             self.accepted[purge.n] = row if row and row[0] == purge else (purge, purge.made, None, key)
@@ -113,7 +113,7 @@
         self.store, self.tail, keys, loaded = read
         self._carry(self.ledger.reopened(self.tail, keys))
         self._doubtful(steady())
-        self._recall(loaded.rows)
+        self._recall(loaded)
         self.log("store read again", epoch=self.tail.epoch, newest=self.tail.newest.n)
         for stream in list(self.streams):
             stream.cut()  # each goes on from its place in the order as it is now
--- a/hookrouter/purges/wire.py
+++ b/hookrouter/purges/wire.py
@@ -98,7 +98,9 @@
 def read_ending(text):
     """(ending of an epoch, n) of a number that may lack its beginning, as "42" and "123.42"."""
     epoch, _, n = text.rpartition(".")
-    return epoch and str(read_whole(epoch, text)), read_whole(n, text)
+    if epoch:
+        read_whole(epoch, text)
+    return epoch, read_whole(n, text)
 
 
 def read_whole(digits, text):
