Owners: duties fenced by number, decided by keepers over a replicated log, on real processes

Need: work for the whole fleet had one doer by a file lock on one machine; a second desk refused to start or was a second desk. Change: owners/ (log, elections, leases, duties, fences; no I/O), stores/keeper_log, peers/ (authenticated streams), fleet/ and hookrouter fleet serve, status, owners, declare, hand-over, replace; standins/ with links that fail, a register that audits, a rig of real processes. Off without [fleet]; serve and check refuse it where the platform forbids talk among routers. Found by the checks and mended, with causes, in docs/design/owners.md: a renewal confirmed while its duty was being granted to another, a new leader answering before an earlier grant was agreed, a leader that forgot it had counted itself, refusals that did not tell the term, members that went on asking a leader that stood still.

--- /dev/null
+++ b/benchmarks/owners.py
@@ -0,0 +1,195 @@
+"""Owners: schedules in made-up time, every interleaving of a bounded model, mistakes seeded on purpose, and
+real processes that are killed, stopped, cut off and run out of disk.
+"""
+
+import resource
+import sys
+import tempfile
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from random import Random
+
+from standins.rig import Rig, holder
+
+from .owners_model import Bounds, explore
+from .owners_world import hurried, schedule, split
+
+DUTIES = ("drill/a", "drill/b", "drill/c")
+WITHIN = 20.0  # seconds for a successor: far more than is promised, so that a slow machine does not decide
+
+
+def played(seed):
+    world = schedule(seed)
+    return len(world.breaks), len(world.acknowledged), world.refused, world.takeovers
+
+
+def mistakes():
+    sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+    import owners_mistakes
+
+    return {mistake.__name__: mistake for mistake in owners_mistakes.MISTAKES}
+
+
+MODELLED = {
+    "TwoVotesInATerm": Bounds(1, 0),
+    "VoteNotOnDisk": Bounds(1, 0, crashes=1),
+    "ForgotAndVotes": Bounds(1, 0, put_back=1),
+}
+
+
+# Schedules that are known to show a mistake: (how they are made, seed).
+PLAYED = {"NoWaitForFormerLeases": [(schedule, 1)],
+          "MinorityDecides": [(schedule, seed) for seed in range(5, 13)],
+          "AckBeforeDisk": [(hurried, 44), (hurried, 72)], "OwnConfirmationForgotten": [(hurried, 356)]}
+
+
+def found(name, most):
+    """Whether the mistake of that name shows, by the model or by up to so many hurried schedules."""
+    make = mistakes()[name]
+    if name in MODELLED:
+        return explore(MODELLED[name], make=make)[1] is not None
+    worlds = [split(make), *(play(seed, make=make) for play, seed in PLAYED.get(name, ()))]
+    if any(not what.startswith("after") for world in worlds for _, what in world.breaks):
+        return True
+    return any(
+        not what.startswith("after") for seed in range(1, most) for _, what in hurried(seed, make=make).breaks
+    )
+
+
+def run(quick):
+    figures = {}
+    with ProcessPoolExecutor() as pool:
+        modelled = pool.submit(explore, Bounds(1, 0) if quick else Bounds(1, 1, crashes=0))
+        seen = {name: pool.submit(found, name, 60 if quick else 1_500) for name in mistakes()}
+        rows = list(pool.map(played, range(1, 121 if quick else 10_001), chunksize=5))
+        states, wrong, ended = modelled.result()
+        spans = sorted(span for row in rows for span in row[3])
+        figures.update(
+            schedules=len(rows),
+            rule_breaks=sum(row[0] for row in rows) + (wrong is not None),
+            acknowledged_made_up=sum(row[1] for row in rows),
+            old_owner_refused_made_up=sum(row[2] for row in rows),
+            states_explored=states,
+            explored_to_the_end=ended,
+            seeded_mistakes=len(seen),
+            seeded_found=sum(future.result() for future in seen.values()),
+            not_found=[name for name, future in seen.items() if not future.result()],
+            takeover_made_up_p50_ms=spans[len(spans) // 2] / 10,
+        )
+    figures.update(campaign(6 if quick else 200, Random(1)))
+    return figures
+
+
+def campaign(faults, dice):
+    """Real processes, one fault after the other; the register says what was done."""
+    with tempfile.TemporaryDirectory() as folder:
+        rig = Rig(folder, keepers=3 if faults < 50 else 5, members=2)
+        try:
+            rig.start()
+            rig.wait(lambda: rig.status()["leader"])
+            for duty in DUTIES:
+                rig.command("declare", duty)
+            rig.wait(lambda: all(rig.steps(duty) > 3 for duty in DUTIES))
+            counted = {"kill": 0, "stop": 0, "swallow": 0, "disk": 0}
+            takeovers, gaps = [], []
+            before, began = sum(link.bytes for link in rig.links.values()), time.monotonic()
+            time.sleep(2)
+            idle = (sum(link.bytes for link in rig.links.values()) - before) / (time.monotonic() - began)
+            for n in range(faults):
+                fault = list(counted)[n % 4]
+                counted[fault] += 1
+                span = strike(rig, fault, dice)
+                if span is not None:
+                    takeovers.append(span)
+                gaps += handed(rig, dice.choice(DUTIES))
+            rig.wait(lambda: len(rig.owners()) == len(DUTIES))
+            # First what was noted, then what was done: the work goes on meanwhile.
+            noted = {duty: row["step"] for duty, row in rig.owners().items()}
+            broken = rig.wrong()
+            rows = rig.taken()
+            steps = {
+                duty: max((r["step"] for r in rows if r["duty"] == duty and r["ok"]), default=0)
+                for duty in DUTIES
+            }
+        finally:
+            rig.stop()
+    takeovers.sort()
+    gaps.sort()
+    return {
+        "kills": counted["kill"],
+        "stops": counted["stop"],
+        "cuts": counted["swallow"],
+        "disks_full": counted["disk"],
+        "steps": sum(steps.values()),
+        "done_twice": sum("step" in line for line in broken),
+        "left_out": sum(max(0, noted[duty] - steps[duty]) for duty in noted),
+        "old_owner_accepted": sum("was taken after" in line and "step" not in line for line in broken),
+        "old_owner_refused": sum(not row["ok"] for row in rows),
+        "lease_ms": 1_000,
+        "takeover_p50_ms": at(takeovers, 0.5),
+        "takeover_p99_ms": at(takeovers, 0.99),
+        "hand_over_p99_ms": at(gaps, 0.99),
+        "links_bytes_per_s": round(idle),
+    }
+
+
+def at(values, share):
+    return round(values[min(len(values) - 1, int(share * len(values)))] * 1_000, 1) if values else None
+
+
+def first_after(rig, duty, number):
+    return next(
+        (row["at"] for row in rig.taken() if row["duty"] == duty and row["ok"] and row["number"] > number),
+        None,
+    )
+
+
+def strike(rig, fault, dice):
+    """One fault on the owner of a duty, until a successor works, and its end. Seconds to the takeover."""
+    duty = dice.choice(DUTIES)
+    owner = rig.wait(lambda: holder(rig, duty))
+    number, began = rig.owners()[duty]["number"], time.monotonic()
+    if fault == "disk" and owner not in rig.keepers:
+        fault = "kill"
+    process = rig.processes[owner]
+    if fault == "kill":
+        rig.kill(owner)
+    elif fault == "stop":
+        rig.pause(owner)
+    elif fault == "swallow":
+        for link in rig.between(owner):
+            link.swallow()
+    else:
+        size = (rig.folder / f"{owner}.db-wal").stat().st_size
+        resource.prlimit(
+            process.pid, resource.RLIMIT_FSIZE, (max(1, size - size % 4096), resource.RLIM_INFINITY)
+        )
+        time.sleep(1)
+    if fault != "disk":  # a keeper without a disk still bears duties that need none of it
+        rig.wait(lambda: first_after(rig, duty, number), WITHIN)
+    since = first_after(rig, duty, number)
+    if fault == "kill":
+        rig.start(owner)
+    elif fault == "stop":
+        rig.resume(owner)
+    elif fault == "swallow":
+        for link in rig.between(owner):
+            link.heal()
+    else:
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+    rig.wait(lambda: rig.status()["leader"])
+    return since - began if since is not None and fault != "disk" else None
+
+
+def handed(rig, duty):
+    """[seconds between the former owner's last act and the next one's first]."""
+    row = rig.owners().get(duty)
+    if row is None or rig.command("hand-over", duty)[0] != 0:
+        return []
+    since = rig.wait(lambda: first_after(rig, duty, row["number"]), 5)
+    last = max(
+        (r["at"] for r in rig.taken() if r["duty"] == duty and r["ok"] and r["number"] == row["number"]),
+        default=None,
+    )
+    return [since - last] if since and last else []
--- a/hookrouter/command/__init__.py
+++ b/hookrouter/command/__init__.py
@@ -13,6 +13,7 @@
     "check": ("router", "check", "Read what serve reads, and say what is wrong with it."),
     "version": ("router", "version", "Print the version."),
     "trace": ("trace", "trace", "Read traces of decisions: follow a lookup, account for what was lost."),
+    "fleet": ("fleet", "fleet", "Members that own the fleet's work, one at a time each; keepers, duties."),
     "purges": ("purges", "purges", "Purge copies in the whole fleet, and run the desk that does it."),
 }
 
--- /dev/null
+++ b/hookrouter/command/fleet.py
@@ -0,0 +1,255 @@
+"""fleet: run a member, and see and change who owns what."""
+
+import json
+import os
+import signal
+import time
+
+import click
+
+from . import FAILED, WRONG, read_site, site_option, stop
+from .shown import table
+
+ANSWER_WITHIN = 4.0  # seconds for one command: an election is over by then
+AGAIN = 0.3  # seconds between tries
+json_option = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+
+
+@click.group()
+def fleet():
+    """Members that own the fleet's work, one at a time each.
+
+    Example: hookrouter fleet status --site site.ini
+    """
+
+
+def section_of(site_file):
+    if not site_file:
+        stop(WRONG, "the operator's file is wanted: --site FILE or HOOKROUTER_SITE")
+    sections = read_site(site_file)
+    if "fleet" not in sections:
+        stop(WRONG, f"{site_file}: there is no section [fleet]; it is needed for this command")
+    return sections
+
+
+@fleet.command()
+@site_option
+def serve(site_file):
+    """Run a member; one of the keepers where the file names it among them.
+
+    Example: hookrouter fleet serve --site site.ini
+    """
+    sections = section_of(site_file)
+    from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
+    from twisted.logger import LogLevel, formatEvent, globalLogBeginner
+
+    from ..fleet.service import Member
+    from ..log import Log
+    from ..stores.keeper_log import Unusable
+
+    log = Log(form=sections.get("log", {}).get("format", "text"))
+
+    def observe(event):
+        if event["log_level"] in (LogLevel.error, LogLevel.critical):
+            failure = event.get("log_failure")
+            log(
+                "uncaught error",
+                failure.getTraceback() if failure is not None else formatEvent(event),
+                level="error",
+            )
+
+    globalLogBeginner.beginLoggingTo([observe], redirectStandardIO=False)
+    try:
+        member = Member(reactor, log, sections["fleet"])
+    except Unusable as wrong:
+        stop(FAILED, wrong)
+    try:
+        member.start()
+    except CannotListenError as wrong:
+        member._end()
+        stop(FAILED, f"cannot listen: {wrong}")
+
+    def end(number, frame):
+        reactor.callFromThread(ending)
+
+    def ending():
+        if not member.stopped:
+            log("stopping")
+            reactor.callLater(member.stop(), reactor.stop)
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
+    log("member serves", name=member.name, keeper=member.keeper is not None)
+    reactor.run(installSignalHandlers=False)
+    log.close()
+
+
+# ---- calls
+
+
+def ask(section, make, wanted=lambda message: True):
+    """The first wanted answer, from whichever keeper has it; {name: answer} of all where wanted is None."""
+    from twisted.internet import reactor
+
+    from ..owners import words as w
+    from ..peers import Peers
+
+    who, answers = f"cmd-{os.getpid()}", {}
+    names = list(section["keepers"])
+
+    def heard(sender, message):
+        if not isinstance(message, w.Answer):
+            return
+        if wanted is None:
+            answers[sender] = message.result
+            if len(answers) == len(names):
+                reactor.stop()
+        elif message.result is not None and wanted(message):
+            answers["answer"] = message.result
+            reactor.stop()
+
+    peers = Peers(
+        reactor, who, dict(section["keepers"]), section["secret"].value, heard, lambda *a, **k: None
+    )
+    life = int(time.time() * 1_000)
+    message = make(who, life)
+
+    def again():
+        for name in names:
+            if name not in answers:
+                peers.send(name, message)
+        reactor.callLater(AGAIN, again)
+
+    reactor.callLater(0, again)
+    reactor.callLater(ANSWER_WITHIN if wanted is not None else 1.0, reactor.stop)
+    reactor.run()
+    return answers
+
+
+def looked(section):
+    from ..owners import words as w
+
+    return ask(section, lambda who, life: w.Look(f"{who}#{life}/1"), None)
+
+
+@fleet.command()
+@site_option
+@json_option
+def status(site_file, as_json):
+    """Whether there is a majority, who leads, and what is wrong in words. Exit code 1 without a leader.
+
+    Example: hookrouter fleet status --site site.ini
+    """
+    section = section_of(site_file)["fleet"]
+    found = looked(section)
+    lead = [row for row in found.values() if row["state"] == "leading"]
+    leader = max(lead, key=lambda row: row["term"]) if lead else None
+    wrong = [f"{name} does not answer" for name in section["keepers"] if name not in found]
+    wrong += [f"{name}: {row['aside']}" for name, row in found.items() if row["aside"]]
+    wrong += [f"{name} cannot write its store" for name, row in found.items() if row["state"] == "broken"]
+    if leader is not None:
+        wrong += [f"{row[0]} has no owner" for row in leader["duties"] if row[1] is None or not row[4]]
+    if as_json:
+        print(
+            json.dumps(
+                {
+                    "leader": leader and leader["keeper"],
+                    "term": leader and leader["term"],
+                    "keepers": found,
+                    "wrong": wrong,
+                }
+            )
+        )
+    else:
+        answer = f"{len(found)} of {len(section['keepers'])} keepers answer"
+        print(f"{leader['keeper']} leads in term {leader['term']}, {answer}, {len(leader['duties'])} duties, "
+              f"{len(leader['members'])} members" if leader else f"no leader: {answer}, duties stand still")
+        for line in wrong:
+            print(line)
+    if leader is None:
+        raise SystemExit(FAILED)
+
+
+@fleet.command()
+@site_option
+@json_option
+def owners(site_file, as_json):
+    """Each duty's owner, number, last step and time left, as the leader has it.
+
+    Example: hookrouter fleet owners --site site.ini --json
+    """
+    found = [row for row in looked(section_of(site_file)["fleet"]).values() if row["state"] == "leading"]
+    if not found:
+        stop(FAILED, "no keeper leads; hookrouter fleet status says why")
+    rows = max(found, key=lambda row: row["term"])["duties"]
+    if as_json:
+        print(
+            json.dumps(
+                [
+                    dict(zip(("duty", "owner", "number", "step", "left_ms"), (*row[:4], (row[4] or 0) / 10)))
+                    for row in rows
+                ]
+            )
+        )
+    else:
+        table(
+            ("duty", "owner", "number", "step", "left ms"),
+            [(*row[:4], round((row[4] or 0) / 10)) for row in rows],
+        )
+
+
+def commanded(site_file, command, fields):
+    from ..owners import words as w
+
+    section = section_of(site_file)["fleet"]
+    answer = ask(section, lambda who, life: w.Ask(f"{who}#{life}/1", command, fields)).get("answer")
+    if answer is None:
+        stop(FAILED, "no keeper took it; hookrouter fleet status says why")
+    return answer
+
+
+@fleet.command()
+@click.argument("duty")
+@site_option
+def declare(duty, site_file):
+    """Make a duty: some live member will own it.
+
+    Example: hookrouter fleet declare drill/one --site site.ini
+    """
+    answer = commanded(site_file, "declare", [duty])
+    if answer[0] != "declared":
+        stop(FAILED, f"{duty}: {answer[0]}")
+    print(f"{duty} is declared")
+
+
+@fleet.command("hand-over")
+@click.argument("duty")
+@click.option("--to", help="A member's name; without it the one that bears least.")
+@site_option
+def hand_over(duty, to, site_file):
+    """Have a duty go to another member: its owner gives it up first.
+
+    Example: hookrouter fleet hand-over drill/one --to k2 --site site.ini
+    """
+    answer = commanded(site_file, "hand-over", [duty, to])
+    if answer[0] != "moving":
+        stop(FAILED, f"{duty}: {answer[0]}")
+    print(f"{duty} goes to {answer[1]}")
+
+
+@fleet.command()
+@click.option("--add", help="A keeper that the file names and that runs: it learns first, then counts.")
+@click.option("--strike", help="A keeper that shall not count any more.")
+@site_option
+def replace(add, strike, site_file):
+    """Change who keeps: one at a time.
+
+    Example: hookrouter fleet replace --strike k3 --site site.ini
+    """
+    if (add is None) == (strike is None):
+        stop(WRONG, "one of --add NAME and --strike NAME is wanted")
+    answer = commanded(site_file, "replace", [add, strike])
+    if answer[0] != "changing":
+        stop(FAILED, answer[0])
+    print("the change is under way; hookrouter fleet status shows it")
--- a/hookrouter/node/start.py
+++ b/hookrouter/node/start.py
@@ -81,6 +81,8 @@
     known = stated.get("known", terms.named)
     last, events = read_known(known)
     stated_terms = terms.read_terms(stated.get("settings", terms.named))
+    if sections and "fleet" in sections and not stated_terms.may_whisper:
+        raise Malformed("[fleet]: the platform's settings forbid talk among routers; take it out")
     purges, tags = None, None
     if sections and "purges" in sections:
         purges, tags = read_purges(sections["purges"], stated_terms.kinds, opened)
--- /dev/null
+++ b/hookrouter/peers/wire.py
@@ -0,0 +1,48 @@
+"""A frame among members: a seal over sender, receiver, the receiver's nonce of this stream, a number that
+only rises in it, and the text. A stranger, a replayed frame, another fleet's member and a relay that swaps
+frames change nothing.
+"""
+
+import hmac
+
+import msgspec
+
+from ..owners.words import Message
+
+SEAL = 32  # bytes: HMAC-SHA256 (RFC 2104)
+NONCE = 16
+MOST = 1_000_000  # bytes of a frame
+
+
+class Malformed(ValueError):
+    """A frame that is not read; the text says why."""
+
+
+class Frame(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    sender: str
+    receiver: str
+    number: int
+    message: Message
+
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Frame).decode
+
+
+def seal(secret, nonce, text):
+    return hmac.digest(secret, nonce + text, "sha256")
+
+
+def write(secret, nonce, sender, receiver, number, message):
+    text = encode(Frame(sender, receiver, number, message))
+    return seal(secret, nonce, text) + text
+
+
+def read(secret, nonce, frame):
+    """Frame, or Malformed. Nothing of it is read before its seal is found right."""
+    if not hmac.compare_digest(seal(secret, nonce, frame[SEAL:]), frame[:SEAL]):
+        raise Malformed("sealed with another secret, or not for this stream")
+    try:
+        return decode(frame[SEAL:])
+    except msgspec.MsgspecError as wrong:
+        raise Malformed(f"not a message of this version: {wrong}") from None
--- a/hookrouter/site.py
+++ b/hookrouter/site.py
@@ -92,6 +92,19 @@
     return host, int(port)
 
 
+def keepers(text, folder):
+    """{name: (host, port)} of three or five, in order."""
+    found = {}
+    for part in text.split(","):
+        who, _, where = part.strip().partition(" ")
+        found[name(who.strip(), folder)] = address(where.strip(), folder)
+    different = len(set(found.values())) == len(found) == text.count(",") + 1
+    if len(found) not in (3, 5) or not different:
+        raise Wrong("three or five keepers of different names and addresses are wanted, as in "
+                    "k1 10.0.0.1:9300, k2 10.0.0.2:9300, k3 10.0.0.3:9300")
+    return found
+
+
 def name(text, folder):
     if not re.fullmatch(r"[A-Za-z0-9._-]{1,64}", text):
         raise Wrong(f"{text!r}; 1 to 64 letters, digits, dots, dashes or underscores are wanted")
@@ -184,6 +197,16 @@
         "folder": Key(directory, WANTED, "where each router keeps its trace of decisions, under its name"),
         "size": Key(amount(SIZES, 1_000_000, 1 << 40, "64 MB"), 64_000_000, "on disk for each, at most"),
     },
+    "fleet": {
+        "name": Key(name, WANTED, "this member's name, its own in the fleet"),
+        "listen": Key(address, WANTED, "address and port for other members"),
+        "keepers": Key(keepers, WANTED, "the three or five that decide: NAME ADDRESS:PORT, ..."),
+        "secret": Key(secret, WANTED, "file with the secret that all members share"),
+        "store": Key(path, None, "a keeper's file, on a disk that lasts"),
+        "lease": Key(span(2_000, 60 * SECOND, "1 s"), SECOND,
+                     "of a duty: without word for that long it is lost"),
+        "drill": Key(address, None, "a register at which duties named drill/... are worked"),
+    },
     "log": {
         "format": Key(word("text", "json"), "text", "lines for people, or a JSON object each"),
     },
@@ -192,6 +215,9 @@
 
 def contradictions(sections):
     """(section, key, what is wrong) for each pair of values that cannot both be meant."""
+    if (fleet := sections.get("fleet")) is not None and (fleet["name"] in fleet["keepers"]) != (
+            fleet["store"] is not None):
+        yield "fleet", "store", "wanted where this member is one of the keepers, and only there"
     if (purges := sections.get("purges")) is None:
         for section in ("desk", "relay"):
             if section in sections:
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that speak to the router's processes and misbehave on request."""
--- /dev/null
+++ b/standins/rig.py
@@ -0,0 +1,177 @@
+"""A fleet of real processes on loopback: keepers and members, a link between each two, a register that
+audits.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from itertools import permutations
+from pathlib import Path
+
+from .links import Link
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def free_port():
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
+
+
+class Rig:
+    """folder: for stores, files and logs. keepers: names; members: further names that bear duties only."""
+
+    def __init__(self, folder, keepers=3, members=0, lease="1 s"):
+        self.folder, self.lease = Path(folder), lease
+        self.keepers = [f"k{n}" for n in range(keepers)]
+        self.names = [*self.keepers, *(f"m{n}" for n in range(members))]
+        self.ports = {name: free_port() for name in self.names}
+        self.links = {
+            (a, b): Link(("127.0.0.1", self.ports[b]))
+            for a, b in permutations(self.names, 2)
+            if b in self.keepers
+        }
+        self.register_port, self.audit = free_port(), self.folder / "audit.jsonl"
+        self.secret = self.folder / "secret"
+        self.secret.write_text("a secret for this rig only")
+        self.secret.chmod(0o600)
+        self.processes, self.logs = {}, {}
+        self.register = subprocess.Popen(
+            [sys.executable, "-m", "standins.register", str(self.register_port), str(self.audit)], cwd=ROOT
+        )
+        for name in self.names:
+            self._site(name)
+
+    def _site(self, name):
+        keepers = ", ".join(
+            f"{k} 127.0.0.1:{self.ports[k] if k == name else self.links[name, k].port}" for k in self.keepers
+        )
+        store = f"store = {name}.db\n" if name in self.keepers else ""
+        (self.folder / f"{name}.ini").write_text(
+            f"[fleet]\nname = {name}\nlisten = 127.0.0.1:{self.ports[name]}\nkeepers = {keepers}\n"
+            f"secret = secret\n{store}lease = {self.lease}\ndrill = 127.0.0.1:{self.register_port}\n"
+        )
+        if name == self.keepers[0]:  # commands reach each keeper itself
+            keepers = ", ".join(f"{k} 127.0.0.1:{self.ports[k]}" for k in self.keepers)
+            (self.folder / "people.ini").write_text(
+                f"[fleet]\nname = people\nlisten = 127.0.0.1:1\nkeepers = {keepers}\nsecret = secret\n"
+            )
+
+    def start(self, *names):
+        for name in names or self.names:
+            out = open(self.folder / f"{name}.log", "ab")
+            self.processes[name] = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "hookrouter",
+                    "fleet",
+                    "serve",
+                    "--site",
+                    str(self.folder / f"{name}.ini"),
+                ],
+                cwd=ROOT,
+                stdout=out,
+                stderr=out,
+            )
+            out.close()
+
+    def command(self, *words):
+        """(exit code, what it printed)."""
+        ran = subprocess.run(
+            [sys.executable, "-m", "hookrouter", "fleet", *words, "--site", str(self.folder / "people.ini")],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+        return ran.returncode, ran.stdout + ran.stderr
+
+    def owners(self):
+        """{duty: row} as the leader has it, {} without one."""
+        code, out = self.command("owners", "--json")
+        return {row["duty"]: row for row in json.loads(out)} if code == 0 else {}
+
+    def status(self):
+        code, out = self.command("status", "--json")
+        return json.loads(out)
+
+    def wait(self, what, within=20.0):
+        """The first true value of what(); False where none came in time."""
+        end = time.monotonic() + within
+        while time.monotonic() < end:
+            found = what()
+            if found:
+                return found
+            time.sleep(0.1)
+        return False
+
+    def kill(self, name):
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def pause(self, name):
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name):
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def between(self, name):
+        return [link for pair, link in self.links.items() if name in pair]
+
+    def taken(self):
+        """What the register took or refused, in its order."""
+        return (
+            [json.loads(line) for line in self.audit.read_text().splitlines()] if self.audit.exists() else []
+        )
+
+    def steps(self, duty):
+        return sum(1 for row in self.taken() if row["duty"] == duty and row["ok"] and row["step"])
+
+    def wrong(self):
+        """What the register's record breaks, in words."""
+        broken, highest, last = [], {}, {}
+        for row in self.taken():
+            if not row["ok"]:
+                continue
+            duty, number, step = row["duty"], row["number"], row["step"]
+            if number < highest.get(duty, 0):
+                broken.append(f"{duty}: {number} was taken after {highest[duty]}")
+            if step and step != last.get(duty, 0) + 1:
+                broken.append(f"{duty}: step {step} was taken after {last.get(duty, 0)}")
+            highest[duty] = number
+            last[duty] = step or last.get(duty, 0)
+        return broken
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self.processes.values():
+            try:
+                process.wait(5)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self.register.kill()
+        self.register.wait()
+        for link in self.links.values():
+            link.close()
+
+    def log(self, name):
+        path = self.folder / f"{name}.log"
+        return path.read_text() if path.exists() else ""
+
+
+def holder(rig, duty):
+    row = rig.owners().get(duty)
+    return row["owner"].partition("#")[0] if row and row["owner"] else None
+
+
+os.environ.setdefault("PYTHONUNBUFFERED", "1")
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,189 @@
+"""Real processes of a fleet, with faults between them. Safety is asserted always; progress is waited for."""
+
+import random
+import resource
+import shutil
+import socket
+import sqlite3
+import struct
+import subprocess
+import sys
+
+import pytest
+
+from hookrouter.owners import Keeper, Terms
+from hookrouter.owners import words as w
+from hookrouter.stores.keeper_log import KeeperLog, Unusable
+from standins.rig import Rig, holder
+
+DUTY = "drill/a"
+
+
+@pytest.fixture
+def rig(tmp_path):
+    made = Rig(tmp_path, keepers=3, members=1)
+    made.start()
+    try:
+        assert made.wait(lambda: made.status()["leader"])
+        assert made.command("declare", DUTY)[0] == 0
+        assert made.wait(lambda: made.steps(DUTY) > 3)
+        yield made
+    finally:
+        made.stop()
+    assert made.wrong() == []
+    assert not any("uncaught" in made.log(name) or "Traceback" in made.log(name) for name in made.names)
+
+
+def goes_on(rig, more=3):
+    done = rig.steps(DUTY)
+    return rig.wait(lambda: rig.steps(DUTY) >= done + more)
+
+
+def test_an_owner_that_is_killed_stopped_or_cut_off_has_a_successor_and_does_no_harm_when_it_wakes(rig):
+    for fault in ("kill", "stop", "swallow", "one way"):
+        owner = rig.wait(lambda: holder(rig, DUTY))
+        number = rig.owners()[DUTY]["number"]
+        if fault == "kill":
+            rig.kill(owner)
+        elif fault == "stop":
+            rig.pause(owner)
+        else:
+            for pair, link in rig.links.items():
+                if owner in pair:  # one way: it is heard by none, and hears all
+                    link.swallow(to=fault == "swallow" or pair[0] == owner,
+                                 back=fault == "swallow" or pair[1] == owner)
+        assert rig.wait(lambda n=number: rig.owners().get(DUTY, {}).get("number", 0) > n), fault
+        assert goes_on(rig), fault
+        if fault == "kill":
+            rig.start(owner)
+        elif fault == "stop":
+            rig.resume(owner)
+        else:
+            for link in rig.between(owner):
+                link.heal()
+        assert goes_on(rig), fault
+    assert rig.command("hand-over", DUTY)[0] == 0
+    assert goes_on(rig)
+
+
+def test_without_a_majority_duties_stop_and_go_on_when_it_is_back(rig):
+    for name in ("k0", "k1", "k2"):
+        rig.kill(name)
+    assert rig.command("status")[0] == 1
+    rig.wait(lambda: "duty lost" in rig.log("m0"), 3)
+    still = len(rig.taken())
+    rig.start("k0")
+    assert not rig.wait(lambda: len(rig.taken()) > still + 1, 2)  # one that was on its way may come
+    rig.start("k1", "k2")
+    assert goes_on(rig)
+
+
+def test_a_full_disk_takes_a_keeper_out_and_room_brings_it_back(rig):
+    leader = rig.wait(lambda: rig.status()["leader"])
+    pid = rig.processes[leader].pid
+    size = (rig.folder / f"{leader}.db-wal").stat().st_size
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (max(1, size - size % 4096), resource.RLIM_INFINITY))
+    assert rig.wait(lambda: rig.status()["leader"] not in (None, leader))
+    assert rig.wait(lambda: "cannot be written" in rig.log(leader))
+    assert goes_on(rig)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+    assert rig.wait(lambda: rig.status()["keepers"].get(leader, {}).get("state") == "following")
+    commit = rig.status()["keepers"][leader]["commit"]
+    assert rig.wait(lambda: rig.status()["keepers"][leader]["commit"] > commit)
+
+
+def test_a_store_put_back_from_an_older_copy_is_noticed_and_its_keeper_learns_anew(rig):
+    name = next(name for name in ("k0", "k1", "k2") if name != rig.status()["leader"])
+    rig.kill(name)
+    for path in rig.folder.glob(f"{name}.db*"):
+        shutil.copy(path, rig.folder / f"copy-{path.name}")
+    commit = rig.status()["keepers"][rig.status()["leader"]]["commit"]
+    rig.start(name)
+    assert rig.wait(lambda: rig.status()["keepers"].get(name, {}).get("commit", 0) > commit)
+    rig.kill(name)
+    for path in rig.folder.glob(f"{name}.db*"):
+        path.unlink()
+    for path in rig.folder.glob(f"copy-{name}.db*"):
+        shutil.copy(path, rig.folder / path.name[5:])
+    rig.start(name)
+    assert rig.wait(lambda: "set itself aside" in rig.log(name))
+    assert rig.wait(lambda: name in rig.status()["keepers"].get(rig.status()["leader"], {}).get("voters", ())
+                    and "learns anew" in rig.log(name))
+    assert goes_on(rig)
+
+
+def test_strangers_other_secrets_and_noise_change_nothing_and_a_store_has_one_process(rig):
+    noise = random.Random(1)
+    for n in range(40):
+        with socket.create_connection(("127.0.0.1", rig.ports["k0"])) as s:
+            s.sendall((struct.pack(">I", 1 << 31), struct.pack(">I", 16) + noise.randbytes(16)
+                       + struct.pack(">I", 80) + noise.randbytes(80), noise.randbytes(300), b"")[n % 4])
+    ran = subprocess.run([sys.executable, "-m", "hookrouter", "fleet", "serve", "--site",
+                          str(rig.folder / "k0.ini")], capture_output=True, text=True, timeout=20)
+    assert ran.returncode == 1 and "another process holds it" in ran.stderr
+    other = rig.folder / "other.ini"
+    (rig.folder / "other").write_text("another secret of another fleet")
+    (rig.folder / "other").chmod(0o600)
+    other.write_text((rig.folder / "people.ini").read_text().replace("secret = secret", "secret = other"))
+    ran = subprocess.run([sys.executable, "-m", "hookrouter", "fleet", "status", "--site", str(other)],
+                         capture_output=True, text=True, timeout=20)
+    assert ran.returncode == 1 and "no leader" in ran.stdout
+    assert goes_on(rig)
+
+
+# ---- the store
+
+def stored(tmp_path, name="a", count=6):
+    """A store with some entries, as a keeper made it."""
+    log = KeeperLog(tmp_path / "a.db", name)
+    entries = tuple(w.Entry(1, w.COMMAND, ["m#1/1", "declare", [f"d{n}"]]) for n in range(count))
+    log.write(w.Persist(1, 1, "b", 1, 0, None, (("b", 4),), 0, entries, None, 0, 0))
+    return log
+
+
+def test_a_store_gives_back_what_was_written_cut_and_folded(tmp_path):
+    log = stored(tmp_path)
+    log.write(w.Persist(2, 2, None, 2, 0, None, (), 4, (w.Entry(2, w.NOOP),), None, 0, 0))
+    log.write(w.Persist(3, 2, None, 3, 0, None, (), 5, (), (4, 1, ("a", "b"), ("c",), b"x"), 3, 1))
+    log.close()
+    log = KeeperLog(tmp_path / "a.db", "a")
+    found = log.load()
+    assert found[:4] == (2, None, 3, 0) and found.doubt is None
+    assert found.base == 3 and found.snapshot == (4, 1, ("a", "b"), ("c",), b"x")
+    assert [e.term for e in found.entries] == [1, 2]
+    log.close()
+    with pytest.raises(Unusable, match="is the store of"):
+        KeeperLog(tmp_path / "a.db", "b")
+
+
+@pytest.mark.parametrize("statement, doubt", (
+    ("UPDATE entries SET body = zeroblob(length(body)) WHERE n = 3", "entry 3"),
+    ("DELETE FROM entries WHERE n = 2", "entry 2"),
+    ("UPDATE facts SET value = zeroblob(length(value)) WHERE name = 'meta'", "vote and term"),
+))
+def test_damage_is_told_from_what_was_never_written_and_a_damaged_keeper_neither_votes_nor_counts(
+        tmp_path, statement, doubt):
+    stored(tmp_path).close()
+    file = sqlite3.connect(tmp_path / "a.db")
+    file.execute(statement)
+    file.commit()
+    file.close()
+    log = KeeperLog(tmp_path / "a.db", "a")
+    found = log.load()
+    assert doubt in found.doubt
+    core = Keeper(Terms("a", 1, ("a", "b", "c")), found, 0, 1)
+    assert core.aside() == w.FORGOT
+    persist = core.take(0, w.Begin())[-1]
+    log.write(persist)
+    assert log.load().doubt == found.doubt  # it outlives what it was about
+    log.close()
+
+
+def test_a_store_that_cannot_be_written_says_so_and_holds_what_it_held(tmp_path):
+    log = stored(tmp_path)
+    log.file.execute("PRAGMA max_page_count = 1")
+    with pytest.raises(sqlite3.Error):
+        log.write(w.Persist(2, 9, None, 2, 0, None, (), 6,
+                            tuple(w.Entry(9, w.COMMAND, ["x" * 4_000]) for _ in range(50)), None, 0, 0))
+    assert log.load().term == 1 and len(log.load().entries) == 6
+    log.close()
