One word for a store that cannot be opened, the desk's and the keepers'

Need: the keepers' store had an exception of its own beside the desk's of the same name and meaning. Change: it uses the one of stores/. Measured: tests of fleet and deployment pass (11), import rules kept.

--- a/hookrouter/command/fleet.py
+++ b/hookrouter/command/fleet.py
@@ -46,7 +46,7 @@
 
     from ..fleet.service import Member
     from ..log import Log
-    from ..stores.keeper_log import Unusable
+    from ..stores import Unusable
 
     log = Log(form=sections.get("log", {}).get("format", "text"))
 
--- a/hookrouter/fleet/service.py
+++ b/hookrouter/fleet/service.py
@@ -10,7 +10,8 @@
 from ..owners import words as w
 from ..owners.duties import DONE
 from ..peers import Peers
-from ..stores.keeper_log import KeeperLog, Unusable
+from ..stores import Unusable
+from ..stores.keeper_log import KeeperLog
 from .steps import Steps
 
 TENTHS = 10_000  # in a second
--- a/hookrouter/stores/keeper_log.py
+++ b/hookrouter/stores/keeper_log.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ..owners.words import Entry, Stored
+from .purge_log import Unusable
 
 MARK = 0x686B6B70  # the file's application id: "hkkp"
 VERSION = 1
@@ -24,10 +25,6 @@
 """
 
 
-class Unusable(Exception):
-    """This file cannot be opened as a keeper's store; the text says why and what to do."""
-
-
 class Meta(msgspec.Struct, array_like=True):
     term: int = 0
     voted: str | None = None
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,7 +13,8 @@
 
 from hookrouter.owners import Keeper, Terms
 from hookrouter.owners import words as w
-from hookrouter.stores.keeper_log import KeeperLog, Unusable
+from hookrouter.stores import Unusable
+from hookrouter.stores.keeper_log import KeeperLog
 from standins.rig import Rig, holder
 
 DUTY = "drill/a"
