--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -2,7 +2,6 @@
 real processes that are killed, stopped, cut off and run out of disk.
 """
 
-import resource
 import sys
 import tempfile
 import time
@@ -156,7 +155,6 @@
     number, began = rig.owners()[duty]["number"], time.monotonic()
     if fault == "disk" and owner not in rig.keepers:
         fault = "kill"
-    process = rig.processes[owner]
     if fault == "kill":
         rig.kill(owner)
     elif fault == "stop":
@@ -165,10 +163,7 @@
         for link in rig.between(owner):
             link.swallow()
     else:
-        size = (rig.folder / f"{owner}.db-wal").stat().st_size
-        resource.prlimit(
-            process.pid, resource.RLIMIT_FSIZE, (max(1, size - size % 4096), resource.RLIM_INFINITY)
-        )
+        rig.fill_disk(owner)
         time.sleep(1)
     if fault != "disk":  # a keeper without a disk still bears duties that need none of it
         rig.wait(lambda: first_after(rig, duty, number), WITHIN)
@@ -181,7 +176,7 @@
         for link in rig.between(owner):
             link.heal()
     else:
-        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+        rig.free_disk(owner)
     rig.wait(lambda: rig.status()["leader"])
     return since - began if since is not None and fault != "disk" else None
 
--- a/benchmarks/owners_world.py
+++ b/benchmarks/owners_world.py
@@ -5,7 +5,6 @@
 copy.
 """
 
-import copy
 from random import Random
 
 from hookrouter.lab.engine import Engine
@@ -501,16 +500,6 @@
     return world
 
 
-def smaller(seed, faults=25, **more):
-    """The fewest faults with which a seed still breaks something."""
-    while faults and schedule(seed, faults - 1, **more).breaks:
-        faults -= 1
-    return faults
-
-
-copied = copy.deepcopy
-
-
 def granted_away(make=Keeper):
     """Whether a member whose lease was over, and who comes back while its duty is on its way to another, is
     told that it still holds it: one leader's core, the others' answers made up.
--- a/hookrouter/owners/duties.py
+++ b/hookrouter/owners/duties.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-DECLARE, GRANT, DROP, DONE, LEFT = "declare", "grant", "drop", "done", "left"
+DECLARE, GRANT, DROP, DONE = "declare", "grant", "drop", "done"
 MOST_DUTIES = 10_000
 MOST_MEMBERS = 10_000  # of whom the last key is known
 MOST_TEXT = 64
--- a/hookrouter/owners/fence.py
+++ b/hookrouter/owners/fence.py
@@ -2,8 +2,6 @@
 sequencers).
 """
 
-ADMITTED, OLD = "admitted", "old"
-
 
 class Fence:
     """highest: {duty: number} as it stood on disk. The host writes admit's number down before it acts on
--- a/hookrouter/owners/keeper.py
+++ b/hookrouter/owners/keeper.py
@@ -76,7 +76,7 @@
         self.unsaved, self.unsaved_snapshot = self.last() + 1, False
         self.acked_at, self.heard_at = self.now, -LONG_AGO  # it may have answered just before it ended
         self.known, self.granted, self.sure_at = {self.name}, {}, self.now + ASK_ALL
-        self.peers, self.round, self.leases, self.asks, self.elected_at = {}, 0, None, {}, 0
+        self.peers, self.round, self.leases, self.asks = {}, 0, None, {}
         self.own, self.told = 0, []  # its own disk, as far as it counts; (round that tells of it, durable)
         self.beat_at = self.now
         self._wait()
@@ -401,7 +401,7 @@
     # ---- leading
 
     def _lead(self):
-        self.leader, self.round, self.elected_at = self.name, 0, self.now
+        self.leader, self.round = self.name, 0
         self.peers = {name: Peer(self.last() + 1, self.now) for name in self.others()}
         # No renewal that an earlier leader confirmed is younger than the youngest answer of those who
         # elected.
--- a/hookrouter/owners/words.py
+++ b/hookrouter/owners/words.py
@@ -9,7 +9,6 @@
 import msgspec
 
 MOST = 1 << 53
-MOST_NAME = 64
 MOST_IN_APPEND = 256  # entries in one message: with bodies of some hundred bytes a part of one frame
 MOST_STATE = 600_000  # bytes of a snapshot: ten thousand duties have some 500 kB, and a frame takes it
 
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -115,6 +116,18 @@
         self.processes[name].kill()
         self.processes[name].wait()
 
+    def fill_disk(self, name):
+        """A keeper's store cannot grow any more: its next write past the end fails with EFBIG."""
+        size = (self.folder / f"{name}.db-wal").stat().st_size
+        self._room(name, max(1, size - size % 4096))
+
+    def free_disk(self, name):
+        self._room(name, resource.RLIM_INFINITY)
+
+    def _room(self, name, size):
+        limits = size, resource.RLIM_INFINITY
+        resource.prlimit(self.processes[name].pid, resource.RLIMIT_FSIZE, limits)
+
     def pause(self, name):
         self.processes[name].send_signal(signal.SIGSTOP)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,6 @@
 """Real processes of a fleet, with faults between them. Safety is asserted always; progress is waited for."""
 
 import random
-import resource
 import shutil
 import socket
 import sqlite3
@@ -81,13 +80,11 @@
 
 def test_a_full_disk_takes_a_keeper_out_and_room_brings_it_back(rig):
     leader = rig.wait(lambda: rig.status()["leader"])
-    pid = rig.processes[leader].pid
-    size = (rig.folder / f"{leader}.db-wal").stat().st_size
-    resource.prlimit(pid, resource.RLIMIT_FSIZE, (max(1, size - size % 4096), resource.RLIM_INFINITY))
+    rig.fill_disk(leader)
     assert rig.wait(lambda: rig.status()["leader"] not in (None, leader))
     assert rig.wait(lambda: "cannot be written" in rig.log(leader))
     assert goes_on(rig)
-    resource.prlimit(pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+    rig.free_disk(leader)
     assert rig.wait(lambda: rig.status()["keepers"].get(leader, {}).get("state") == "following")
     commit = rig.status()["keepers"][leader]["commit"]
     assert rig.wait(lambda: rig.status()["keepers"][leader]["commit"] > commit)
