A late byte of an old watch leaves the next one's timer alone

Cause: Feed.heard (feed/follower.py) dropped the one timer before it looked whether the stream is the current one, so anything heard from an old stream took the restart's timer, or the new stream's, and nothing set it again. No log shows it: Twisted reads nothing more after an abort, so it takes a stream that is told of late.

Change: the timer is dropped only where the stream is the current one.

Measured: the new test is red before (no second connection within its second) and green after; tests of the feed pass.

--- a/hookrouter/feed/follower.py
+++ b/hookrouter/feed/follower.py
@@ -117,8 +117,8 @@
         """Another status than 200 came."""
 
     def heard(self, stream):
-        self.deadlines.drop(self.patience)
-        if stream is self.stream:
+        if stream is self.stream:  # a late byte of an old one must not take the next one's timer away
+            self.deadlines.drop(self.patience)
             self.patience = self.deadlines.after(SILENCE, self.end, stream, "silent")
 
     def end(self, stream, why):
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -147,3 +147,17 @@
 def test_the_known_events_come_with_their_last_number():
     last, events = read_known({"n": 2, "events": [members(1, endpoint("a", 7001), whole=True), purge(2, key="ab")]})
     assert last == 2 and [event.n for event in events] == [1, 2] and events[0].whole
+
+
+def test_a_late_byte_of_an_old_stream_takes_the_next_ones_timer_not_away():
+    s = Scene()
+    old = s.net.ways[0].up()
+    stream = old.protocol
+    s.feed.end(stream, "silent")
+    s.net.advance(0)
+    stream.feed.heard(stream)
+    s.net.advance(0.05)
+    assert len(s.net.ways) == 2
+    stream.feed.heard(stream)
+    s.net.advance(1)
+    assert s.net.ways[1].over  # it had a second to come up
