No attempt leaves for a client that has gone, nor past its last moment

Causes, with the lines: (1) a settled lookup's sends were cancelled only where cancelling is allowed (control/lookups.py _settle), also those not written yet; (2) timers and caches come before the client's socket after a pause, and nothing read that before a further attempt, a dial that came up or a freed descriptor (caches/pool.py _put); (3) behind a call its interrupt or the client's end lay unread (front/connection.py dataReceived); (4) a client whose answers wait unread was not read either (pauseProducing), for up to 10 s; (5) rules.py held the repeat window against the moment of the decision, while a dial may take until leave_for. Ruled out: attempts that are out; they are no new ones, and cancelling them stays the settings' choice.

Change: Caches._put is the one place where a request leaves; it asks whether the client still waits, for which that client's socket is read to its end first, and whether the last moment is over. The module decides that moment (Rules.leaves_within: connecting, drain, purge, repeat window) and it goes with Ask and Obtain. Sends that are not written are withdrawn with their lookup. Calls are taken once nothing more lies unread behind them. Clients are read always; answers that wait are handed on in batches, each with its 10 s, and beyond half of its bound a client's further calls are nacked at once. A request goes out as it is decided, not after all else that was read.

Tests: "is not read from" asked for the fault itself, a transport that is paused; its replacement holds the same room, time and end, and that interrupts are heard. Doubles of Caches.send have its new signature.

--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -16,7 +16,6 @@
 from .connection import Connection, Outgoing
 
 RESTED = 0.02  # seconds: an answer's double comes some milliseconds late and must not pass for the next
-SPARE = 0.02  # seconds between the last moment at which a send may leave and what forbids it
 
 
 class Place:
@@ -30,17 +29,22 @@
         self.field = f"{self.host}:{self.port}".encode()  # of each request's head
 
 
+def always():
+    return True
+
+
 class Send:
     """One request and its Deferred, which fires with Ended."""
 
-    __slots__ = ("caches", "place", "pieces", "seen", "asked", "once", "deadline", "leave_by", "deferred",
-                 "connection", "written", "ended")
+    __slots__ = ("caches", "place", "pieces", "seen", "asked", "once", "wanted", "deadline", "leave_by",
+                 "deferred", "connection", "written", "ended")
 
-    def __init__(self, caches, place, pieces, seen=None, asked=None, once=False):
+    def __init__(self, caches, place, pieces, seen=None, asked=None, once=False, wanted=always):
         self.caches, self.place, self.pieces = caches, place, pieces
         self.seen = seen  # the tag of the client's copy, which may be the one
         self.asked = asked  # kind, object, part
         self.once = once  # what the cache says of it must be its own: it may not simply be repeated
+        self.wanted = wanted  # whether anybody waits for it still: asked in the moment before it is written
         self.deferred = Deferred()
         self.deadline = self.leave_by = self.connection = self.ended = None
         self.written = False
@@ -57,9 +61,6 @@
     def __init__(self, reactor, deadlines, room, most, terms, log, count):
         self.reactor, self.deadlines, self.room, self.log, self.count = reactor, deadlines, room, log, count
         self.connect_for = terms.connect_for / SECOND
-        # A send that has not left by then never does: caches and sources may drain, objects be purged since.
-        grace = min(terms.drain_grace, terms.purge_grace) / SECOND
-        self.leave_for = min(self.connect_for, max(SPARE, grace - SPARE))
         # Left before the cache closes it, by the time a connection may take: no request crosses the close.
         self.idle_for = max(0, terms.idle_for - terms.connect_for) / SECOND
         self.names = terms.report_fields if terms.reports != "none" else ()
@@ -95,16 +96,18 @@
 
     # ---- sends and probes
 
-    def send(self, name, errand, within):
-        """The Send, on its way; silent for that many seconds, it is late."""
+    def send(self, name, errand, within, leave_within, wanted=always):
+        """The Send, on its way; silent for that many seconds, it is late, and not written within so many it
+        never is.
+        """
         self.count("sends")
         place = self.places.get(name)
         if place is None:
             return self._nowhere()
         seen = None if errand.seen is None else errand.seen.encode()
         send = Send(self, place, errands.request(errand, place.field), seen,
-                    (errand.kind, errand.object, errand.part), errand.once)
-        return self._go(send, within)
+                    (errand.kind, errand.object, errand.part), errand.once, wanted)
+        return self._go(send, within, leave_within)
 
     def probe(self, name):
         self.count("probes")
@@ -112,7 +115,8 @@
         if place is None:
             return self._nowhere()
         # No time is stated for a probe but that of a connection.
-        return self._go(Send(self, place, errands.probe(self.names, place.field)), self.connect_for)
+        send = Send(self, place, errands.probe(self.names, place.field))
+        return self._go(send, self.connect_for, self.connect_for)
 
     def _nowhere(self):
         """A send to a cache that was forgotten since it was picked: it never leaves."""
@@ -120,11 +124,11 @@
         send.deadline = self.deadlines.after(0, self.give_up, send, i.VOID)
         return send
 
-    def _go(self, send, within):
+    def _go(self, send, within, leave_within):
         send.deadline = self.deadlines.after(within, self.overdue, send)
         self._start(send)
-        if not send.written:
-            send.leave_by = self.deadlines.after(self.leave_for, self._not_left, send)
+        if not send.written and send.ended is None:
+            send.leave_by = self.deadlines.after(leave_within, self._not_left, send)
         return send
 
     def _start(self, send):
@@ -151,9 +155,17 @@
             send.place.host, send.place.port, Outgoing(connection), timeout=None)
 
     def _put(self, send, connection):
-        connection.send, send.connection, send.written = send, connection, True
-        self.deadlines.drop(send.leave_by)
-        connection.transport.writeSequence(send.pieces)
+        """The one place where a request leaves: none does that nobody waits for, nor past its last moment."""
+        connection.send, send.connection = send, connection
+        if send.leave_by is not None and self.deadlines.due(send.leave_by, 0):
+            self.give_up(send, i.UNREACHED)
+        elif not send.wanted():
+            self.give_up(send, i.CANCELLED)
+        else:
+            send.written = True
+            self.deadlines.drop(send.leave_by)
+            connection.transport.writeSequence(send.pieces)
+            connection.transport.doWrite()  # now, and not after all else that the reactor has read
 
     def overdue(self, send):
         if send.written:
--- a/hookrouter/control/lookups.py
+++ b/hookrouter/control/lookups.py
@@ -59,7 +59,7 @@
 
     def _send(self, lk, target, source, left):
         c, kind, pairs = self.c, self.kinds[lk.kind], self.terms.second_copies
-        limit, cost = c.times.deadline(lk), c.times.mean_work[lk.kind]
+        limit, cost, leave = c.times.deadline(lk), c.times.mean_work[lk.kind], c.rules.leaves_within(lk)
         c.learning.spare -= lk.sends > 0
         first = lk.overruns == 0 and not kind.write and target not in c.origins
         limited = first and limit < left and c.learning.spare >= 1
@@ -76,11 +76,11 @@
         # Where sizes are not told its budget is not known before its end.
         c.begin(lk, sent, c.now + int(c.times.budget(sent)) if lk.work else None)
         if source is None or target in c.origins:
-            c.say(i.Ask(lk.id, c.ids[target], wait))
+            c.say(i.Ask(lk.id, c.ids[target], wait, leave))
         else:
             c.say(i.Obtain(lk.id, c.ids[target], c.ids[source], wait, c.purges.oldest(lk),
                            1 if edge and not kind.write else 0, self.terms.joins and not lk.hits_only,
-                           lk.hits_only, False, edge and via is not None and kind.fresh > 0))
+                           lk.hits_only, False, edge and via is not None and kind.fresh > 0, leave))
         return SENT
 
     def _give_up(self, lk):
@@ -97,10 +97,9 @@
 
     def _settle(self, lk):
         del self.c.held[lk.id]
-        if self.terms.may_cancel:
-            for number in range(lk.sends):
-                if (lk.id, number) in self.c.sent:
-                    self.c.say(i.Cancel(lk.id, number))
+        for number in range(lk.sends if self.terms.may_cancel else 0):
+            if (lk.id, number) in self.c.sent:
+                self.c.say(i.Cancel(lk.id, number))
 
 
 # state, input -> next state, effect; an effect may hand back a further input.
--- a/hookrouter/control/rules.py
+++ b/hookrouter/control/rules.py
@@ -3,11 +3,20 @@
 from .. import interface as i
 
 MEMORY_MARGIN = 500  # 50 ms: a repeat must reach the group before it forgets
+SPARE = 200  # 20 ms between the last moment to leave and what forbids it
 
 
 class Rules:
     def __init__(self, beliefs, terms):
         self.b, self.kinds, self.pairs = beliefs, terms.kinds, terms.second_copies
+        self.soon = min(terms.connect_for, max(SPARE, min(terms.drain_grace, terms.purge_grace) - SPARE))
+
+    def leaves_within(self, lk):
+        """So long may it wait to leave: by then what it names may drain, or its group forget the first."""
+        kind, firsts = self.kinds[lk.kind], [when for when, _ in lk.doubts.values()]
+        if not firsts or kind.effect == i.IDEMPOTENT:
+            return self.soon
+        return min(self.soon, min(firsts) + kind.remembered - MEMORY_MARGIN - self.b.now)
 
     def admissible(self, lk, target):
         """May this lookup be sent there?"""
@@ -16,16 +25,9 @@
             return False
         if not lk.doubts or kind.effect == i.IDEMPOTENT:
             return True
-        if kind.effect == i.SIDE_EFFECTING:
-            return False
-        for when, first in lk.doubts.values():
-            if b.now >= when + kind.remembered - MEMORY_MARGIN:
-                return False
-            if kind.dropped_at == i.SAME_ZONE and b.where[first] != b.where[target]:
-                return False
-            if kind.dropped_at == i.SAME_CELL and b.cell[first] != b.cell[target]:
-                return False
-        return True
+        group = {i.SAME_ZONE: b.where, i.SAME_CELL: b.cell}.get(kind.dropped_at)
+        return self.leaves_within(lk) > 0 and (
+            group is None or all(group[first] == group[target] for _, first in lk.doubts.values()))
 
     def nackable(self, lk):
         kind = self.kinds[lk.kind]
--- a/hookrouter/fleet/member/warmed.py
+++ b/hookrouter/fleet/member/warmed.py
@@ -141,7 +141,8 @@
                         self.heed.age(kind, object, effect.group, now), True,
                         fence=f"{act.duty} {act.number}")
         self.warmer.count("warming_fills")
-        send = self.router.caches.send(self.cache, errand, FILL_WITHIN / 10_000)
+        send = self.router.caches.send(self.cache, errand, FILL_WITHIN / 10_000,
+                                       self.router.control.rules.soon / 10_000)
         send.deferred.addCallback(self._ended, effect)
 
     def _origin(self):
--- a/hookrouter/front/connection.py
+++ b/hookrouter/front/connection.py
@@ -1,5 +1,7 @@
 """One client's connection: calls read from frames, answers written, what it does not read bounded."""
 
+from collections import deque
+
 from twisted.internet.protocol import Protocol
 
 from ..parsers import thrift
@@ -11,6 +13,8 @@
 MOST_WITHDRAWN = 8  # calls in the read that brought them: a client that waits at all never does so
 LONGEST_DRAIN = 10.0  # seconds a client may take to read what was written: none waits longer for it
 MOST_UNREAD = 1 / 8  # of the room, of one client
+NACKED_UNREAD = MOST_UNREAD / 2  # its further calls are nacked: it would have to read their answers too
+MOST_READS = 32  # in a row, 64 kB each: as many calls as may be open, each with the longest body
 
 
 class Connection(Protocol):
@@ -20,8 +24,12 @@
         self.open = {}  # sequence number -> (name of the method, bytes of the body)
         self.number = self.draining = None
         self.newest = 0  # sequence number of a call
-        self.unread = 0  # bytes written that wait for the client, once these are many
-        self.ending = False  # nothing more is read
+        self.queue = []  # pieces of answers that wait until the client has read those before
+        self.unread = 0  # bytes of these, or of those handed on last
+        self.ending = False  # nothing more is taken
+        self.came = False  # something, by the newest read
+        self.read = None  # messages read and not acted on yet, while a read is under way
+        self.withdrawn = set()  # sequence numbers of those among them that are
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -34,20 +42,44 @@
     def dataReceived(self, data):
         if self.ending:
             return
-        frames = ()
+        self.came = True
         try:
-            frames = self.frames.feed(data)
-            messages = [thrift.Message(frame) for frame in frames]
+            messages = [thrift.Message(frame) for frame in self.frames.feed(data)]
             withdrawn = self._count(messages)
-            for message in messages:
-                if message.seqid not in withdrawn or message.name != b"execute":
-                    self._read(message)
+            if self.read is None:
+                self._act(messages, withdrawn)
+            else:
+                self._read_on(messages, withdrawn)
         except Malformed as wrong:
             self.front.log("client sent what cannot be read, connection ended", wrong.told())
             self.front.count("clients_malformed")
             self.cut()
-        else:
-            self.front.heard(self, bool(frames))
+
+    def _act(self, messages, withdrawn):
+        """Once nothing more lies unread: behind a call its interrupt may lie, or the client's end."""
+        self.read, self.withdrawn, whole = deque(messages), withdrawn, bool(messages)
+        try:
+            self.catch_up()
+            while self.read and not self.ending:
+                whole, message = True, self.read.popleft()
+                if message.seqid not in self.withdrawn or message.name != b"execute":
+                    self._read(message)
+        finally:
+            self.read = None
+        self.front.heard(self, whole)
+
+    def _read_on(self, messages, withdrawn):
+        """What came while earlier messages are acted on: it waits, but what it withdraws is withdrawn."""
+        waiting = {message.seqid for message in self.read if message.name == b"execute"}
+        self.read.extend(messages)
+        self.withdrawn |= withdrawn
+        for message in messages:
+            if message.name == b"interrupt":
+                seqid = message.arguments().get(1)
+                if isinstance(seqid, int) and seqid in waiting:
+                    self.withdrawn.add(seqid)
+                else:
+                    self._interrupt(message, message.arguments())
 
     def _count(self, messages):
         """Looked at before any is taken: who opens too many, or one number twice, gets none of them.
@@ -77,11 +109,18 @@
         return withdrawn
 
     def catch_up(self):
-        """Takes in what lies unread: after a pause of the process its deadlines come before its reads."""
-        if not self.ending and self.draining is None and self.transport.doRead() is not None:
-            self.cut()
+        """Takes in all that lies unread: after a pause of the process its deadlines come before its reads."""
+        for _ in range(MOST_READS):
+            if self.ending:
+                return
+            self.came = False
+            if self.transport.doRead() is not None:
+                self.cut()
+            elif not self.came:
+                return
 
     def connectionLost(self, reason):
+        self.ending = True
         if self.number is None:
             return
         self._drained()
@@ -101,18 +140,28 @@
             if self.draining is None:
                 self.draining = self.front.deadlines.after(LONGEST_DRAIN, self._not_read)
             self.transport.unregisterProducer()
+            self._hand_on()
             self.transport.loseConnection()
 
-    # What the transport tells of its buffer: a client that does not read is not read from.
+    def _hand_on(self):
+        queue, self.queue = self.queue, []
+        if queue:
+            self.transport.writeSequence(queue)
+
+    # What the transport tells of its buffer. A client that does not read is read from all the same: what it
+    # withdraws, and its end, must be seen.
     def pauseProducing(self):
         """Called at each write beyond the buffer."""
         if self.draining is None:
-            self.transport.pauseProducing()
             self.draining = self.front.deadlines.after(LONGEST_DRAIN, self._not_read)
 
     def resumeProducing(self):
+        """It has read all that was handed on: what came meanwhile is next, and has its own time."""
+        waited = self.unread
         self._drained()
-        self.transport.resumeProducing()
+        self._hand_on()
+        if self.draining is not None:
+            self._hold(waited)
 
     def stopProducing(self):
         pass
@@ -159,8 +208,8 @@
             self._unusable(str(wrong))
             self.write(calls.failed(message.name, message.seqid, str(wrong)))
             return
-        if asked.body and self.front.room.full():
-            self.front.log("bodies of calls fill their room, nacked")
+        if (asked.body and self.front.room.full()) or self.unread > self.front.room.size * NACKED_UNREAD:
+            self.front.log("bodies of calls or unread answers fill their room, nacked")
             self.front.count("calls_without_room")
             self.write(calls.nacked(message.name, message.seqid, 0))
             return
@@ -187,13 +236,17 @@
         return name
 
     def write(self, pieces):
-        self.transport.writeSequence(pieces)
-        if self.draining is not None:
-            size = sum(map(len, pieces))
-            self.unread += size
-            self.front.room.take(size)
-            if self.unread > self.front.room.size * MOST_UNREAD:
-                self._not_read()
+        if self.draining is None:
+            self.transport.writeSequence(pieces)
+            return
+        self.queue.extend(pieces)
+        self._hold(sum(map(len, pieces)))
+        if self.unread > self.front.room.size * MOST_UNREAD:
+            self._not_read()
+
+    def _hold(self, size):
+        self.unread += size
+        self.front.room.take(size)
 
 
 METHODS = {b"execute": (thrift.CALL, Connection._execute), b"check": (thrift.CALL, Connection._check),
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -28,7 +28,9 @@
 
     def stopListening(self):
         """Whoever waits in the queue comes first: to a client it is connected, and may have sent its call."""
-        if self.connected and not self.factory.full():
+        before = None
+        while self.connected and not self.factory.full() and len(self.factory.connections) != before:
+            before = len(self.factory.connections)
             self.doRead()
         return tcp.Port.stopListening(self)
 
@@ -113,6 +115,12 @@
         if not connection.ending:
             self.idle[connection] = self.deadlines.clock.seconds()
 
+    def catch_up(self, call):
+        """Takes in what lies unread on the connection of this call."""
+        connection = self.connections.get(call[0])
+        if connection is not None:
+            connection.catch_up()
+
     def _look(self):
         now = self.deadlines.clock.seconds()
         for connection in self._since(self.silent, now - HEARING):
--- a/hookrouter/interface.py
+++ b/hookrouter/interface.py
@@ -181,12 +181,16 @@
 
 # ---- effects
 
+ANY_TIME = 1 << 40  # over three years: no bound of its own
+
+
 class Ask(NamedTuple):
     """A send for what the target holds; it fills nothing."""
 
     id: int
     cache: str
     wait: int
+    leave: int = ANY_TIME  # not written within that long it never is
 
 
 class Obtain(NamedTuple):
@@ -202,6 +206,7 @@
     held_only: bool
     unkept: bool
     renew: bool
+    leave: int = ANY_TIME  # as above
 
 
 class Nack(NamedTuple):
--- a/hookrouter/node/effects.py
+++ b/hookrouter/node/effects.py
@@ -1,5 +1,7 @@
 """What the module says, carried out: sends and answers, alarms, the router's own copies."""
 
+from functools import partial
+
 from .. import interface as i
 from ..caches import Errand
 
@@ -32,7 +34,9 @@
         router.tally.sent(effect.cache, source)
     if router.heed is not None:
         router.heed.sent(effect.cache, asked.size)
-    out = lookup.running[n] = router.caches.send(effect.cache, errand, router.until(effect.wait))
+    lookup.running[n] = None  # it is held from here on: its client may be found to have gone on the way
+    out = lookup.running[n] = router.caches.send(effect.cache, errand, router.until(effect.wait),
+                                                 router.until(effect.leave), partial(router.wanted, lookup))
     out.deferred.addCallback(sent, router, lookup, n, effect.cache, source, began)
 
 
@@ -58,6 +62,7 @@
         router.brought[lookup.number, n] = lookup.asked, ended
     router.tell(i.SendEnd(lookup.number, n, ended.end, ended.note, lookup.ended, router.now() - began, cache,
                         ended.report, copy))
+    router.withdraw(lookup)
 
 
 def nack(router, effect):
@@ -65,6 +70,7 @@
     if lookup is not None:
         router.counters.given_up(effect.why)
         router.answer(lookup, "nacked", router.front.nacked, effect.stay_away)
+        router.withdraw(lookup)
 
 
 def fail(router, effect):
@@ -72,6 +78,7 @@
     if lookup is not None:
         router.counters.given_up(effect.why)
         router.answer(lookup, "failed", router.front.failed)
+        router.withdraw(lookup)
 
 
 def keep(router, effect):
@@ -94,6 +101,7 @@
         router.answer(lookup, "satisfied", router.front.unchanged)
     else:
         router.answer(lookup, "satisfied", router.front.satisfied, pieces, length)
+    router.withdraw(lookup)
 
 
 def cancel(router, effect):
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -172,6 +172,13 @@
         lookup = self.lookups.get(self.by_call[call])
         self._end(lookup, "given_up")
         self.tell(i.ClientGone(lookup.number))
+        self.withdraw(lookup)
+
+    def wanted(self, lookup):
+        """Whether its client still waits, by all that has come from it: what lies unread is read first."""
+        if not lookup.ended:
+            self.front.catch_up(lookup.call)
+        return not lookup.ended
 
     # ---- from the feed
 
@@ -213,6 +220,12 @@
         self.counters.ended(lookup.asked.kind, end)
         self.let_go(lookup)
 
+    def withdraw(self, lookup):
+        """Sends of an ended lookup that are not written are no attempts yet: no leave to cancel is needed."""
+        for send in list(lookup.running.values()) if lookup.ended else ():
+            if send is not None and not send.written:
+                send.give_up()
+
     def let_go(self, lookup):
         """Its slot is free once it is answered and none of its sends runs."""
         if lookup.ended and not lookup.running and lookup.number is not None:
--- a/tests/crowd_mistakes.py
+++ b/tests/crowd_mistakes.py
@@ -39,10 +39,10 @@
         row._replace(phase=i.READY) if row.phase == i.DRAINING else row for row in event.caches)))
 
 
-def sends_again(caches, name, errand, wait):
+def sends_again(caches, name, errand, *how):
     if errand.kind == "order":
-        send(caches, name, errand, wait)
-    return send(caches, name, errand, wait)
+        send(caches, name, errand, *how)
+    return send(caches, name, errand, *how)
 
 
 MISTAKES = {
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -207,6 +207,13 @@
 
     loseConnection = abortConnection
 
+    def loseWriteConnection(self):
+        """A client that sees the end closes its side too."""
+        self.loseConnection()
+
+    def doWrite(self):
+        """All is written as it comes."""
+
     def doRead(self):
         """What lies unread: the reactor has not come to it yet."""
         unread, self.unread = self.unread, b""
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -7,6 +7,7 @@
 
 from hookrouter import interface as i
 from hookrouter.caches import Caches, Errand
+from hookrouter.control.rules import Rules
 from hookrouter.tables.deadlines import Deadlines
 from hookrouter.tables.room import Room
 
@@ -18,11 +19,12 @@
         self.net, self.noted, self.room, self.ended = Net(), Noted(), Room(room, lambda: self.noted.count("room_filled")), []
         self.deadlines = Deadlines(self.net)
         self.caches = Caches(self.net, self.deadlines, self.room, most, terms(**more), self.noted.log, self.noted.count)
+        self.soon = Rules(None, terms(**more)).soon / SECOND  # what the module lets a first attempt wait
         for n in range(3):
             self.caches.learn(f"c{n}", ("127.0.0.1", 7000 + n), 0)
 
-    def send(self, name="c0", errand=PLAIN):
-        send = self.caches.send(name, errand, errand.wait / SECOND)
+    def send(self, name="c0", errand=PLAIN, leave=None, wanted=lambda: True):
+        send = self.caches.send(name, errand, errand.wait / SECOND, self.soon if leave is None else leave, wanted)
         send.deferred.addCallback(self.ended.append)
         return send
 
@@ -169,6 +171,40 @@
     s.nothing_is_left()
 
 
+def test_a_repeat_leaves_by_the_moment_that_is_carried_with_it_or_never():
+    """The window of repeats was held against the decision alone; a dial may take 0.4 s more."""
+    s = Scene(most=1)
+    s.send(leave=0.05)
+    s.net.advance(0.06)
+    assert s.ends() == [i.UNREACHED]
+    s.send(leave=0.05)
+    s.net.rightNow += 0.06  # a pause: no timer was called
+    wire = s.up()
+    s.net.advance(0)
+    assert wire.take() == b"" and not wire.open and s.ends() == [i.UNREACHED] * 2
+    s.nothing_is_left()
+
+
+@pytest.mark.parametrize("on", ["a dial", "a descriptor", "an idle connection"])
+def test_a_request_is_not_written_where_nobody_waits_for_it_any_more(on):
+    s, wanted = Scene(most=1), [True]
+    if on != "a dial":
+        s.send()
+        s.up().take()
+    if on == "an idle connection":
+        s.net.ways[-1].wire.come(answer(200, b"x"))
+        wanted[0] = False
+    s.send(wanted=lambda: wanted[0])
+    wanted[0] = False
+    if on == "a dial":
+        s.up()
+    elif on == "a descriptor":
+        s.net.ways[-1].wire.come(answer(200, b"x"))
+    s.net.advance(0)
+    assert s.ends()[-1] == i.CANCELLED and s.net.ways[-1].wire.take() == b""
+    s.nothing_is_left()
+
+
 def test_a_deployment_without_any_grace_still_sends():
     s = Scene(drain_grace=0)
     s.send()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,7 +1,7 @@
 """Client connections in memory: each call answered once, whatever else comes."""
 
 import pytest
-from fleet import Net, Noted, Wire, answers, message
+from fleet import END, Net, Noted, Wire, answers, message
 
 from hookrouter.front import Front, Listener
 from hookrouter.parsers import thrift
@@ -230,25 +230,65 @@
     assert s.front.port.reading and len(s.front.connections) == 1
 
 
-def test_a_client_that_does_not_read_is_not_read_from_and_ends():
-    s = Scene()
+def test_a_client_that_does_not_read_is_heard_all_the_same_and_ends():
+    """Not read from, its interrupts and its end lay unseen for up to 10 s while further attempts began."""
+    s = Scene(room=20_000)
     wire = s.client()
-    wire.come(message(1) + message(2))
+    wire.come(message(1) + message(2) + message(3))
     wire.producer.pauseProducing()  # the transport's buffer is long
     s.front.satisfied(s.desk.calls[0][0], (b"x" * 500,), 500)
-    assert wire.producerState == "paused" and s.room.held > 500
+    assert wire.producerState == "producing" and wire.take() == b"" and s.room.held > 500
+    wire.come(message(4, b"interrupt", interrupted=2))
+    assert s.desk.gone == [s.desk.calls[1][0]]
     wire.producer.pauseProducing()  # as at each write beyond it
+    s.front.satisfied(s.desk.calls[2][0], (b"x" * 1_000,), 1_000)
+    wire.come(message(5))
+    assert len(s.desk.calls) == 3 and "calls_without_room" in s.noted.counted  # its answer would wait too
     wire.producer.resumeProducing()
-    assert wire.producerState == "producing" and s.room.held == 0
+    got = answers(wire.take())
+    assert [got[n][1].keys() for n in (1, 3, 5)] == [{0}, {0}, {1}] and s.room.held == 0
+    wire.come(message(6))
     s.net.pump([9, 0.9])
     wire.producer.pauseProducing()
     s.net.advance(1)
     assert wire.open  # it had read all: that it waited before is forgotten
-    s.front.satisfied(s.desk.calls[1][0], (b"x" * 500,), 500)
+    s.front.satisfied(s.desk.calls[3][0], (b"x" * 500,), 500)
     s.net.pump([5, 5, 0])
     assert not wire.open and s.room.held == 0 and "clients_not_reading" in s.noted.counted
 
 
+def test_a_client_that_reads_slowly_but_reads_is_not_ended():
+    """Each batch handed to the transport has its own time: what is read is progress."""
+    s = Scene(room=20_000)
+    wire = s.client()
+    wire.come(b"".join(message(n) for n in range(1, 6)))
+    again = wire.writeSequence
+    wire.writeSequence = lambda pieces: (again(pieces), wire.producer.pauseProducing())  # as each fills the buffer
+    for call, _ in s.desk.calls:
+        s.front.satisfied(call, (b"x" * 300,), 300)
+        s.net.advance(9)
+        wire.producer.resumeProducing()
+        assert wire.open
+    assert len(answers(wire.take())) == 5
+    s.net.pump([9, 2, 0])
+    assert not wire.open and s.room.held == 0  # the last batch was not read
+
+
+def test_what_lies_behind_a_call_is_read_before_it_is_taken():
+    """Its interrupt or the client's end may be there: then it is not taken."""
+    s = Scene()
+    gone, back, more = s.client(), s.client(), s.client()
+    gone.unread = END
+    gone.come(message(1))
+    back.unread = message(2, b"interrupt", interrupted=1)
+    back.come(message(1))
+    more.unread = message(2)
+    more.come(message(1))
+    s.net.advance(0)
+    assert [(call[1], asked.trace) for call, asked in s.desk.calls] == [(1, f"{1:016x}"), (2, f"{2:016x}")]
+    assert not gone.open and back.open and s.desk.gone == [] and back.take() == b""
+
+
 def test_calls_with_bodies_are_nacked_while_such_bodies_fill_their_room():
     s = Scene(room=100)
     wire, late = s.client(), s.client()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,8 +3,8 @@
 import json
 
 import pytest
-from fleet import answer, answers, configuration, endpoint, members, message
-from scenes import BEGAN, FLEET, Scene
+from fleet import END, answer, answers, configuration, endpoint, members, message
+from scenes import BEGAN, FLEET, Scene, started
 
 from hookrouter import interface as i
 from hookrouter.feed.events import parse_event
@@ -82,6 +82,69 @@
     assert wire.take() == b"" and held["lookups_held"] == held["connections_held"] == held["clients_held"] == 0
 
 
+@pytest.mark.parametrize("end", ["interrupt", "end"])
+def test_what_is_not_written_is_withdrawn_with_its_client_also_where_nothing_may_be_cancelled(tmp_path, end):
+    stated = configuration(members(1, *FLEET, whole=True))
+    stated["settings"]["limits"]["mayCancel"] = False
+    s = Scene(tmp_path, terms=started(tmp_path, stated).terms)
+    wire = s.client()
+    wire.come(message(1) + message(2, part="4"))
+    written = s.net.ways[0].up()
+    written.take()
+    if end == "interrupt":
+        wire.come(message(3, b"interrupt", interrupted=1) + message(4, b"interrupt", interrupted=2))
+    else:
+        wire.abortConnection()
+    s.net.advance(0)
+    assert s.net.ways[1].over and written.open  # the dial is taken back, the attempt that is out goes on
+    written.come(answer(200, b"x"))
+    held = s.adds_up()
+    assert held["lookups_held"] == held["sends_out"] == 0 and s.counters.values["sends_cancelled"] == 1
+
+
+@pytest.mark.parametrize("on", ["a first attempt", "a further attempt", "a dial"])
+@pytest.mark.parametrize("gone", ["interrupt", "end"])
+def test_no_attempt_begins_for_a_client_whose_end_lies_unread(tmp_path, on, gone):
+    """After a pause of the process timers and caches may come before that client's socket."""
+    s = Scene(tmp_path)
+    wire = s.client()
+    unread = message(2, b"interrupt", interrupted=1) if gone == "interrupt" else END
+    if on == "a first attempt":
+        wire.unread = unread
+    wire.come(message(1))
+    if on == "a further attempt":
+        first = s.up()
+        first.take()
+        wire.unread = unread
+        first.come(answer(404))
+    elif on == "a dial":
+        wire.unread = unread
+        s.up()
+    s.net.pump([0, 0.01])
+    for way in s.net.ways:
+        way.over or way.up()
+    assert not any(way.wire.take() for way in s.net.ways if way.wire is not None)
+    s.net.pump([0.5, 0])
+    held = s.adds_up()
+    assert held["lookups_held"] == held["sends_out"] == 0 and wire.take() == b"" and not s.router.control.held
+
+
+def test_a_keyed_repeat_never_leaves_once_its_group_may_have_forgotten_the_first(tmp_path):
+    stated = configuration(members(1, *FLEET, whole=True))
+    stated["settings"]["classes"][1]["memorySpan"] = 300.0
+    s = Scene(tmp_path, terms=started(tmp_path, stated).terms)
+    wire = s.client()
+    wire.come(message(1, service="hold", replay="5c0f"))
+    s.up()
+    s.net.advance(0.2)
+    s.net.ways[-1].wire.abortConnection()  # it may have run
+    s.net.advance(0)
+    assert len(s.net.ways) == 2
+    s.net.advance(0.06)  # the second dial would be up after 260 ms, 50 ms are kept for the way
+    wire_of_repeat = s.net.ways[-1]
+    assert wire_of_repeat.over and wire_of_repeat.wire is None and len(answers(wire.take())) == 1
+
+
 def test_what_cannot_be_served_fails_at_once(tmp_path):
     s = Scene(tmp_path)
     wire = s.client()
--- a/tests/test_warming_member.py
+++ b/tests/test_warming_member.py
@@ -23,7 +23,7 @@
     sent = []
     node = SimpleNamespace(
         terms=terms(), kinds={kind.name: kind for kind in KINDS}, guard=None, now=lambda: NOW,
-        control=router(), sent=sent, caches=SimpleNamespace(send=lambda cache, errand, within: sent.append(
+        control=router(), sent=sent, caches=SimpleNamespace(send=lambda cache, errand, within, leave_within: sent.append(
             (cache, errand, Deferred())) or SimpleNamespace(deferred=sent[-1][2])))
     node.heed = Heed(node)
     return node
