The account of traces says how the largest objects of each kind fared

Found beside: since Ask carries its last moment, the account took a send without a source for one with a source and left out the row (trace/account.py _sent counted its fields).

Change: trace account prints for each kind the answered share of its largest tenth (quarter below 400 lookups) and of the fifth after it, in parts of the kind's (trace/sizes.py). A send is told from one with a source by Ask's fields.

--- a/hookrouter/command/trace.py
+++ b/hookrouter/command/trace.py
@@ -146,13 +146,14 @@
         nothing = NoTraces("no lookup has its end in these traces")
         nothing.exit = FAILED
         raise nothing
-    course, kinds, lost, sends, beliefs = (made.by_second(step), made.by_kind(), made.lost(), made.sends(),
-                                           made.beliefs())
+    course, kinds, lost, sends, beliefs, sizes = (
+        made.by_second(step), made.by_kind(), made.lost(), made.sends(), made.beliefs(), made.by_size())
     if as_json:
         print(json.dumps({"lookups": len(made.ends), "rows": made.rows, "skipped": made.skipped,
                           "course": course, "kinds": kinds,
                           "lost": [[*key, count, share] for key, count, share in lost],
-                          "sends": [[*key, *row] for key, row in sends.items()], "beliefs": beliefs}))
+                          "sends": [[*key, *row] for key, row in sends.items()],
+                          "beliefs": beliefs, "sizes": sizes}))
         return
     percent = lambda share: f"{100 * share:.1f}"  # noqa: E731
     words = ("in budget", "late", "nacked", "failed", "left")
@@ -163,6 +164,9 @@
     table(("kind", "lookups", *words, "utility %"),
           [(kind, count, *(percent(ends[word]) for word in words), percent(worth))
            for kind, (count, ends, worth) in kinds.items()])
+    table(("kind", "lookups", "answered %", "of it the largest tenth", "the next fifth"),
+          [(kind, count, percent(whole), f"{largest:.2f}", f"{after:.2f}")
+           for kind, (count, whole, largest, after) in sizes.items()])
     table(("kind", "end", "cause", "lookups", "% of all utility"),
           [(*key, count, f"{100 * share:.2f}") for key, count, share in lost[:20]])
     table(("sends", "ended", "count", "median ms"),
--- a/hookrouter/trace/account.py
+++ b/hookrouter/trace/account.py
@@ -12,6 +12,7 @@
 
 from .. import interface as i
 from ..terms import SECOND
+from .sizes import by_size
 
 BUDGET, LATE, NACKED, FAILED, LEFT, OPEN = "in budget", "late", "nacked", "failed", "left", "open"
 FEW = 3  # sends at a cache in a second: of fewer no middle is taken
@@ -33,6 +34,7 @@
     outcome: str
     why: str  # of a nack or failure, or where a late answer came from
     sends: tuple  # of (Send, how it ended, what it took)
+    size: float = 0.0  # KB, 0 where not told
 
 
 class Open:
@@ -113,7 +115,7 @@
         if lookup is None:
             return
         number = len(lookup.sends)
-        source, held = (fields[2], fields[7]) if len(fields) > 3 else (None, True)
+        source, held = (fields[2], fields[7]) if len(fields) > len(i.Ask._fields) else (None, True)
         sent = self.out[router, fields[0], number] = Send(row.at, fields[1], source, held,
                                                           (*belief, self.at_cache[fields[1]]))
         self.at_cache[fields[1]] += 1
@@ -136,7 +138,7 @@
 
     def _end(self, lookup, outcome, why):
         sends = tuple((sent, *lookup.ends.get(n, (None, None))) for n, sent in enumerate(lookup.sends))
-        self.ends.append(End(lookup.asked.kind, lookup.at, outcome, why, sends))
+        self.ends.append(End(lookup.asked.kind, lookup.at, outcome, why, sends, lookup.asked.size))
 
     def _work(self, lookup):
         return lookup.asked.size / self.pace if self.pace else 0.0
@@ -155,6 +157,10 @@
         return [(second, len(ends), shares(ends), self._earned(ends),
                  sum(len(end.sends) for end in ends) / len(ends)) for second, ends in sorted(rows.items())]
 
+    def by_size(self):
+        """See sizes.by_size: whether large objects are answered as the rest of their kind is."""
+        return by_size(self.ends, (BUDGET, LATE))
+
     def by_kind(self):
         """{kind: (offered, {outcome: share}, share of the utility that was earned)}."""
         kinds = defaultdict(list)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -123,7 +123,7 @@
 
 def told(account, router, rows):
     for at, event, *effects in rows:
-        said = [[type(e).__name__, list(e), [0, 1.0, 0, 1.0] if isinstance(e, i.Obtain) else None] for e in effects]
+        said = [[type(e).__name__, list(e), [0, 1.0, 0, 1.0] if isinstance(e, (i.Ask, i.Obtain)) else None] for e in effects]
         account.take(router, Row(at, type(event).__name__, list(event), said, "ref"))
 
 
@@ -149,17 +149,34 @@
         (15_000, clip(7), i.Give(7)),
         (16_000, clip(8), ask_of(8, held=True)), (16_010, came(8, 10, i.MISSING), i.Nack(8, 900, "fills")),
         (17_000, clip(9), ask_of(9)),
+        (18_000, clip(10), i.Ask(10, "c0", 900, 400)), (18_500, came(10, 500)),  # without a source, as writes go
     ])
     account.begin(HEADER)  # the router was started anew: the ninth has no end
     ends = [(end.outcome, account.cause(end)) for end in account.ends]
     assert ("late", "its fill, others there were quick") in ends and ("open", "router ended") in ends
     assert ("in budget", "own copy") in ends and ends.count(("nacked", "fills")) == 2
-    assert [e.outcome for e in account.ends].count("late") == 1 and account.by_kind()["clip"][0] == 9
-    assert sum(count for _, count, *_ in account.by_second()) == 9 and not any(account.at_cache.values())
+    assert [e.outcome for e in account.ends].count("late") == 1 and account.by_kind()["clip"][0] == 10
+    assert account.skipped == 0 and account.sends()["held", "satisfied"] == (1, 500)
+    assert sum(count for _, count, *_ in account.by_second()) == 10 and not any(account.at_cache.values())
     assert account.lost()[0][0] == ("clip", "nacked", "fills") and account.lost()[0][1] == 2
     assert account.sends()["held", "missing"] == (1, 10)
 
 
+def test_large_objects_are_held_against_the_rest_of_their_kind():
+    account = Account()
+    account.begin(HEADER)
+    rows = []
+    for n in range(400):  # of the 40 largest every second is answered, of the 80 after them three in four, then all
+        size = 1_000.0 - n
+        good = n % 2 == 0 if n < 40 else n % 4 != 0 if n < 120 else True
+        rows.append((n, i.Lookup(n, "clip", "k", 0, 1, size, 60_000, False), i.Give(n) if good else i.Nack(n, 900, "fills")))
+    told(account, "r1", rows)
+    count, whole, largest, after = account.by_size()["clip"]
+    assert (count, whole) == (400, 0.9) and largest == pytest.approx(0.5 / 0.9) and after == pytest.approx(0.75 / 0.9)
+    account.ends = [end._replace(size=0.0) for end in account.ends]
+    assert account.by_size() == {}
+
+
 def test_rows_of_another_version_are_left_out_and_the_rest_counts():
     account = Account()
     account.begin(HEADER)
