The end of an old watch told late takes nothing from the new one

Cause: Feed.went_down (feed/follower.py) cleared the current stream and its timer for whatever stream ended; an end told twice or late would leave the new watch unheard: its events are passed over as an old stream's. Twisted tells an end once, so no log shows it; a test on real sockets that tells it by hand was red.

Change: the end of a stream that is not the current one is nothing.

--- a/hookrouter/feed/follower.py
+++ b/hookrouter/feed/follower.py
@@ -132,8 +132,11 @@
 
     def went_down(self, stream, why):
         """The one place where a connection, or the way to it, is over."""
+        stream.transport = None
+        if stream is not self.stream:
+            return  # its end was told before
         self.deadlines.drop(self.patience)
-        stream.transport = self.stream = self.connector = None
+        self.stream = self.connector = None
         if not self.stopped:
             self.log(self.ended, why)
             self.patience = self.deadlines.after(self.pause, self.start)
