--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -12,6 +12,7 @@
 import struct
 import termios
 
+import pytest
 from fleet import answer, answers, configuration, endpoint, members, message
 from scenes import BEGAN, Out
 from twisted.internet.epollreactor import EPollReactor
@@ -30,6 +31,10 @@
 CACHES, CLIENTS = (Outgoing, Incoming), (Incoming, Outgoing)  # whose readiness is handled first
 ATTEMPT = 3.2  # seconds: the deadline of a first attempt of the tests' settings is over
 RESET = struct.pack("ii", 1, 0)  # of SO_LINGER: a close resets
+CALL = "c" * 16  # the trace of the call that crosses something
+FILLER = message(90, b"interrupt", interrupted=10 ** 6)  # owed nothing: no such call was made
+EVENTS = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n"
+FIRST = pytest.mark.parametrize("first", [CACHES, CLIENTS], ids=["caches first", "clients first"])
 
 
 class Poller:
@@ -109,6 +114,10 @@
     def answers(self):
         return answers(self.read())
 
+    def body(self, seqid):
+        """Of a satisfied answer; None where it is another one."""
+        return self.answers()[seqid][1].get(0, {}).get(1)
+
     def ended_cleanly(self):
         """A FIN came, and no reset after it: that one shows as both halves being shut, and in the next write."""
         self.read()
@@ -245,6 +254,17 @@
             poll.poll(1)
         raise AssertionError("it never arrived")
 
+    def ends(self, client, how, seqid=8, behind=0):
+        """The client's end, which lies unread in the router's socket, behind so much that it takes as many reads more."""
+        if behind:
+            client.transport.bufferSize = len(FILLER)
+            client.send(FILLER * behind)
+        if how == "interrupt":
+            client.send(message(seqid + 1, b"interrupt", interrupted=seqid))
+        else:
+            getattr(client, how)()
+        self.lies_unread(client, end=how != "interrupt")
+
     def warm(self, *fields):
         """A client that has had an answer by way of two attempts, and idle connections to cache and parent.
 
@@ -268,7 +288,7 @@
         for cache in self.caches.values():
             cache.look()
         return [peer for cache in self.caches.values() for peer in cache.peers
-                if peer.end is None and peer.got.count(b"\r\n\r\n") > peer.answered]
+                if peer.end is None and peer.socket.fileno() >= 0 and peer.got.count(b"\r\n\r\n") > peer.answered]
 
     def answer(self, body, *fields, status=200):
         self.until(self.asking)
@@ -280,7 +300,37 @@
     def held(self):
         return self.router.held()
 
+    def nothing_is_owed(self):
+        held = self.held()
+        assert [held[name] for name in ("lookups_held", "sends_out", "sends_waiting")] == [0, 0, 0]
+
     def service(self, read=None):
         service = Service(self.router, self.start, self.reactor, self.log, self.counters, read)
         service.port = self.port
         return service
+
+    # ---- the watch
+
+    def follow(self):
+        """The watch begins, and is up: the feed's end of it."""
+        self.router.feed.start()
+        return self.followed(self.feed, 0)
+
+    def followed(self, feed, known, within=None):
+        """The connection at the feed after so many others, which has asked for its events; within so much time."""
+        until = None if within is None else self.reactor.now + within
+
+        def asked():
+            assert until is None or self.reactor.now < until, "the feed is not followed"
+            self.reactor.now += 0 if until is None else 0.01
+            feed.look()
+            return len(feed.peers) > known and b"\r\n\r\n" in feed.peers[known].got
+
+        self.until(asked)
+        feed.peers[known].send(EVENTS)
+        self.turns()
+        return feed.peers[known]
+
+
+def event(told):
+    return b"id: %d\ndata: %s\n\n" % (told["n"], json.dumps(told).encode())
