Tests on real sockets: who waits for a lingering descriptor waits in made time

Need: the test of how many connections linger let no time go on while a client waited for a descriptor, so it could not pass where lingering connections are counted, which is what it asks for.

Change: tests only. A wait may say within how much time it has to hold, and the clock then goes on with it; the new client has 1.5 s. The bound on descriptors is as strict as before.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -205,10 +205,14 @@
         for _ in range(count):
             self.turn()
 
-    def until(self, holds):
+    def until(self, holds, within=0.0):
+        """Turns until it holds; time goes on meanwhile only where it says within how much."""
+        end = self.reactor.now + within
         for _ in range(MOST_STEPS):
             if holds():
                 return
+            assert not within or self.reactor.now < end, "it took too long"
+            self.reactor.now = min(end, self.reactor.now + 0.01)
             self.turn()
             select.select([self.reactor._poller.epoll], [], [], 0.002)  # back at once where something is ready
         raise AssertionError("it never came to this")
@@ -226,7 +230,8 @@
 
     # ---- clients and caches
 
-    def client(self, rcvbuf=None):
+    def client(self, rcvbuf=None, within=0.0):
+        """One that is accepted; within so much time."""
         sock = socket.socket()
         if rcvbuf is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, rcvbuf)
@@ -234,7 +239,7 @@
         client = Peer(sock)
         client.name, client.transport = sock.getsockname(), None
         self.clients.append(client)
-        self.until(lambda: self._joined(client))
+        self.until(lambda: self._joined(client), within)
         return client
 
     def _joined(self, client):
@@ -316,17 +321,13 @@
         self.router.feed.start()
         return self.followed(self.feed, 0)
 
-    def followed(self, feed, known, within=None):
+    def followed(self, feed, known, within=0.0):
         """The connection at the feed after so many others, which has asked for its events; within so much time."""
-        until = None if within is None else self.reactor.now + within
-
         def asked():
-            assert until is None or self.reactor.now < until, "the feed is not followed"
-            self.reactor.now += 0 if until is None else 0.01
             feed.look()
             return len(feed.peers) > known and b"\r\n\r\n" in feed.peers[known].got
 
-        self.until(asked)
+        self.until(asked, within)
         feed.peers[known].send(EVENTS)
         self.turns()
         return feed.peers[known]
--- a/tests/test_crossings_linger.py
+++ b/tests/test_crossings_linger.py
@@ -124,8 +124,8 @@
 def test_connections_that_linger_hold_no_more_descriptors_than_clients_may(tmp_path):
     with Machine(tmp_path, sockets=sockets_for(caches=4)) as m:
         most = m.router.front.connections.size
-        for _ in range(2 * most):  # none of them ever closes
-            client = m.client()
+        for _ in range(2 * most):  # none of them ever closes; who finds no descriptor waits for the next one
+            client = m.client(within=1.5)
             client.send(message(1, b"check"))
             m.until(lambda: 1 in client.answers())  # noqa: B023
             assert m.held()["clients_held"] <= most
