An answer unread at its deadline came in time; who lingers gives room to those who wait

Causes, found by a probe beside the tests on real sockets: Caches.overdue (caches/pool.py) held the deadline against what had been read, but after a pause of the process timers come before reads, so a whole answer in the socket counted as late and a further attempt began. Front._make_room (front/connections.py) found the table still full while ended connections lingered, and ended others who had done nothing: 2 of 13 clients for one newcomer.

Change: what lies unread on the attempt's connection is read before it is late. Connections that linger count toward the sixteenth that is made free, so no more are ended in their place.

--- a/hookrouter/caches/connection.py
+++ b/hookrouter/caches/connection.py
@@ -6,6 +6,7 @@
 from ..parsers.http1 import Malformed
 from . import errands
 
+MOST_READS = 8  # in a row, 64 kB each: more than the longest answer has
 NAMING = (b"x-rev", b"x-since-ms", b"content-length")  # fields that no two objects' copies have alike
 
 
@@ -14,6 +15,7 @@
         self.caches, self.place = caches, place
         self.number = self.send = self.idle_until = self.connector = None
         self.closing = False
+        self.came = False  # something, by the newest read
         self.idle_since = 0.0
         self.last = None  # (kind, object, part) that was asked last, and what named the copy that came
         self.answers = http1.Answers(self._on_head, self._on_body, self._on_end, errands.LONGEST_BODY)
@@ -29,7 +31,17 @@
             self.close()
         return not self.closing
 
+    def catch_up(self):
+        """Takes in all that lies unread: after a pause of the process its deadlines come before its reads."""
+        for _ in range(MOST_READS):
+            if self.closing or self.send is None or self in self.caches.room.waiting:
+                return
+            self.came = False
+            if self.transport.doRead() is not None or not self.came:
+                return  # its end is told by the reactor
+
     def dataReceived(self, data):
+        self.came = True
         if self.closing:
             return
         if self.send is None:
--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -168,6 +168,8 @@
             connection.transport.doWrite()  # now, and not after all else that the reactor has read
 
     def overdue(self, send):
+        if send.written and send.ended is None:
+            send.connection.catch_up()  # an answer that came in time may lie unread
         if send.written:
             end = i.LATE
         else:  # it never left: for want of a descriptor, or of an answer to the connection
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -157,7 +157,8 @@
     def _make_room(self):
         """Some of the silent go first, then some of the idle; where all are busy, whoever comes waits."""
         soon = self.deadlines.clock.seconds() - SOON
-        several = max(1, int(self.connections.size * SPARE))
+        # Those that linger give theirs back soon: nobody else is ended in their place.
+        several = max(0, max(1, int(self.connections.size * SPARE)) - len(self.lingering))
         silent = self._since(self.silent, soon, several)
         for connection in silent:
             self._cut(connection, "descriptors for clients are short")
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -274,6 +274,20 @@
     s.nothing_is_left()
 
 
+def test_an_answer_that_lies_unread_at_its_deadline_came_in_time():
+    """After a pause of the process timers come before reads: the answer counted as late, and one more attempt began."""
+    s = Scene()
+    s.send()
+    s.up().unread = answer(200, b"body")
+    s.net.pump([0.9, 0])
+    assert s.ends() == [i.SATISFIED] and s.ended[0].pieces == (b"body",)
+    s.send(errand=PLAIN._replace(object="0d55"))
+    s.net.ways[-1].wire.unread = answer(200, b"body")[:-1]
+    s.net.pump([0.9, 0])
+    assert s.ends() == [i.SATISFIED, i.LATE]
+    s.nothing_is_left()
+
+
 def test_silence_is_late_and_a_cancelled_send_ends_at_once():
     s = Scene()
     s.send()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -312,6 +312,23 @@
     assert len(s.front.connections) == len(s.front.deadlines) == len(s.front.lingering) == 0
 
 
+def test_who_lingers_gives_a_descriptor_back_soon_and_nobody_else_is_ended_in_its_place():
+    s = Scene(most=32)
+    wires = [s.client() for _ in range(30)]
+    for wire in wires:
+        wire.come(message(1, b"check"))
+        wire.loseWriteConnection = wire.protocol.writeConnectionLost  # these clients rest, and do not end
+    s.net.advance(0.2)
+    late = [s.client() for _ in range(2)]
+    assert len(s.front.lingering) == 2 and [wire.protocol.ending for wire in wires[:3]] == [True, True, False]
+    for wire in late:
+        wire.come(message(1))
+    s.net.pump([0.1] * 3)
+    assert len(s.front.lingering) == 2 and not s.front.port.reading
+    s.net.pump([0.1] * 2 + [0])
+    assert len(s.front.lingering) == 0 and len(s.front.connections) == 30 and s.front.port.reading
+
+
 def test_calls_with_bodies_are_nacked_while_such_bodies_fill_their_room():
     s = Scene(room=100)
     wire, late = s.client(), s.client()
