--- a/hookrouter/node/service.py
+++ b/hookrouter/node/service.py
@@ -13,7 +13,7 @@
 LAST_LOOKUPS = 0.7  # seconds after SIGTERM: connections come for 0.4, lookups for 0.2 more; 0.1 to spare
 END = 3.0  # seconds: SIGKILL comes 0.7 s after that, or after the longest deadline where that is less
 MORE_END = 0.65  # seconds after it who does not read is cut off
-LAST_WAY = 0.08  # seconds before that all is answered: some ways to the client, as a cut may take answers along
+LAST_WAY = 0.08  # seconds before that all is answered: some ways to the client, as a cut may lose answers
 BACKLOG = 512  # connections that wait to be accepted: more than clients may hold of 1,024 descriptors
 LOOK_AGAIN = 0.02  # seconds between looks whether all is answered
 FIXED = ("name", "listen", "seed", "memory", "sockets", "terms")  # all but the feed's address
