Where every parent is set aside the origin is the source of fills

Placing.pick (control/placing.py) took the origin as source only where no parent was listed or could bear it; a parent that was set aside stayed the source. Ruled out: the origin (no refusal, no late answer of its own), links (hits in time), cold turns of the parents.

Change: a parent that is set aside is no source while the origin is there; its trickle looks for it as before.

The new test is red before, 173 passed after.

--- a/hookrouter/control/placing.py
+++ b/hookrouter/control/placing.py
@@ -37,7 +37,7 @@
         # where the links or the origin are narrow all windows are, and the hash's order holds.
         if len(parents) > 1 and room[parents[0]] < min(1, room[parents[1]] / CLEARLY):
             del parents[0]
-        source = (parents or c.origins or [None])[0]
+        source = ((parents if parents and usable(parents[0]) else c.origins or parents) or [None])[0]
         if fit:
             top = fit if kind.in_parts else fit[:WHOLE_CANDIDATES]
             lead = LEAD if c.told is None else c.told.lead(lk.name)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -35,6 +35,19 @@
     assert sends(router(none).decide(NOW, [lookup(1)]))[0].source == "o0"
 
 
+def test_a_fill_comes_from_the_origin_while_every_parent_is_set_aside_and_from_a_parent_again_on_its_trickle():
+    control = router()
+    for n in control.parents[:1]:
+        control.health.set_aside(n)
+    assert sends(control.decide(1_000_000, [lookup(1)]))[0].source == control.ids[control.parents[1]]  # the other one
+    control.health.set_aside(control.parents[1])
+    assert {send.source for n in range(2, 8) for send in sends(control.decide(1_000_100, [lookup(n)]))} == {"o0"}
+    now = max(control.health.rest_until[n] for n in control.parents)
+    assert sends(control.decide(now, [lookup(9, due=now + 4 * SECOND)]))[0].source in ("p0", "p1")  # one look, no more
+    later = sends(control.decide(now, [lookup(n, due=now + 4 * SECOND) for n in range(10, 20)]))
+    assert [send.source for send in later].count("o0") >= 8
+
+
 def test_a_part_that_overruns_is_tried_at_its_other_candidate():
     control = router()
     first = sends(control.decide(NOW, [lookup(1)]))[0]
