Connections, sends, counts and two test files split; no behaviour changed

Moved as they were: the service's methods to front/methods.py, Place and Send to caches/send.py, what is held to node/counters.py; tests of own copies and of what leaves to files of their own.

--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -7,56 +7,16 @@
 
 from collections import deque
 
-from twisted.internet.defer import Deferred
-
 from .. import interface as i
 from ..tables.slots import Slots
 from ..terms import SECOND
 from . import errands
 from .connection import Connection, Outgoing
+from .send import Place, Send, always
 
 RESTED = 0.02  # seconds: an answer's double comes some milliseconds late and must not pass for the next
 
 
-class Place:
-    """Where a cache listens, and the idle connections to it, the last used last."""
-
-    __slots__ = ("name", "host", "port", "field", "born", "idle")
-
-    def __init__(self, name, address, born):
-        self.name, self.born, self.idle = name, born, []
-        self.host, self.port = address
-        self.field = f"{self.host}:{self.port}".encode()  # of each request's head
-
-
-def always():
-    return True
-
-
-class Send:
-    """One request and its Deferred, which fires with Ended."""
-
-    __slots__ = ("caches", "place", "pieces", "seen", "asked", "once", "wanted", "deadline", "leave_by",
-                 "deferred", "connection", "written", "ended")
-
-    def __init__(self, caches, place, pieces, seen=None, asked=None, once=False, wanted=always):
-        self.caches, self.place, self.pieces = caches, place, pieces
-        self.seen = seen  # the tag of the client's copy, which may be the one
-        self.asked = asked  # kind, object, part
-        self.once = once  # what the cache says of it must be its own: it may not simply be repeated
-        self.wanted = wanted  # whether anybody waits for it still: asked in the moment before it is written
-        self.deferred = Deferred()
-        self.deadline = self.leave_by = self.connection = self.ended = None
-        self.written = False
-
-    def give_up(self):
-        """Closes its connection; it ends as cancelled unless it has ended, or its time is over just now."""
-        if self.caches.deadlines.due(self.deadline, 1 / SECOND):
-            self.caches.overdue(self)
-        else:
-            self.caches.give_up(self, i.CANCELLED)
-
-
 class Caches:
     def __init__(self, reactor, deadlines, room, most, terms, log, count):
         self.reactor, self.deadlines, self.room, self.log, self.count = reactor, deadlines, room, log, count
--- a/hookrouter/front/connection.py
+++ b/hookrouter/front/connection.py
@@ -13,14 +13,12 @@
 
 from ..parsers import thrift
 from ..parsers.thrift import Malformed
-from . import calls
+from . import methods
+from .methods import MOST_OPEN, MOST_UNREAD
 
 LONGEST_FRAME = 65_536  # bytes: a write's body has 48,000 at most, its fields some hundreds
-MOST_OPEN = 32  # calls on one connection, as the protocol has it
 MOST_WITHDRAWN = 8  # calls in the read that brought them: a client that waits at all never does so
 LONGEST_DRAIN = 10.0  # seconds a client may take to read what was written: none waits longer for it
-MOST_UNREAD = 1 / 8  # of the room, of one client
-NACKED_UNREAD = MOST_UNREAD / 2  # its further calls are nacked: it would have to read their answers too
 MOST_READS = 32  # in a row, 64 kB each: as many calls as may be open, each with the longest body
 
 
@@ -71,7 +69,7 @@
             while self.read and not self.ending:
                 whole, message = True, self.read.popleft()
                 if message.seqid not in self.withdrawn or message.name != b"execute":
-                    self._read(message)
+                    methods.act(self, message)
         finally:
             self.read = None
         self.front.heard(self, whole)
@@ -87,7 +85,7 @@
                 if isinstance(seqid, int) and seqid in waiting:
                     self.withdrawn.add(seqid)
                 else:
-                    self._interrupt(message, message.arguments())
+                    methods.interrupt(self, message, message.arguments())
 
     def _count(self, messages):
         """Looked at before any is taken: who opens too many, or one number twice, gets none of them.
@@ -201,56 +199,6 @@
         self.front.count("clients_not_reading")
         self.cut()
 
-    def _read(self, message):
-        kind, method = METHODS.get(message.name, (thrift.CALL, None))
-        if message.kind != kind:
-            raise Malformed(f"a message of kind {message.kind}")
-        if method is None:
-            self._refuse(message, thrift.UNKNOWN_METHOD, "unknown method")
-            return
-        try:
-            arguments = message.arguments()
-        except Malformed as wrong:
-            self._refuse(message, thrift.PROTOCOL_ERROR, str(wrong))
-            return
-        method(self, message, arguments)
-
-    def _refuse(self, message, code, text):
-        self._unusable(text)
-        self.write(thrift.application_exception(message.name, message.seqid, code, text))
-
-    def _unusable(self, text):
-        self.front.log("client made a call that cannot be used", text)
-        self.front.count("calls_malformed")
-
-    def _execute(self, message, arguments):
-        if len(self.open) >= MOST_OPEN:
-            raise Malformed(f"more than {MOST_OPEN} calls open")
-        try:
-            asked = calls.read_asked(arguments)
-        except Malformed as wrong:
-            self._unusable(str(wrong))
-            self.write(calls.failed(message.name, message.seqid, str(wrong)))
-            return
-        if (asked.body and self.front.room.full()) or self.unread > self.front.room.size * NACKED_UNREAD:
-            self.front.log("bodies of calls or unread answers fill their room, nacked")
-            self.front.count("calls_without_room")
-            self.write(calls.nacked(message.name, message.seqid, 0))
-            return
-        if not self.open:
-            self.front.idle.pop(self, None)
-        self.open[message.seqid] = message.name, len(asked.body)
-        self.front.room.take(len(asked.body))
-        self.front.desk.taken((self.number, message.seqid), asked)
-
-    def _interrupt(self, message, arguments):
-        seqid = arguments.get(1)
-        if isinstance(seqid, int) and self.close_call(seqid) is not None:
-            self.front.desk.left((self.number, seqid))
-
-    def _check(self, message, arguments):
-        self.write(calls.checked(message.name, message.seqid, self.front.desk.ready()))
-
     def close_call(self, seqid):
         """The method's name of an open call, which is open no longer; None where it was not."""
         name, size = self.open.pop(seqid, (None, 0))
@@ -271,7 +219,3 @@
     def _hold(self, size):
         self.unread += size
         self.front.room.take(size)
-
-
-METHODS = {b"execute": (thrift.CALL, Connection._execute), b"check": (thrift.CALL, Connection._check),
-           b"interrupt": (thrift.ONEWAY, Connection._interrupt)}
--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -42,3 +42,18 @@
     def lines(self, held):
         """One a counter, then one for each thing held now."""
         return [f"{name} {value}" for name, value in (*sorted(self.values.items()), *held.items())]
+
+
+def held(router):
+    """What is taken and not given back yet."""
+    return {"sends_out": sum(len(lookup.running) for lookup in router.lookups.held()),
+            "sends_believed_out": len(router.control.sent),
+            "caches_set_aside": sum(trickle is not None for trickle in router.control.health.trickle),
+            "caches_listed": len(router.caches.places), "lookups_held": len(router.by_call),
+            "clients_held": len(router.front.connections),
+            "connections_held": len(router.caches.connections), "sends_waiting": len(router.caches.waiting),
+            "deadlines_held": len(router.deadlines),
+            "body_bytes_held": router.front.room.held + router.caches.room.held,
+            "half_frame_bytes_held": router.front.half_held,
+            **(router.purges.held() if router.purges is not None else {}),
+            "copies_held": len(router.copies), "copy_bytes_held": router.control.copies.kept.bytes}
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -16,6 +16,7 @@
 from ..tables.room import Room
 from ..tables.slots import Slots
 from ..terms import SECOND
+from .counters import held
 from .effects import EFFECTS
 from .start import room_left
 
@@ -238,21 +239,8 @@
             self.lookups.give_back(lookup.number)
             self.traces.remove(lookup.asked.trace)
 
-    # ---- counts
-
     def held(self):
-        """What is taken and not given back yet."""
-        return {"sends_out": sum(len(lookup.running) for lookup in self.lookups.held()),
-                "sends_believed_out": len(self.control.sent),
-                "caches_set_aside": sum(trickle is not None for trickle in self.control.health.trickle),
-                "caches_listed": len(self.caches.places), "lookups_held": len(self.by_call),
-                "clients_held": len(self.front.connections),
-                "connections_held": len(self.caches.connections), "sends_waiting": len(self.caches.waiting),
-                "deadlines_held": len(self.deadlines),
-                "body_bytes_held": self.front.room.held + self.caches.room.held,
-                "half_frame_bytes_held": self.front.half_held,
-                **(self.purges.held() if self.purges is not None else {}),
-                "copies_held": len(self.copies), "copy_bytes_held": self.control.copies.kept.bytes}
+        return held(self)
 
     def _filled(self):
         self.log("bodies fill their room, no more is read until some are gone")
