--- a/hookrouter/node/effects.py
+++ b/hookrouter/node/effects.py
@@ -65,20 +65,24 @@
     router.withdraw(lookup)
 
 
+def settle(router, lookup, end, answer, *values):
+    """The final answer from here, and what is not written is taken back."""
+    router.answer(lookup, end, answer, *values)
+    router.withdraw(lookup)
+
+
 def nack(router, effect):
     lookup = owed(router, effect)
     if lookup is not None:
         router.counters.given_up(effect.why)
-        router.answer(lookup, "nacked", router.front.nacked, effect.stay_away)
-        router.withdraw(lookup)
+        settle(router, lookup, "nacked", router.front.nacked, effect.stay_away)
 
 
 def fail(router, effect):
     lookup = owed(router, effect)
     if lookup is not None:
         router.counters.given_up(effect.why)
-        router.answer(lookup, "failed", router.front.failed)
-        router.withdraw(lookup)
+        settle(router, lookup, "failed", router.front.failed)
 
 
 def keep(router, effect):
@@ -98,10 +102,9 @@
     asked = lookup.asked
     tag, pieces, length = router.copies[asked.kind, asked.object, asked.part]
     if asked.seen == tag:
-        router.answer(lookup, "satisfied", router.front.unchanged)
+        settle(router, lookup, "satisfied", router.front.unchanged)
     else:
-        router.answer(lookup, "satisfied", router.front.satisfied, pieces, length)
-    router.withdraw(lookup)
+        settle(router, lookup, "satisfied", router.front.satisfied, pieces, length)
 
 
 def cancel(router, effect):
