--- a/benchmarks/admission/__init__.py
+++ b/benchmarks/admission/__init__.py
@@ -18,8 +18,12 @@
     bounds = Bounds(subscribers=2, steps=1) if quick else Bounds(steps=1, doubled=0)
     states, break_, whole = search(bounds=bounds)
     seeded = mistakes("admission_mistakes")
-    found |= {"schedules": schedules, "schedules_broken": broken, "states": states,
-              "states_broken": int(break_ is not None or not whole),
-              "seeded_mistakes": len(seeded),
-              "seeded_found": sum(any(broke for _, broke in scenes_of(mistake)) for mistake in seeded)}
+    found |= {
+        "schedules": schedules,
+        "schedules_broken": broken,
+        "states": states,
+        "states_broken": int(break_ is not None or not whole),
+        "seeded_mistakes": len(seeded),
+        "seeded_found": sum(any(broke for _, broke in scenes_of(mistake)) for mistake in seeded),
+    }
     return found | processes.figures(count, 1 if quick else 3)
--- a/benchmarks/admission/gateway.py
+++ b/benchmarks/admission/gateway.py
@@ -56,9 +56,14 @@
     def _tick(self, life):
         if life == self.life and self.up:
             now = self.world.engine.now
-            self.overflow.heard(now, [Queue(other.name, *other.gate.load(), 0)
-                                      for other in self.world.gateways
-                                      if other.up and other is not self and self.world.queues_told()])
+            self.overflow.heard(
+                now,
+                [
+                    Queue(other.name, *other.gate.load(), 0)
+                    for other in self.world.gateways
+                    if other.up and other is not self and self.world.queues_told()
+                ],
+            )
             self._carry(self.gate.tick(now))
             self.world.engine.after(TICK, self._tick, life)
 
@@ -93,8 +98,9 @@
         if self.gate is None:
             self._admit(conn)
             return
-        self._carry(self.gate.comes(self.world.engine.now,
-                                    Come(conn.id, conn.sub.name, conn.how, left, ticket)))
+        self._carry(
+            self.gate.comes(self.world.engine.now, Come(conn.id, conn.sub.name, conn.how, left, ticket))
+        )
 
     def _carry(self, effects):
         for effect in effects:
@@ -107,8 +113,9 @@
                     self._admit(conn, effect.how)
             elif conn is not None and isinstance(effect, w.Tell):
                 self.world.saw_tell(self, effect, conn)
-                self.world.down(conn, "told", effect.wait, effect.ticket, effect.late, effect.fleet,
-                                effect.elsewhere)
+                self.world.down(
+                    conn, "told", effect.wait, effect.ticket, effect.late, effect.fleet, effect.elsewhere
+                )
                 self._forget(conn)
             elif conn is not None:
                 self.reactor.add(SHUT, lambda: None)
--- a/benchmarks/admission/judge.py
+++ b/benchmarks/admission/judge.py
@@ -61,8 +61,12 @@
         if chosen is None or chosen.left > 0:
             return
         for sub, other in mine.items():
-            if other.former is not None and other.conn.open and (
-                    chosen.former is None or other.former < chosen.former) and self._asks(gateway, other):
+            if (
+                other.former is not None
+                and other.conn.open
+                and (chosen.former is None or other.former < chosen.former)
+                and self._asks(gateway, other)
+            ):
                 self.broke(f"{conn.sub.name} of {chosen.former} admitted before {sub.name} of {other.former}")
 
     def _asks(self, gateway, other):
--- a/benchmarks/admission/model.py
+++ b/benchmarks/admission/model.py
@@ -63,13 +63,30 @@
 
     def key(self):
         gate = self.gate
-        rows = tuple((r.name, r.key, r.base, r.how, r.until, r.due, r.conn, r.late, r.early)
-                     for _, r in sorted(gate.queue.rows.items()))
+        rows = tuple(
+            (r.name, r.key, r.base, r.how, r.until, r.due, r.conn, r.late, r.early)
+            for _, r in sorted(gate.queue.rows.items())
+        )
         flows = tuple((n, f.tokens, f.at, f.admitted) for n, f in sorted(gate.flows.items()))
-        return (self.now, self.life, self.left, tuple(self.subs), tuple(sorted(map(repr, self.net))),
-                self.busy, gate.state, rows, flows, gate.busy, gate.free_at, tuple(sorted(gate.spent)),
-                gate.number, tuple(gate.costs.mean.values()), tuple(sorted(gate.back)),
-                tuple(sorted(self.former.items())), tuple(sorted(self.shown)))
+        return (
+            self.now,
+            self.life,
+            self.left,
+            tuple(self.subs),
+            tuple(sorted(map(repr, self.net))),
+            self.busy,
+            gate.state,
+            rows,
+            flows,
+            gate.busy,
+            gate.free_at,
+            tuple(sorted(gate.spent)),
+            gate.number,
+            tuple(gate.costs.mean.values()),
+            tuple(sorted(gate.back)),
+            tuple(sorted(self.former.items())),
+            tuple(sorted(self.shown)),
+        )
 
     def carry(self, effects, came=None):
         broken = []
--- a/benchmarks/admission/order.py
+++ b/benchmarks/admission/order.py
@@ -54,7 +54,8 @@
 
     def renew(self, name, generation, n):
         now = self.world.engine.now
-        span = self.members.renew(now, Renewal(name, generation, self.resumes(n), n, n, SKEW, False),
-                                  self.tail.newest.n)
+        span = self.members.renew(
+            now, Renewal(name, generation, self.resumes(n), n, n, SKEW, False), self.tail.newest.n
+        )
         self.names[name] = generation
         return span
--- a/benchmarks/admission/processes.py
+++ b/benchmarks/admission/processes.py
@@ -35,7 +35,10 @@
     rows = [(returned(count, True), returned(count, False)) for _ in range(tries)]
     paced, naive = [row[0] for row in rows], [row[1] for row in rows]
     best = min(paced, key=lambda row: row[0])
-    return {"real_subscribers": count, "real_all_back_s": round(best[0], 2),
-            "real_all_back_over_cost": round(best[0] / best[1], 2),
-            "real_all_back_naive_s": round(min(row[0] for row in naive), 2),
-            "real_purge_late": sum(row[2] for row in paced + naive)}
+    return {
+        "real_subscribers": count,
+        "real_all_back_s": round(best[0], 2),
+        "real_all_back_over_cost": round(best[0] / best[1], 2),
+        "real_all_back_naive_s": round(min(row[0] for row in naive), 2),
+        "real_purge_late": sum(row[2] for row in paced + naive),
+    }
--- a/benchmarks/admission/scenes.py
+++ b/benchmarks/admission/scenes.py
@@ -42,7 +42,7 @@
                 self.shut.append(effect.conn)
             elif name != "rude":
                 self.tells += 1
-                number = tickets._decode(bytes.fromhex(effect.ticket)[tickets.SEAL:]).number
+                number = tickets._decode(bytes.fromhex(effect.ticket)[tickets.SEAL :]).number
                 if self.slots.setdefault(number, name) != name:
                     self.shared.append(number)
                 self.due[name] = self.now + effect.wait, until, effect.ticket
@@ -204,8 +204,16 @@
     """The order moves on by more than a tail holds while a short tail is waited for."""
     found = []
     for seed in range(3):
-        world = World(seed, 60, snapshots=0.0, purges=9.0, cost=(200, 300), faults=Faults(bursts=9.0),
-                      make_gate=make, trusts_arrival=getattr(make, "trusts_arrival", False))
+        world = World(
+            seed,
+            60,
+            snapshots=0.0,
+            purges=9.0,
+            cost=(200, 300),
+            faults=Faults(bursts=9.0),
+            make_gate=make,
+            trusts_arrival=getattr(make, "trusts_arrival", False),
+        )
         world.begin()
         world.engine.run(SECOND // 2)
         found += world.judge.breaks[:1]
@@ -221,8 +229,19 @@
     return world.judge.breaks[:2]
 
 
-GATE = (urgent_first, kept, kept_as_it_slows, given_what_is_needed, slots_and_leases_told,
-        former_keep_order, sealed_only, used_once, one_at_a_time, waits_by_measured_cost, rude_costs_little)
+GATE = (
+    urgent_first,
+    kept,
+    kept_as_it_slows,
+    given_what_is_needed,
+    slots_and_leases_told,
+    former_keep_order,
+    sealed_only,
+    used_once,
+    one_at_a_time,
+    waits_by_measured_cost,
+    rude_costs_little,
+)
 
 
 def scenes_of(mistake=None):
--- a/benchmarks/admission/schedule.py
+++ b/benchmarks/admission/schedule.py
@@ -12,19 +12,35 @@
 
 def faults_of(dice):
     pick = dice.choice
-    return Faults(loss=pick((0, 0.02, 0.2)), doubled=pick((0, 0.1, 0.5)), cuts=pick((0, 0.1, 0.5)),
-                  one_way=pick((0, 0.5, 1.0)), pauses=pick((0, 0.05, 0.2)), drift=pick((0, 0.005)),
-                  liars=pick((0, 0.1, 0.3)), bursts=pick((0, 0.3)))
+    return Faults(
+        loss=pick((0, 0.02, 0.2)),
+        doubled=pick((0, 0.1, 0.5)),
+        cuts=pick((0, 0.1, 0.5)),
+        one_way=pick((0, 0.5, 1.0)),
+        pauses=pick((0, 0.05, 0.2)),
+        drift=pick((0, 0.005)),
+        liars=pick((0, 0.1, 0.3)),
+        bursts=pick((0, 0.3)),
+    )
 
 
 def play(seed, make_gate=Gate, make_comer=Comer, trusts_arrival=False):
     """The World after the schedule of that seed; its judge has the breaks."""
     dice = Random(seed)
     gateways = dice.choice((1, 1, 2))
-    world = World(seed, dice.randint(5, 70), rude=dice.choice((0, 0.1, 0.3)), gateways=gateways,
-                  snapshots=dice.choice((0, 0.5, 1)), purges=dice.choice((0.5, 4)),
-                  cost=dice.choice(((20, 200), (5, 50), (50, 1000))), faults=faults_of(dice),
-                  make_gate=make_gate, make_comer=make_comer, trusts_arrival=trusts_arrival)
+    world = World(
+        seed,
+        dice.randint(5, 70),
+        rude=dice.choice((0, 0.1, 0.3)),
+        gateways=gateways,
+        snapshots=dice.choice((0, 0.5, 1)),
+        purges=dice.choice((0.5, 4)),
+        cost=dice.choice(((20, 200), (5, 50), (50, 1000))),
+        faults=faults_of(dice),
+        make_gate=make_gate,
+        make_comer=make_comer,
+        trusts_arrival=trusts_arrival,
+    )
     world.begin(dice.randint(0, 2 * SECOND))
     for gateway in world.gateways:
         for _ in range(dice.choice((0, 1, 2, 3))):
--- a/benchmarks/admission/storms.py
+++ b/benchmarks/admission/storms.py
@@ -36,8 +36,10 @@
 def peak(world):
     """Most work of admissions begun in half a second, over what half a second bears."""
     rows = [(at, cost) for at, cost, _, _ in world.gateways[0].admissions]
-    most = max(sum(cost for at, cost in rows if start <= at < start + WINDOW)
-               for start in range(0, max(at for at, _ in rows) + 1, WINDOW // 5))
+    most = max(
+        sum(cost for at, cost in rows if start <= at < start + WINDOW)
+        for start in range(0, max(at for at, _ in rows) + 1, WINDOW // 5)
+    )
     return most / WINDOW
 
 
@@ -89,9 +91,11 @@
         "peak_rate_over_bearable": round(max(peak(world) for world, _ in plain), 3),
         "all_back_s": mean([took / SECOND for _, took in plain]),
         "all_back_over_ideal": mean([took / ideal(world) for world, took in plain]),
-        "all_back_naive_s": naive / SECOND, "all_back_jitter_s": jitter / SECOND,
+        "all_back_naive_s": naive / SECOND,
+        "all_back_jitter_s": jitter / SECOND,
         "twice_killed_all_back_over_ideal": mean([ratio for _, ratio in twos]),
         "rude_slow_others": mean([ratio for _, ratio in rudes]),
         "fenced_too_late": sum(world.judge.fenced_too_late for world in worlds),
         "purge_late_in_storm": sum(world.judge.purge_late for world in worlds),
-        "tail_share": round(tail_share(worlds[0].gateways), 3)}
+        "tail_share": round(tail_share(worlds[0].gateways), 3),
+    }
--- a/benchmarks/admission/world.py
+++ b/benchmarks/admission/world.py
@@ -33,8 +33,21 @@
 
 
 class World:
-    def __init__(self, seed, subscribers=100, way="gate", snapshots=0.5, rude=0.0, gateways=1, purges=2.0,
-                 cost=(20, 200), faults=None, make_gate=Gate, make_comer=Comer, trusts_arrival=False):
+    def __init__(
+        self,
+        seed,
+        subscribers=100,
+        way="gate",
+        snapshots=0.5,
+        rude=0.0,
+        gateways=1,
+        purges=2.0,
+        cost=(20, 200),
+        faults=None,
+        make_gate=Gate,
+        make_comer=Comer,
+        trusts_arrival=False,
+    ):
         """way: gate, naive or jitter. snapshots: share that needs one. cost: of tail and snapshot."""
         self.engine, self.dice = Engine(), Random(seed)
         self.faults, self.make_gate, self.trusts_arrival = faults or Faults(), make_gate, trusts_arrival
--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -18,12 +18,16 @@
     hits = [keeping(seed, count) for seed in seeds]
     few, many = carrying(100), carrying(10_000)
     again = waiting(seeds[0], count)
-    return {"erlang_c_error": off(waits), "sharing_error": off(stays), "che_error": off(hits),
-            "little_error": max(row[1] for row in (*waits, *stays)),
-            "deterministic": again[:3] == waits[0][:3], "job_us": round(statistics.median(row[3]
-                                                                                          for row in waits),
-                                                                        2), "transfer_us_at_100": few,
-            "transfer_us_at_10000": many}
+    return {
+        "erlang_c_error": off(waits),
+        "sharing_error": off(stays),
+        "che_error": off(hits),
+        "little_error": max(row[1] for row in (*waits, *stays)),
+        "deterministic": again[:3] == waits[0][:3],
+        "job_us": round(statistics.median(row[3] for row in waits), 2),
+        "transfer_us_at_100": few,
+        "transfer_us_at_10000": many,
+    }
 
 
 def off(rows):
--- a/benchmarks/loss.py
+++ b/benchmarks/loss.py
@@ -22,26 +22,64 @@
 STEP = 50 * MS  # between two looks at the gate
 BEGIN = 1_000_000
 
-CACHES = (*(i.Cache(f"c{n}", "edge", n % 2, 18.0, 0, i.READY, "box") for n in range(4)),
-          *(i.Cache(f"p{n}", "hub", 9, 54.0, 0, i.READY, "parent") for n in range(2)),
-          i.Cache("o0", "far", 9, 10.0, 0, i.READY, "origin"))
-KIND = i.ObjectKind("clip", 4_000, 2.0, 4 * SECOND, 1.0, 0.1, i.IDEMPOTENT, i.EVERYWHERE, 0, 0, 0, 0.7, False,
-                    False)
+CACHES = (
+    *(i.Cache(f"c{n}", "edge", n % 2, 18.0, 0, i.READY, "box") for n in range(4)),
+    *(i.Cache(f"p{n}", "hub", 9, 54.0, 0, i.READY, "parent") for n in range(2)),
+    i.Cache("o0", "far", 9, 10.0, 0, i.READY, "origin"),
+)
+KIND = i.ObjectKind(
+    "clip", 4_000, 2.0, 4 * SECOND, 1.0, 0.1, i.IDEMPOTENT, i.EVERYWHERE, 0, 0, 0, 0.7, False, False
+)
 WRITE = KIND._replace(name="hold", effect=i.DEDUPLICATED, remembered=2 * SECOND, write=True)
 
 
 def terms():
-    top = i.Topology(number=0, routers=3, zone="edge", zones=("hub", "edge"), hubs=(0, 0), crews=(0, 2),
-                     links=(0, 0), parent_sort="parent", origin_sort="origin", siblings=i.OWN_LOCATION,
-                     flow=5000.0)
+    top = i.Topology(
+        number=0,
+        routers=3,
+        zone="edge",
+        zones=("hub", "edge"),
+        hubs=(0, 0),
+        crews=(0, 2),
+        links=(0, 0),
+        parent_sort="parent",
+        origin_sort="origin",
+        siblings=i.OWN_LOCATION,
+        flow=5000.0,
+    )
     return i.Terms(
-        top, (KIND, WRITE), must_subscribe=False, most_sends=3, second_copies=False, may_cancel=True,
-        may_probe=False, may_whisper=False, pass_by=True, joins=False, longest_stay_away=5_000,
-        connect_for=400 * MS, idle_for=15 * SECOND, most_held=1000, advice=True, report_fields=(),
-        reports="none", notes="none", drain_grace=500 * MS, purge_grace=500 * MS, purge_done=6 * SECOND,
-        cold_share=0.2, cold_for=15 * SECOND, fall_multiple=2.5, fall_for=SECOND, parent_cold_share=0.1,
-        parent_cold_for=20 * SECOND, parent_fall_multiple=2.0, origin_fall_multiple=0.0, origin_fall_for=0,
-        tick=20)
+        top,
+        (KIND, WRITE),
+        must_subscribe=False,
+        most_sends=3,
+        second_copies=False,
+        may_cancel=True,
+        may_probe=False,
+        may_whisper=False,
+        pass_by=True,
+        joins=False,
+        longest_stay_away=5_000,
+        connect_for=400 * MS,
+        idle_for=15 * SECOND,
+        most_held=1000,
+        advice=True,
+        report_fields=(),
+        reports="none",
+        notes="none",
+        drain_grace=500 * MS,
+        purge_grace=500 * MS,
+        purge_done=6 * SECOND,
+        cold_share=0.2,
+        cold_for=15 * SECOND,
+        fall_multiple=2.5,
+        fall_for=SECOND,
+        parent_cold_share=0.1,
+        parent_cold_for=20 * SECOND,
+        parent_fall_multiple=2.0,
+        origin_fall_multiple=0.0,
+        origin_fall_for=0,
+        tick=20,
+    )
 
 
 class World:
@@ -173,7 +211,11 @@
             worlds = [World(seed, [(0, 30, loss)], [(5, 12, crowd)] if crowd else []).run() for seed in seeds]
             mean = lambda word, *span: round(sum(getattr(w, word)(*span) for w in worlds) / len(worlds), 3)  # noqa: E731,B023
             figures[f"loss {loss} crowd {crowd}"] = {
-                "nacked_in": mean("nacked", 6, 12), "had_to": round(had_to(crowd), 3),
-                "nacked_after": mean("nacked", 16, 20), "gate_in": mean("gate", 7, 12),
-                "gate_after": mean("gate", 17, 20), "served": mean("served", 0, 20)}
+                "nacked_in": mean("nacked", 6, 12),
+                "had_to": round(had_to(crowd), 3),
+                "nacked_after": mean("nacked", 16, 20),
+                "gate_in": mean("gate", 7, 12),
+                "gate_after": mean("gate", 17, 20),
+                "served": mean("served", 0, 20),
+            }
     return figures
--- a/benchmarks/owners/bench.py
+++ b/benchmarks/owners/bench.py
@@ -31,10 +31,12 @@
 
 
 # Schedules that are known to show a mistake: (how they are made, seed).
-PLAYED = {"NoWaitForFormerLeases": [(schedule, 1)],
-          "MinorityDecides": [(schedule, seed) for seed in range(5, 13)],
-          "AckBeforeDisk": [(hurried, 50), (hurried, 70)],
-          "OwnConfirmationForgotten": [(hurried, 401), (hurried, 837)]}
+PLAYED = {
+    "NoWaitForFormerLeases": [(schedule, 1)],
+    "MinorityDecides": [(schedule, seed) for seed in range(5, 13)],
+    "AckBeforeDisk": [(hurried, 50), (hurried, 70)],
+    "OwnConfirmationForgotten": [(hurried, 401), (hurried, 837)],
+}
 
 
 def found(name, most):
--- a/benchmarks/owners/costs.py
+++ b/benchmarks/owners/costs.py
@@ -80,8 +80,12 @@
     with ProcessPoolExecutor(1) as pool:  # a reactor runs once in a process
         spans = pool.submit(agreed_spans, keepers, rig.secret.read_bytes().strip(), count).result()
     writes = durable_spans(folder, count)
-    return {"agreed_p50_ms": at(spans, 0.5), "agreed_p99_ms": at(spans, 0.99),
-            "durable_p50_ms": at(writes, 0.5), "grant_p50_ratio": round(median(spans) / median(writes), 1)}
+    return {
+        "agreed_p50_ms": at(spans, 0.5),
+        "agreed_p99_ms": at(spans, 0.99),
+        "durable_p50_ms": at(writes, 0.5),
+        "grant_p50_ratio": round(median(spans) / median(writes), 1),
+    }
 
 
 def loaded(faults, dice):
@@ -102,8 +106,9 @@
                 ports[name] = free_port()
                 caches = endpoint("c0", cache.port), endpoint("o0", cache.port, "origin")
                 listed = members(1, *caches, whole=True)
-                stated = configuration(listed, listen=f"127.0.0.1:{ports[name]}",
-                                       feed=f"127.0.0.1:{feed.port}")
+                stated = configuration(
+                    listed, listen=f"127.0.0.1:{ports[name]}", feed=f"127.0.0.1:{feed.port}"
+                )
                 stated["settings"]["limits"]["peers"], stated["name"] = True, name
                 rig.configs[name] = Path(folder) / f"{name}.json"
                 rig.configs[name].write_text(json.dumps(stated))
@@ -135,8 +140,11 @@
             finally:
                 rig.stop()
         shares[fleet] = counted
-    return {"lookups_with": shares[True][0], "service_with": round(shares[True][1] / shares[True][0], 4),
-            "service_without": round(shares[False][1] / shares[False][0], 4)}
+    return {
+        "lookups_with": shares[True][0],
+        "service_with": round(shares[True][1] / shares[True][0], 4),
+        "service_without": round(shares[False][1] / shares[False][0], 4),
+    }
 
 
 def at(values, share):
--- a/benchmarks/purges/bench.py
+++ b/benchmarks/purges/bench.py
@@ -29,6 +29,7 @@
 
 # ---- the rules, in made-up fleets
 
+
 def played(seed):
     world = World(seed)
     return len(world.run()), world.answers, world.rejected
@@ -37,16 +38,24 @@
 def schedules(count):
     with ProcessPoolExecutor() as pool:
         rows = list(pool.map(played, range(count), chunksize=20))
-    return {"schedules": count, "rule_breaks": sum(breaks for breaks, _, _ in rows),
-            "answers_judged": sum(answers for _, answers, _ in rows)}
+    return {
+        "schedules": count,
+        "rule_breaks": sum(breaks for breaks, _, _ in rows),
+        "answers_judged": sum(answers for _, answers, _ in rows),
+    }
 
 
 # ---- from submission to applied by all, beside the same events sent bare
 
+
 def effect(count):
     """In one reactor of a process of its own: followers here, the desk and the bare server in others."""
-    out = subprocess.run([sys.executable, "-m", "benchmarks.purges.effect", str(count), str(FOLLOWERS)],
-                         capture_output=True, text=True, timeout=300)
+    out = subprocess.run(
+        [sys.executable, "-m", "benchmarks.purges.effect", str(count), str(FOLLOWERS)],
+        capture_output=True,
+        text=True,
+        timeout=300,
+    )
     if out.returncode:
         raise RuntimeError(out.stderr)
     return json.loads(out.stdout.splitlines()[-1])
--- a/benchmarks/purges/costs.py
+++ b/benchmarks/purges/costs.py
@@ -17,6 +17,7 @@
 
 # ---- what a lookup costs
 
+
 def control(guard):
     start = read_start({"EDGE_CONFIG": "docs/example.json"})
     listed = start.known[0].caches
@@ -36,8 +37,11 @@
         if n % 10:
             sort, what = ((w.OBJECT, f"{n:016x}"), (w.TAG, f"t{n}"))[n % 2]
         else:
-            sort, what = ((w.PREFIX, f"clip/{n:05x}"), (w.GLOB, f"*/{n:04x}*"),
-                          (w.REGEX, f"clip/{n:04x}[0-9a-f]+"))[n // 10 % 3]
+            sort, what = (
+                (w.PREFIX, f"clip/{n:05x}"),
+                (w.GLOB, f"*/{n:04x}*"),
+                (w.REGEX, f"clip/{n:04x}[0-9a-f]+"),
+            )[n // 10 % 3]
         guard.told(n, Purge(1, n + 1, n, sort, what))
     return guard
 
@@ -73,21 +77,31 @@
     def ratio(one, other):
         return round(statistics.median(row[one] / row[other] for row in times), 3)
 
-    return {"lookup_cost_ratio": ratio(2, 1), "lookup_cost_ratio_to_off": ratio(2, 0),
-            "lookup_us_off": round(statistics.median(row[0] for row in times) / size * 1e6, 1),
-            "live_purges": len(guards[2].index), "live_patterns": len(guards[2].index.patterns)}
+    return {
+        "lookup_cost_ratio": ratio(2, 1),
+        "lookup_cost_ratio_to_off": ratio(2, 0),
+        "lookup_us_off": round(statistics.median(row[0] for row in times) / size * 1e6, 1),
+        "live_purges": len(guards[2].index),
+        "live_patterns": len(guards[2].index.patterns),
+    }
 
 
 # ---- starting anew, and objects whose tags are not known
 
+
 def recovery(count):
     from hookrouter.purges.tail import Tail
+
     folder = tempfile.mkdtemp(prefix="purges-")
     log = PurgeLog(f"{folder}/purges.db")
     log.load()
     for start in range(0, count, 4_000):
-        log.append([(Purge(1, n, n, w.OBJECT, f"{n:016x}"), f"k{n}")
-                    for n in range(start + 1, min(count, start + 4_000) + 1)])
+        log.append(
+            [
+                (Purge(1, n, n, w.OBJECT, f"{n:016x}"), f"k{n}")
+                for n in range(start + 1, min(count, start + 4_000) + 1)
+            ]
+        )
     log.close()
     began = time.perf_counter()
     log = PurgeLog(f"{folder}/purges.db", must_exist=True)
@@ -120,5 +134,7 @@
                 copies[name] = now + 500
                 guard.learn(name, now + 500, (f"t{number % 200}",))
         fills.append(filled)
-    return {"unknown_tags_extra_fills": round((fills[1] - fills[0]) / count, 4),
-            "fills_with_tags": round(fills[0] / count, 4)}
+    return {
+        "unknown_tags_extra_fills": round((fills[1] - fills[0]) / count, 4),
+        "fills_with_tags": round(fills[0] / count, 4),
+    }
--- a/benchmarks/purges/desk.py
+++ b/benchmarks/purges/desk.py
@@ -26,8 +26,9 @@
     def start(self, epoch=0):
         world = self.world
         self.up, self.life = True, self.life + 1
-        self.epoch = max([epoch, world.now, *(row[0].epoch + 1 for row in self.disk),
-                          self.epoch_stored() + 1])
+        self.epoch = max(
+            [epoch, world.now, *(row[0].epoch + 1 for row in self.disk), self.epoch_stored() + 1]
+        )
         self.stored = self.epoch
         self.tail, keys = self._read()
         self.ledger = g.Ledger(self.tail, keys, g.Limits(10_000, 1_000))
@@ -57,7 +58,7 @@
                 node.link.cut()
         if self.world.shape.restore:
             if self.kept is not None and dice.random() < 0.5:
-                lost = {(purge.epoch, purge.n) for purge, _ in self.disk[len(self.kept[0]):]}
+                lost = {(purge.epoch, purge.n) for purge, _ in self.disk[len(self.kept[0]) :]}
                 self.world.lost_by_restore += len(lost)
                 gone = [told for number, told in self.world.told.items() if number in lost]
                 self.world.in_effect = [row for row in self.world.in_effect if row[1] not in gone]
--- a/benchmarks/purges/desks.py
+++ b/benchmarks/purges/desks.py
@@ -37,8 +37,11 @@
             file.write(SITE.format(port=port, folder=folder))
 
     def start(self):
-        self.process = subprocess.Popen([sys.executable, "-m", "hookrouter", "purges", "serve", "--site",
-                                         f"{self.folder}/site.ini"], stderr=subprocess.PIPE, text=True)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "hookrouter", "purges", "serve", "--site", f"{self.folder}/site.ini"],
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         line = self.process.stderr.readline()
         if "serving purges" not in line:
             raise RuntimeError(line + self.process.stderr.read())
--- a/benchmarks/purges/effect.py
+++ b/benchmarks/purges/effect.py
@@ -73,8 +73,11 @@
             factory.all.append(self)
             return
         factory.n += 1
-        event = b"data: " + wire.write(wire.Event("purges", 1, [(1, factory.n, 1, "object",
-                                                                 f"o{factory.n}")])) + b"\n\n"
+        event = (
+            b"data: "
+            + wire.write(wire.Event("purges", 1, [(1, factory.n, 1, "object", f"o{factory.n}")]))
+            + b"\n\n"
+        )
         for one in factory.all:
             one.transport.writeSequence((b"%x\r\n" % len(event), event, b"\r\n"))
         self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
@@ -105,8 +108,19 @@
     desk, deadlines, count = Desk(folder), Deadlines(reactor), Count(followers)
     desk.start()
     purges = read(f"{folder}/site.ini")["purges"]
-    feeds = [PurgeFeed(reactor, deadlines, Follower(count), (("127.0.0.1", desk.port),), purges, f"f{n}",
-                       lambda *args, **more: None, lambda name: None) for n in range(followers)]
+    feeds = [
+        PurgeFeed(
+            reactor,
+            deadlines,
+            Follower(count),
+            (("127.0.0.1", desk.port),),
+            purges,
+            f"f{n}",
+            lambda *args, **more: None,
+            lambda name: None,
+        )
+        for n in range(followers)
+    ]
     for feed in feeds:
         feed.start()
     caller = Caller(reactor, deadlines, ("127.0.0.1", desk.port))
@@ -122,12 +136,23 @@
     caller.stop()
     desk.kill(15)
 
-    server = subprocess.Popen([sys.executable, "-m", "benchmarks.purges.effect", "bare"],
-                              stdout=subprocess.PIPE,
-                              text=True)
+    server = subprocess.Popen(
+        [sys.executable, "-m", "benchmarks.purges.effect", "bare"], stdout=subprocess.PIPE, text=True
+    )
     port = int(server.stdout.readline())
-    feeds = [Unleased(reactor, deadlines, Follower(count), (("127.0.0.1", port),), purges, f"f{n}",
-                      lambda *args, **more: None, lambda name: None) for n in range(followers)]
+    feeds = [
+        Unleased(
+            reactor,
+            deadlines,
+            Follower(count),
+            (("127.0.0.1", port),),
+            purges,
+            f"f{n}",
+            lambda *args, **more: None,
+            lambda name: None,
+        )
+        for n in range(followers)
+    ]
     for feed in feeds:
         feed.start()
     caller = Caller(reactor, deadlines, ("127.0.0.1", port))
@@ -142,9 +167,16 @@
     def p99(values):
         return round(values[int(len(values) * 0.99)], 2)
 
-    print(json.dumps({"effect_p99_ms": p99(took), "bare_p99_ms": p99(bare),
-                      "effect_p50_ms": round(statistics.median(took), 2),
-                      "bare_p50_ms": round(statistics.median(bare), 2)}))
+    print(
+        json.dumps(
+            {
+                "effect_p99_ms": p99(took),
+                "bare_p99_ms": p99(bare),
+                "effect_p50_ms": round(statistics.median(took), 2),
+                "bare_p50_ms": round(statistics.median(bare), 2),
+            }
+        )
+    )
 
 
 def main():
@@ -155,8 +187,9 @@
         reactor.callLater(300, reactor.stop)
         reactor.run()
         return
-    measure(int(sys.argv[1]), int(sys.argv[2])).addErrback(lambda failure: print(failure, file=sys.stderr)
-                                                           ).addBoth(lambda _: reactor.stop())
+    measure(int(sys.argv[1]), int(sys.argv[2])).addErrback(
+        lambda failure: print(failure, file=sys.stderr)
+    ).addBoth(lambda _: reactor.stop())
     reactor.run()
 
 
--- a/benchmarks/purges/followers.py
+++ b/benchmarks/purges/followers.py
@@ -58,8 +58,9 @@
 
     def came(self, link, word, epoch, *args):
         if self.paused():
-            return self.world.after(self.paused_until - self.world.now, self.came_late, link, word, epoch,
-                                    args)
+            return self.world.after(
+                self.paused_until - self.world.now, self.came_late, link, word, epoch, args
+            )
         if link is not self.link:
             return None
         if not self.place.epoch(epoch):
@@ -102,14 +103,24 @@
                 self.world.after(self.world.delay(), self._granted, life, asked, span, epoch, clock)
 
         if self.world.dice.random() >= self.world.shape.loss:
-            self.world.after(self.world.delay(), self.above.renew, self.name, self.generation,
-                             self.place.position,
-                             self.place.seen, self.least(), self.every(), isinstance(self, Relay), back)
+            self.world.after(
+                self.world.delay(),
+                self.above.renew,
+                self.name,
+                self.generation,
+                self.place.position,
+                self.place.seen,
+                self.least(),
+                self.every(),
+                isinstance(self, Relay),
+                back,
+            )
 
     def _granted(self, life, asked, span, epoch, clock):
         if self.paused():
-            self.world.after(self.paused_until - self.world.now, self._granted, life, asked, span, epoch,
-                             clock)
+            self.world.after(
+                self.paused_until - self.world.now, self._granted, life, asked, span, epoch, clock
+            )
         elif life == self.life and self.place.epoch(epoch):
             self.grant(asked, span, clock)
 
@@ -174,8 +185,15 @@
         world.after(0, self._lookup)
 
     def fresh(self):
-        terms = PurgeTerms(lease=LEASE, hold=HOLD, grace=GRACE, skew=SKEW, fenced=self.world.shape.fenced,
-                           most_names=10, most_tagged=12)
+        terms = PurgeTerms(
+            lease=LEASE,
+            hold=HOLD,
+            grace=GRACE,
+            skew=SKEW,
+            fenced=self.world.shape.fenced,
+            most_names=10,
+            most_tagged=12,
+        )
         self.guard = self.world.make_guard(terms)
         self.heard, self.own = [], {}
 
--- a/benchmarks/purges/kills.py
+++ b/benchmarks/purges/kills.py
@@ -59,8 +59,9 @@
 def kills(count):
     with ThreadPoolExecutor(DESKS) as pool:
         rows = list(pool.map(killed, range(DESKS), [count // DESKS] * DESKS))
-    return dict(zip(("kills", "acknowledged", "acknowledged_lost", "numbers_used_twice"), map(sum,
-                                                                                              zip(*rows))))
+    return dict(
+        zip(("kills", "acknowledged", "acknowledged_lost", "numbers_used_twice"), map(sum, zip(*rows)))
+    )
 
 
 def submits(seconds):
--- a/benchmarks/purges/links.py
+++ b/benchmarks/purges/links.py
@@ -46,7 +46,7 @@
                 link.down("purge", self.tail.epoch, purge)
             link.down("end", self.tail.epoch, self.tail.newest, len(live))
         else:
-            for purge in self.tail.after(position.n, 10 ** 9):
+            for purge in self.tail.after(position.n, 10**9):
                 link.down("purge", self.tail.epoch, purge)
         self.links.add(link)
 
--- a/benchmarks/purges/shapes.py
+++ b/benchmarks/purges/shapes.py
@@ -37,11 +37,21 @@
 
 def shape_of(dice):
     pick = dice.choice
-    return Shape(routers=dice.randint(1, 4), relays=pick((0, 0, 1, 2)), span=dice.randint(8, 16) * SECOND,
-                 fenced=pick((w.YOUNG, w.YOUNG, w.NACK)), kills=pick((0, 0.1, 0.4)), cuts=pick((0, 0.2, 1.0)),
-                 pauses=pick((0, 0.1, 0.3)), restarts=pick((0, 0.1)), loss=pick((0, 0.05, 0.4)),
-                 restore=dice.random() < 0.2, liars=pick((0, 0.2, 1.0)),
-                 desk_off=pick((0, 0, 2 * SECOND)), purges=pick((0.5, 3, 20)))
+    return Shape(
+        routers=dice.randint(1, 4),
+        relays=pick((0, 0, 1, 2)),
+        span=dice.randint(8, 16) * SECOND,
+        fenced=pick((w.YOUNG, w.YOUNG, w.NACK)),
+        kills=pick((0, 0.1, 0.4)),
+        cuts=pick((0, 0.2, 1.0)),
+        pauses=pick((0, 0.1, 0.3)),
+        restarts=pick((0, 0.1)),
+        loss=pick((0, 0.05, 0.4)),
+        restore=dice.random() < 0.2,
+        liars=pick((0, 0.2, 1.0)),
+        desk_off=pick((0, 0, 2 * SECOND)),
+        purges=pick((0.5, 3, 20)),
+    )
 
 
 class Told(NamedTuple):
@@ -56,6 +66,11 @@
     """In plain words: is this copy's object what was purged?"""
     sort, what = purge.sort, purge.what
     full = f"{kind}/{name}"
-    return {w.OBJECT: what == name, w.GROUP: what == str(GROUPS[name]), w.TAG: what in TAGS[name],
-            w.PREFIX: full.startswith(what), w.GLOB: sort == w.GLOB and fnmatch.fnmatchcase(full, what),
-            w.REGEX: sort == w.REGEX and re.fullmatch(what, full) is not None}[sort]
+    return {
+        w.OBJECT: what == name,
+        w.GROUP: what == str(GROUPS[name]),
+        w.TAG: what in TAGS[name],
+        w.PREFIX: full.startswith(what),
+        w.GLOB: sort == w.GLOB and fnmatch.fnmatchcase(full, what),
+        w.REGEX: sort == w.REGEX and re.fullmatch(what, full) is not None,
+    }[sort]
--- a/benchmarks/purges/world.py
+++ b/benchmarks/purges/world.py
@@ -44,8 +44,11 @@
 
     def delay(self):
         """Of one message: mostly a millisecond or two, seldom a second."""
-        return int(self.dice.expovariate(1 / 20)) + 5 if self.dice.random() < 0.97 else self.dice.randint(0,
-                                                                                                          SECOND)
+        return (
+            int(self.dice.expovariate(1 / 20)) + 5
+            if self.dice.random() < 0.97
+            else self.dice.randint(0, SECOND)
+        )
 
     def chance(self, rate, step):
         return self.dice.random() < rate * step / SECOND
@@ -79,9 +82,14 @@
         dice = self.dice
         sort = dice.choice(w.SORTS)
         name = dice.choice(OBJECTS)
-        what = {w.OBJECT: name, w.GROUP: str(GROUPS[name]), w.TAG: dice.choice(TAGS[name]),
-                w.PREFIX: f"{dice.choice(KINDS)}/{name[0]}", w.GLOB: f"*/{name[0]}?",
-                w.REGEX: f"clip/[0-9]{name[1]}"}
+        what = {
+            w.OBJECT: name,
+            w.GROUP: str(GROUPS[name]),
+            w.TAG: dice.choice(TAGS[name]),
+            w.PREFIX: f"{dice.choice(KINDS)}/{name[0]}",
+            w.GLOB: f"*/{name[0]}?",
+            w.REGEX: f"clip/[0-9]{name[1]}",
+        }
         self.desk.submit(f"k{self.count}", ((sort, what[sort]),))
         self.after(dice.expovariate(self.shape.purges) * SECOND, self._purge)
 
@@ -121,10 +129,14 @@
         self.answers += 1
         for at, purge in self.in_effect:
             if began >= at and made < purge.at and concerns(purge, kind, name):
-                self.breaks.append(f"{router.name} at {self.now}: {kind}/{name} of {made} begun at {began}, "
-                                   f"purged at {purge.at} by {purge.sort} {purge.what}, "
-                                   f"stated in effect at {at}")
+                self.breaks.append(
+                    f"{router.name} at {self.now}: {kind}/{name} of {made} begun at {began}, "
+                    f"purged at {purge.at} by {purge.sort} {purge.what}, "
+                    f"stated in effect at {at}"
+                )
         for at, purge in router.heard:
             if self.now >= at + GRACE and made < purge.at and concerns(purge, kind, name):
-                self.breaks.append(f"{router.name} at {self.now}: {kind}/{name} of {made}, "
-                                   f"purged at {purge.at}, told at {at}, over a grace ago")
+                self.breaks.append(
+                    f"{router.name} at {self.now}: {kind}/{name} of {made}, "
+                    f"purged at {purge.at}, told at {at}, over a grace ago"
+                )
--- a/benchmarks/replicas/processes.py
+++ b/benchmarks/replicas/processes.py
@@ -96,8 +96,12 @@
     def ready(self, index):
         """As fleet/service.py asks before an owner begins on this copy."""
         core = self.core
-        return (self.up and core.applied >= index and (not core.unfiled or core.unfiled[0] > index)
-                and self.copy.whole())
+        return (
+            self.up
+            and core.applied >= index
+            and (not core.unfiled or core.unfiled[0] > index)
+            and self.copy.whole()
+        )
 
 
 class OwnerMember(MemberProcess):
@@ -140,6 +144,11 @@
             what = NAMES, [[[f"n{dice.randrange(50)}", 1]], []]
         else:
             self.world.made += 1
-            what = KEEP, [self.at + 1, [b"%d:%d.%d" % (number, self.world.made, k)
-                                        for k in range(dice.choice((1, 1, 3, 9)))]]
+            what = (
+                KEEP,
+                [
+                    self.at + 1,
+                    [b"%d:%d.%d" % (number, self.world.made, k) for k in range(dice.choice((1, 1, 3, 9)))],
+                ],
+            )
         self.later(dice.choice((20, 200, 600)), self.order, number, *what)
--- a/benchmarks/replicas/store.py
+++ b/benchmarks/replicas/store.py
@@ -84,7 +84,7 @@
             start = max(asked.after, self.floor)
             seal, agrees = self._seal_at(start), asked.after < self.floor or own == asked.seal
             bodies, size = [], 0
-            for body in self.rows[start - self.floor:]:
+            for body in self.rows[start - self.floor :]:
                 bodies.append(body)
                 size += len(body)
                 if size > PART:
--- a/benchmarks/replicas/world.py
+++ b/benchmarks/replicas/world.py
@@ -78,8 +78,14 @@
                 if row is None:
                     process.event(w.Heard("s", w.Ask("s#1/1", DECLARE, ["s"])))
                 elif newest > 20 and row.number:
-                    process.event(w.Heard("s", w.Ask(f"s#1/{self.made}", SWEEP, [
-                        "s", row.number, row.step + 1, DUTY, newest - 15])))
+                    process.event(
+                        w.Heard(
+                            "s",
+                            w.Ask(
+                                f"s#1/{self.made}", SWEEP, ["s", row.number, row.step + 1, DUTY, newest - 15]
+                            ),
+                        )
+                    )
                     self.swept += 1
 
     def fault(self):
@@ -96,8 +102,11 @@
             after(span, setattr, keeper, "bad", False)
         elif what == 1:
             keeper.copies.append(keeper.plain)
-        elif what in (2, 3) and keeper.up and all(k.up and not k.paused and k.copy.state == c.WHOLE
-                                                  for k in self.keepers.values()):
+        elif (
+            what in (2, 3)
+            and keeper.up
+            and all(k.up and not k.paused and k.copy.state == c.WHOLE for k in self.keepers.values())
+        ):
             keeper.kill()  # one copy at a time is lost, or put back: of more, what only they held is gone
             keeper.plain = keeper.copies.pop(0) if what == 3 and keeper.copies else PlainStore()
             self.restart(keeper)
--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -102,8 +102,9 @@
     worst = (0.0, 0.0)
     for node in world.nodes[:20]:
         for cache in node.loads if not node.liar else ():
-            honest = sum(other.loads[cache][1] for other in world.nodes
-                         if other is not node and not other.liar)
+            honest = sum(
+                other.loads[cache][1] for other in world.nodes if other is not node and not other.liar
+            )
             summary = node.core.summary(cache)
             if summary is not None and honest:
                 most = bound(world.terms, honest, counts[name] / (count - 1), world.terms.floor_rate)
@@ -166,10 +167,18 @@
     """Whether blocks merged in any order, grouping and number come to one board."""
     dice, terms = Random(seed), w.Terms(tellers=4, most_caches=8)
     blocks = [
-        w.Block(f"r{dice.randrange(8)}", dice.randrange(2), dice.randrange(6), dice.randrange(90_000),
-                dice.randrange(1, 4), dice.random() < 0.5,
-                [w.Load(f"c{dice.randrange(10)}", "", dice.randrange(100), dice.randrange(100))
-                 for _ in range(dice.randrange(5))])
+        w.Block(
+            f"r{dice.randrange(8)}",
+            dice.randrange(2),
+            dice.randrange(6),
+            dice.randrange(90_000),
+            dice.randrange(1, 4),
+            dice.random() < 0.5,
+            [
+                w.Load(f"c{dice.randrange(10)}", "", dice.randrange(100), dice.randrange(100))
+                for _ in range(dice.randrange(5))
+            ],
+        )
         for _ in range(40)
     ]
     blocks = sayings(blocks)
@@ -181,8 +190,9 @@
         return board
 
     def state(board):
-        return {name: (t.life, t.number, t.floor, t.borns, t.count, t.rows)
-                for name, t in board.tellers.items()}
+        return {
+            name: (t.life, t.number, t.floor, t.borns, t.count, t.rows) for name, t in board.tellers.items()
+        }
 
     whole = state(merged(blocks))
     for _ in range(5):
@@ -206,16 +216,21 @@
         sizes = {count: future.result() for count, future in sizes.items()}
         moved, most = max(future.result() for future in liars)
         figures = {
-            "trials": len(breaks), "trials_of_forty": crowds,
+            "trials": len(breaks),
+            "trials_of_forty": crowds,
             "rule_breaks": sum(breaks) + sum(future.result() for future in zones),
             "merge_laws": all(held),
             "seeded_mistakes": len(seen),
             "seeded_found": sum(future.result() is not None for future in seen.values()),
             **{f"bytes_per_member_{count}": row["bytes"] for count, row in sorted(sizes.items())},
             "bytes_per_member_growth": round(sizes[1_000]["bytes"] / sizes[10]["bytes"], 2),
-            **{f"{what}_{count}": row[what] for what in ("error_p50", "error_p99", "age_s", "kept_kb")
-               for count, row in sorted(sizes.items())},
-            "liar_moved": round(moved, 3), "liar_bound": round(most, 3),
+            **{
+                f"{what}_{count}": row[what]
+                for what in ("error_p50", "error_p99", "age_s", "kept_kb")
+                for count, row in sorted(sizes.items())
+            },
+            "liar_moved": round(moved, 3),
+            "liar_bound": round(most, 3),
             **ways(),
         }
     return figures
--- a/benchmarks/sharing_world.py
+++ b/benchmarks/sharing_world.py
@@ -62,8 +62,10 @@
                 self.world.send(self, effect)
         teller = self.core.board.tellers.get(self.name)
         if teller is not None and self.liar is None:
-            self.world.truth.setdefault((self.name, self.life, teller.number), (
-                {key: row[1:] for key, row in teller.rows.items()}, self.world.engine.now))
+            self.world.truth.setdefault(
+                (self.name, self.life, teller.number),
+                ({key: row[1:] for key, row in teller.rows.items()}, self.world.engine.now),
+            )
 
 
 class World:
@@ -76,8 +78,9 @@
         self.loss, self.double, self.lag, self.jitter, self.held, self.cuts = 0.0, 0.0, 5, 20, 0, set()
         self.bytes, self.packets, self.breaks, self.truth = 0, 0, [], {}
         for node in self.nodes:
-            node.loads = {f"c{n}": (0.75 + self.dice.random() / 2, 4 + 2 * self.dice.random())
-                          for n in range(caches)}
+            node.loads = {
+                f"c{n}": (0.75 + self.dice.random() / 2, 4 + 2 * self.dice.random()) for n in range(caches)
+            }
 
     def zone(self):
         return {node.name: node.life for node in self.nodes if node.up}
@@ -153,8 +156,9 @@
         node.core.now = max(node.core.now, node.clock())
         summary = node.core.summary("c0")
         value = summary.others_out if summary else 0.0
-        key = tuple(sorted((name, t.number) for name, t in node.core.board.tellers.items()
-                           if name != node.name))
+        key = tuple(
+            sorted((name, t.number) for name, t in node.core.board.tellers.items() if name != node.name)
+        )
         before, same, top = getattr(node, "sum", (0.0, None, 1.0))
         alone = all((name, node.name) in self.cuts for name in self.by_name if name != node.name)
         if alone and same is not None and set(key) <= set(same) and before - value > STEP * max(top, before):
@@ -189,8 +193,9 @@
             for cache in node.loads:
                 summary = node.core.summary(cache)
                 if summary is not None:
-                    honest = sum(other.loads[cache][0] for other in self.up()
-                                 if other is not node and not other.liar)
+                    honest = sum(
+                        other.loads[cache][0] for other in self.up() if other is not node and not other.liar
+                    )
                     if summary.others_out > bound(self.terms, honest, part) + 0.1:
                         self.broke(f"{cache}: a liar moved {honest:.2f} to {summary.others_out:.2f}", node)
 
@@ -203,6 +208,7 @@
 
 def lie(node, message):
     """loud: a million times its load, for thousands. fresh: all news is of now. ahead: numbers of others."""
+
     def block(row):
         own = row.teller == node.name
         if node.liar == "loud" and own:
@@ -213,6 +219,7 @@
         if node.liar == "ahead" and not own:
             return msgspec.structs.replace(row, number=row.number + (1 << 40), loads=[])
         return row
+
     if isinstance(message, w.Told):
         return w.Told([block(row) for row in message.blocks])
     return w.Charge(block(message.block)) if isinstance(message, w.Charge) else message
@@ -223,8 +230,10 @@
     said = {}
     for block in blocks:
         said.setdefault((block.teller, block.life, block.number), block)
-    return [msgspec.structs.replace(said[block.teller, block.life, block.number], age=block.age)
-            for block in blocks]
+    return [
+        msgspec.structs.replace(said[block.teller, block.life, block.number], age=block.age)
+        for block in blocks
+    ]
 
 
 def trial(seed, count=6, make=Exchange, seconds=8, terms=SMALL):
@@ -276,8 +285,10 @@
         node.said, node.held = {}, set()  # it begins anew
     elif up:
         node = dice.choice(up)
-        node.loads = {cache: (out * dice.choice((0.8, 1.2)), rate) for cache, (out, rate) in
-                      {c: (0.75 + dice.random() / 2, 6.0) for c in node.loads}.items()}
+        node.loads = {
+            cache: (out * dice.choice((0.8, 1.2)), rate)
+            for cache, (out, rate) in {c: (0.75 + dice.random() / 2, 6.0) for c in node.loads}.items()
+        }
 
 
 def lied(seed, count=12, make=Exchange, terms=EIGHT, kind=None):
@@ -294,9 +305,23 @@
 def taken_over(seed, adopted=soft.adopted):
     """Whether told evidence alone sets a cache aside."""
     dice = Random(seed)
-    told = [soft.Learnt([w.Soft("c0", dice.randrange(1_001), dice.random() < 0.5, dice.random() * 1e9,
-                                dice.random(), -1, dice.randrange(SECOND))], [])
-            for _ in range(dice.randrange(1, 3))]
+    told = [
+        soft.Learnt(
+            [
+                w.Soft(
+                    "c0",
+                    dice.randrange(1_001),
+                    dice.random() < 0.5,
+                    dice.random() * 1e9,
+                    dice.random(),
+                    -1,
+                    dice.randrange(SECOND),
+                )
+            ],
+            [],
+        )
+        for _ in range(dice.randrange(1, 3))
+    ]
     over = adopted(told).strikes.get("c0", 0) >= STRIKES
     return ["told evidence alone sets a cache aside"] if over else []
 
--- a/benchmarks/spread/chart.py
+++ b/benchmarks/spread/chart.py
@@ -13,12 +13,15 @@
 
 def table(rows):
     """Lines of Markdown."""
-    lines = ["| way | news, s old | peak over mean | herd, 99 in 100 | swing | idle | served | missed |",
-             "| --- | --- | --- | --- | --- | --- | --- | --- |"]
+    lines = [
+        "| way | news, s old | peak over mean | herd, 99 in 100 | swing | idle | served | missed |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
     for row in rows:
         lines.append(
             f"| {row['way']} | {row['delay']:g} | {row['peak_over_mean']:.2f} | {row['herd_99']:.2f} | "
-            f"{row['swing']:.2f} | {row['idle_caches']} | {row['served']:.3f} | {row['miss_share']:.3f} |")
+            f"{row['swing']:.2f} | {row['idle_caches']} | {row['served']:.3f} | {row['miss_share']:.3f} |"
+        )
     return lines
 
 
--- a/benchmarks/spread/checks.py
+++ b/benchmarks/spread/checks.py
@@ -15,8 +15,12 @@
 encode = msgspec.msgpack.Encoder().encode
 SEEDS = tuple(range(12))
 NONE = shares_model.Bounds(crashes=0, lost=0, doubled=0, pauses=0, drifts=0)
-QUICK = (NONE._replace(drifts=2), NONE._replace(doubled=1, crashes=1), NONE._replace(pauses=1, lost=1),
-         NONE._replace(doubled=1, pauses=1, drifts=1, ticks=6))
+QUICK = (
+    NONE._replace(drifts=2),
+    NONE._replace(doubled=1, crashes=1),
+    NONE._replace(pauses=1, lost=1),
+    NONE._replace(doubled=1, pauses=1, drifts=1, ticks=6),
+)
 FULL = (*QUICK, NONE._replace(crashes=1, lost=1, doubled=1, pauses=1, drifts=2, ticks=6))
 TERMS = SpreadTerms(number=0, routers=100)
 ALL = tuple(f"c{n}" for n in range(10))
--- a/benchmarks/spread/processes.py
+++ b/benchmarks/spread/processes.py
@@ -52,7 +52,7 @@
         made.load.start(calm + faults + healed, RATE_EACH * count, names=1_000)
         start = time.time()
         time.sleep(calm)
-        killed = made.routers[:count * 7 // 12]
+        killed = made.routers[: count * 7 // 12]
         made.kill(*killed)
         made.caches.restart("c0")
         if sections:
@@ -64,13 +64,20 @@
         made.start(*killed)
         made.load.wait(calm + faults + healed + 40)
         verdict, tables = made.verdict(), made.caches.tables()
-        spreads = sum("spreads load by what its zone tells" in str(made.processes.log(name))
-                      for name in made.routers)
+        spreads = sum(
+            "spreads load by what its zone tells" in str(made.processes.log(name)) for name in made.routers
+        )
     peak, _ = busiest(tables, start + 2, start + calm)
     _, idle = busiest(tables, start + calm + faults + 1, start + calm + faults + healed)
     return {
-        "ready": ready, "ready_after": began - start, "rule_breaks": len(verdict.broken), "peak": peak,
-        "idle": idle, "served": share(verdict.lookups, start, start + calm), "spreads": spreads,
+        "ready": ready,
+        "ready_after": began - start,
+        "rule_breaks": len(verdict.broken),
+        "peak": peak,
+        "idle": idle,
+        "served": share(verdict.lookups, start, start + calm),
+        "spreads": spreads,
         "served_faults": share(verdict.lookups, start + calm, start + calm + faults),
-        "falls": sum(len(row["falls"]) for row in tables), "broken": verdict.broken[:3],
+        "falls": sum(len(row["falls"]) for row in tables),
+        "broken": verdict.broken[:3],
     }
--- a/benchmarks/spread/shares_model.py
+++ b/benchmarks/spread/shares_model.py
@@ -65,8 +65,18 @@
             core, row = self.cores[name], self.cores[name].rows["x"]
             units = [(u.state, u.until, u.unit, u.after, u.given) for u in (row.own, *row.lent.values())]
             rows.append((self.clocks[name], core.asked, core.life, units))
-        return hash(repr((self.now, rows, sorted(map(repr, self.net)), self.left, self.paused,
-                          sorted(self.may.items()))))
+        return hash(
+            repr(
+                (
+                    self.now,
+                    rows,
+                    sorted(map(repr, self.net)),
+                    self.left,
+                    self.paused,
+                    sorted(self.may.items()),
+                )
+            )
+        )
 
     def spendable(self):
         """Marks all turns that could be spent now; what is wrong, or None. Works on a copy: looking ages."""
--- a/benchmarks/spread/ways.py
+++ b/benchmarks/spread/ways.py
@@ -158,6 +158,10 @@
 
 TOLD = {"hash": Hash, "least": Least, "two": Least, "raw": Raw, "bounded loads": Bounded}
 SPREADS = {
-    "ours": Spread, "one lead": OneLead, "lead by name": ByName, "aged": levels(AtOnce),
-    "bounded news": levels(AtMost), "split": Split,
+    "ours": Spread,
+    "one lead": OneLead,
+    "lead by name": ByName,
+    "aged": levels(AtOnce),
+    "bounded news": levels(AtMost),
+    "split": Split,
 }
--- a/benchmarks/spread/world.py
+++ b/benchmarks/spread/world.py
@@ -51,18 +51,57 @@
 
 
 def terms_of(plan, number):
-    kinds = (i.ObjectKind("clip", BUDGET, 2.0, 4 * SECOND, 1.0, 0.1, i.IDEMPOTENT, i.EVERYWHERE, 0, 0, 0,
-                          0.7, True, False),)
-    top = i.Topology(number, plan.routers, "edge", ("hub", "edge"), (0, 0), (0, plan.routers), (0, 0),
-                     "parent", "origin", i.OWN_LOCATION, FLOW * SECOND)
+    kinds = (
+        i.ObjectKind(
+            "clip", BUDGET, 2.0, 4 * SECOND, 1.0, 0.1, i.IDEMPOTENT, i.EVERYWHERE, 0, 0, 0, 0.7, True, False
+        ),
+    )
+    top = i.Topology(
+        number,
+        plan.routers,
+        "edge",
+        ("hub", "edge"),
+        (0, 0),
+        (0, plan.routers),
+        (0, 0),
+        "parent",
+        "origin",
+        i.OWN_LOCATION,
+        FLOW * SECOND,
+    )
     return i.Terms(
-        topology=top, kinds=kinds, must_subscribe=False, most_sends=3, second_copies=False, may_cancel=True,
-        may_probe=False, may_whisper=True, pass_by=False, joins=True, longest_stay_away=5_000,
-        connect_for=4_000, idle_for=150_000, most_held=1_000, advice=True, report_fields=(),
-        reports="none", notes="all",
-        drain_grace=5_000, purge_grace=5_000, purge_done=60_000, cold_share=0.2, cold_for=15 * SECOND,
-        fall_multiple=2.5, fall_for=SECOND, parent_cold_share=0.1, parent_cold_for=20 * SECOND,
-        parent_fall_multiple=2.0, origin_fall_multiple=0.0, origin_fall_for=0, tick=20)
+        topology=top,
+        kinds=kinds,
+        must_subscribe=False,
+        most_sends=3,
+        second_copies=False,
+        may_cancel=True,
+        may_probe=False,
+        may_whisper=True,
+        pass_by=False,
+        joins=True,
+        longest_stay_away=5_000,
+        connect_for=4_000,
+        idle_for=150_000,
+        most_held=1_000,
+        advice=True,
+        report_fields=(),
+        reports="none",
+        notes="all",
+        drain_grace=5_000,
+        purge_grace=5_000,
+        purge_done=60_000,
+        cold_share=0.2,
+        cold_for=15 * SECOND,
+        fall_multiple=2.5,
+        fall_for=SECOND,
+        parent_cold_share=0.1,
+        parent_cold_for=20 * SECOND,
+        parent_fall_multiple=2.0,
+        origin_fall_multiple=0.0,
+        origin_fall_for=0,
+        tick=20,
+    )
 
 
 class Member:
@@ -106,8 +145,10 @@
                 own = held[2] / FLOW
                 counts = self.world.since <= held[0] < self.world.until
                 self.world.served += counts and now - held[0] <= BUDGET + 2 * own
-            self.decide(i.SendEnd(effect.id, number, end, note, settled or held is None, now - at,
-                                  effect.cache, None))
+            self.decide(
+                i.SendEnd(effect.id, number, end, note, settled or held is None, now - at, effect.cache, None)
+            )
+
         return ended
 
 
@@ -122,14 +163,17 @@
         # The links' sum is such that lookups fill the stated part of it.
         flow = FLOW
         weight = plan.rate / SECOND * plan.size / (plan.fill * plan.caches * flow)
-        self.stations = {name: Station(self.engine, name, flow, weight, plan.size * plan.names / 3)
-                         for name in names}
+        self.stations = {
+            name: Station(self.engine, name, flow, weight, plan.size * plan.names / 3) for name in names
+        }
         dice = Random(plan.seed + 7)
         self.sizes = [plan.size * (0.5 + dice.random()) for _ in range(plan.names)]
         self.cumulative = list(accumulate((n + 1) ** -ZIPF for n in range(plan.names)))
-        self.lines = (*(i.Cache(name, "edge", 0, weight, 0, i.READY, "box") for name in names),
-                      i.Cache("p0", "hub", 0, 500.0, 0, i.READY, "parent"),
-                      i.Cache("o0", "hub", 0, 500.0, 0, i.READY, "origin"))
+        self.lines = (
+            *(i.Cache(name, "edge", 0, weight, 0, i.READY, "box") for name in names),
+            i.Cache("p0", "hub", 0, 500.0, 0, i.READY, "parent"),
+            i.Cache("o0", "hub", 0, 500.0, 0, i.READY, "origin"),
+        )
         self.members = [self.member(n) for n in range(plan.routers)]
         self.history = []  # (when, {cache: out}, {cache: started})
         self.engine.after(0, self.look)
@@ -179,8 +223,18 @@
         when, outs = self.history[n]
         others = (self.plan.routers - 1) / self.plan.routers
         for name, out in outs.items():
-            member.told.news(self.now(), Summary(name, out * others, 0.0, self.engine.now - when,
-                                                 self.plan.routers, self.plan.routers, False))
+            member.told.news(
+                self.now(),
+                Summary(
+                    name,
+                    out * others,
+                    0.0,
+                    self.engine.now - when,
+                    self.plan.routers,
+                    self.plan.routers,
+                    False,
+                ),
+            )
 
     def seek(self, member):
         """What its executor does for caches that are set aside."""
@@ -188,8 +242,9 @@
         for n in control.edges if hasattr(member.told, "trickle") else ():
             aside = control.health.trickle[n] == 1
             cold = -1 if control.cold.now(n) is None else max(0, self.now() - control.cold.born[n])
-            posts = member.told.own(self.now(), control.ids[n], aside,
-                                    control.health.rest_until[n] if aside else None, cold)
+            posts = member.told.own(
+                self.now(), control.ids[n], aside, control.health.rest_until[n] if aside else None, cold
+            )
             for post in posts:
                 other = self.members[int(post.to[1:])]
                 self.engine.after(NEAR + int(self.plan.delay * SECOND), self.word, other, post.message)
@@ -247,9 +302,11 @@
     mean, most = measures.herd(stations, since, until)
     period = int(plan.delay * SECOND) + PERIOD
     return {
-        "way": plan.way, "delay": plan.delay,
+        "way": plan.way,
+        "delay": plan.delay,
         "peak_over_mean": measures.peak_over_mean(stations, since, until),
-        "herd_mean": mean, "herd_99": most,
+        "herd_mean": mean,
+        "herd_99": most,
         "swing": measures.swing(stations, since, until, 2 * period),
         "idle_caches": measures.idle(stations, since, until),
         "served": served / lookups,
--- a/benchmarks/warming/chart.py
+++ b/benchmarks/warming/chart.py
@@ -15,11 +15,15 @@
     """rows: {(how, count): [share of a second]}."""
     matplotlib.use("svg")
     from matplotlib import pyplot
+
     matplotlib.rcParams["svg.hashsalt"] = "warming"
     figure, axes = pyplot.subplots(1, 2, figsize=(9, 3.2), sharey=True)
     for axis, count, title in zip(axes, (1, 6), ("one of ten replaced", "six of ten replaced within 7 s")):
-        for how, colour in ((compared.IDEAL, "#999999"), (compared.WITH, "#1b7837"), (
-                compared.WITHOUT, "#b2182b")):
+        for how, colour in (
+            (compared.IDEAL, "#999999"),
+            (compared.WITH, "#1b7837"),
+            (compared.WITHOUT, "#b2182b"),
+        ):
             axis.plot(range(len(rows[how, count])), rows[how, count], label=how, color=colour)
         axis.set(title=title, xlabel="s after the first", ylim=(0, 1))
         axis.grid(alpha=0.3)
--- a/benchmarks/warming/compared.py
+++ b/benchmarks/warming/compared.py
@@ -62,8 +62,11 @@
     location.engine.after(WARM_UP + SECOND, kill)
     location.start(WARM_UP + 6 * SECOND)
     location.engine.run(WARM_UP + 8 * SECOND)
-    return (sum(count - 1 for count in pool.filled.values()), sum(pool.filled.values()),
-            sum(count - 1 for count in pool.tried.values()))
+    return (
+        sum(count - 1 for count in pool.filled.values()),
+        sum(pool.filled.values()),
+        sum(count - 1 for count in pool.tried.values()),
+    )
 
 
 def che(seed=1):
--- a/benchmarks/warming/laws.py
+++ b/benchmarks/warming/laws.py
@@ -66,8 +66,10 @@
     for _ in range(400):
         now += dice.randrange(1, 60)
         able = min(1.0, 0.3 + 0.7 * at / 100_000)
-        room = max(-2.0 * 2_000, min(2.0 * 2_000 * min(1.0, 0.3 + 0.7 * now / 100_000),
-                                     room + (2.0 * able - others) * (now - at)))
+        room = max(
+            -2.0 * 2_000,
+            min(2.0 * 2_000 * min(1.0, 0.3 + 0.7 * now / 100_000), room + (2.0 * able - others) * (now - at)),
+        )
         at = now
         word = dice.random()
         if word < 0.15:
--- a/benchmarks/warming/location.py
+++ b/benchmarks/warming/location.py
@@ -52,13 +52,26 @@
 class Location:
     """routers: how many count what is asked; names, exponent: of Zipf's law; room: KB of an edge cache."""
 
-    def __init__(self, seed, caches=10, routers=8, names=12_000, exponent=0.9, room=50_000.0, rate=0.15,
-                 parent_room=250_000.0, equal=False, wanted=None):
+    def __init__(
+        self,
+        seed,
+        caches=10,
+        routers=8,
+        names=12_000,
+        exponent=0.9,
+        room=50_000.0,
+        rate=0.15,
+        parent_room=250_000.0,
+        equal=False,
+        wanted=None,
+    ):
         self.engine, self.dice = Engine(), Random(seed)
         self.rate, self.names = rate, names
         self.weights = zipf(names, exponent)
-        self.sizes = [SIZE if equal else min(20 * SIZE, SIZE * self.dice.lognormvariate(-0.5, 1.0))
-                      for _ in range(names)]
+        self.sizes = [
+            SIZE if equal else min(20 * SIZE, SIZE * self.dice.lognormvariate(-0.5, 1.0))
+            for _ in range(names)
+        ]
         self.caches = {f"c{n}": Server(self.engine, f"c{n}", room, FLOWS) for n in range(caches)}
         self.parents = {name: Server(self.engine, name, parent_room, PARENT_FLOWS) for name in ("p0", "p1")}
         self.origin = Link(self.engine, ORIGIN_FLOWS * FLOW, FLOW)
@@ -182,8 +195,11 @@
 
     def hit_share(self, tops, began, ended):
         """Of lookups whose name's top candidate is one of these, hits at edges."""
-        rows = [hit for came, _, top, hit, _ in self.rows if began <= came < ended and (
-            tops is None or top in tops)]
+        rows = [
+            hit
+            for came, _, top, hit, _ in self.rows
+            if began <= came < ended and (tops is None or top in tops)
+        ]
         return sum(rows) / max(1, len(rows))
 
     def p99(self, began, ended):
--- a/benchmarks/warming/model.py
+++ b/benchmarks/warming/model.py
@@ -14,15 +14,48 @@
     owners = []
     for _, owner in sorted(stage.owners.items()):
         one = owner.warming
-        owners.append((owner.number, owner.paused, sorted(owner.drained), sorted(owner.struck),
-                       owner.purged.newest, one and (
-            one.state, one.done, one.told, one.at, one.place, sorted(one.out), sorted(one.asked),
-            sorted(one.struck), [[entry.name for entry in step] for step in one.steps], one.failed)))
-    return hash(repr((owners, sorted(map(repr, stage.net)), sorted(stage.left.items()), stage.done,
-                      stage.highest, stage.lost_word, sorted(stage.copies.items()),
-                      sorted(stage.true.items()), sorted(stage.tries.items()),
-                      sorted(stage.read.items()), sorted(stage.failed), stage.order, stage.fallen,
-                      [[c.number for c in lender.courses.values()] for lender in stage.lenders.values()])))
+        owners.append(
+            (
+                owner.number,
+                owner.paused,
+                sorted(owner.drained),
+                sorted(owner.struck),
+                owner.purged.newest,
+                one
+                and (
+                    one.state,
+                    one.done,
+                    one.told,
+                    one.at,
+                    one.place,
+                    sorted(one.out),
+                    sorted(one.asked),
+                    sorted(one.struck),
+                    [[entry.name for entry in step] for step in one.steps],
+                    one.failed,
+                ),
+            )
+        )
+    return hash(
+        repr(
+            (
+                owners,
+                sorted(map(repr, stage.net)),
+                sorted(stage.left.items()),
+                stage.done,
+                stage.highest,
+                stage.lost_word,
+                sorted(stage.copies.items()),
+                sorted(stage.true.items()),
+                sorted(stage.tries.items()),
+                sorted(stage.read.items()),
+                sorted(stage.failed),
+                stage.order,
+                stage.fallen,
+                [[c.number for c in lender.courses.values()] for lender in stage.lenders.values()],
+            )
+        )
+    )
 
 
 def explore(parts=None, names=3, step=2, limits=None, most=1 << 60):
--- a/benchmarks/warming/owner.py
+++ b/benchmarks/warming/owner.py
@@ -64,15 +64,28 @@
         self.tick()
 
     def scene(self):
-        return Scene(self.target, self.before, self.after, self.pool.warm_caches(self.location.engine.now),
-                     tuple(self.location.parents), KINDS, past=self.pool.past,
-                     room=int(self.location.room * 1_000))
+        return Scene(
+            self.target,
+            self.before,
+            self.after,
+            self.pool.warm_caches(self.location.engine.now),
+            tuple(self.location.parents),
+            KINDS,
+            past=self.pool.past,
+            room=int(self.location.room * 1_000),
+        )
 
     def look(self):
         now = self.location.engine.now
         owners = sorted(name for name, one in self.pool.owners.items() if one.heir == self.heir)
-        self.doors.told(now, self.target in self.location.caches, self.pool.warm_caches(now),
-                        tuple(self.location.parents), len(owners), owners.index(self.target))
+        self.doors.told(
+            now,
+            self.target in self.location.caches,
+            self.pool.warm_caches(now),
+            tuple(self.location.parents),
+            len(owners),
+            owners.index(self.target),
+        )
 
     def tick(self):
         if self.alive and self.warming.state not in (s.DONE, s.GIVEN_UP):
@@ -122,7 +135,8 @@
         self.pool.filled[n] += 1
         source = location.caches.get(effect.source) or location.parents.get(effect.source)
         self.pool.by_source[effect.source[0] if effect.source else "-"] = 1 + self.pool.by_source.get(
-            effect.source[0] if effect.source else "-", 0)
+            effect.source[0] if effect.source else "-", 0
+        )
         server.worked(location.engine.now, location.sizes[n] / FLOW)
         location.fill(server, n, source, self._filled, server, n, effect.name)
 
--- a/benchmarks/warming/stage.py
+++ b/benchmarks/warming/stage.py
@@ -58,8 +58,9 @@
         self.drained, self.fallen = set(), False
         self.net, self.tries, self.read, self.failed = [], Counter(), Counter(), set()
         self.now, self.wrong, self.late_refused = 0, None, 0
-        self.left = dict(grants=2, pauses=1, kills=1, purges=1, drains=1, lost=1, doubled=1, fails=1,
-                         falls=0, strains=0) | (limits or {})
+        self.left = dict(
+            grants=2, pauses=1, kills=1, purges=1, drains=1, lost=1, doubled=1, fails=1, falls=0, strains=0
+        ) | (limits or {})
         for name in self.owners:
             self.look(name)
 
@@ -309,8 +310,11 @@
                 if left["fails"] and row[0] == "fill":
                     yield "fail", k
         for name, owner in self.owners.items():
-            gone = self.holder is None or self.owners[self.holder].warming is None or (
-                self.owners[self.holder].paused)
+            gone = (
+                self.holder is None
+                or self.owners[self.holder].warming is None
+                or (self.owners[self.holder].paused)
+            )
             if left["grants"] and gone and name != self.holder and not owner.paused:
                 yield "grant", name
             if owner.warming is None or owner.warming.state in OVER:
@@ -321,7 +325,8 @@
             if owner.warming.state == s.WARMING and owner.warming.place < self.step:
                 yield "tick", name
             if owner.warming.state in (s.BORROWING, s.PLANNED) and not any(
-                    row[0] in ("lend", "lent", "lodge", "lodged") and row[1] == name for row in self.net):
+                row[0] in ("lend", "lent", "lodge", "lodged") and row[1] == name for row in self.net
+            ):
                 yield "wait", name
             for word, step in (("pauses", "pause"), ("kills", "kill"), ("strains", "strain")):
                 if left[word]:
--- a/hookrouter/__main__.py
+++ b/hookrouter/__main__.py
@@ -7,6 +7,7 @@
 
 def main(arguments=None, signals=None):
     from .command import main as run
+
     return run(arguments, signals)
 
 
--- a/hookrouter/adapter/codec.py
+++ b/hookrouter/adapter/codec.py
@@ -3,18 +3,32 @@
 from .. import interface as i
 from ..terms import TENTHS, Malformed, down, flag, listed, number, shown, text, up, whole, word
 
-ENDS = {"GOOD": i.SATISFIED, "BAD": i.ERRED, "FULL": i.FULL, "LATE": i.LATE, "NOCONN": i.UNREACHED,
-        "RST": i.BROKEN, "CXL": i.CANCELLED, "NOP": i.VOID, "MISS": i.MISSING}
+ENDS = {
+    "GOOD": i.SATISFIED,
+    "BAD": i.ERRED,
+    "FULL": i.FULL,
+    "LATE": i.LATE,
+    "NOCONN": i.UNREACHED,
+    "RST": i.BROKEN,
+    "CXL": i.CANCELLED,
+    "NOP": i.VOID,
+    "MISS": i.MISSING,
+}
 PHASES = {"on": i.READY, "fading": i.DRAINING, "off": i.GONE}
 MODES = {"update": i.CHANGES, "replace": i.WHOLE, "restored": i.REMEMBERED, "unavailable": i.UNANSWERED}
 
 
 def read_cache(row):
     row = row + [None] * (7 - len(row))
-    return i.Cache(id=text(row[4], "records.cache"), zone=text(row[1], "records.rackZone"),
-                   cell=whole(row[2], "records.stripe"), weight=number(row[0], "records.units"),
-                   born=up(row[3] or 0, "records.bootTime"), phase=word(row[5], PHASES, "records.phase"),
-                   sort=text(row[6], "records.generationHw"))
+    return i.Cache(
+        id=text(row[4], "records.cache"),
+        zone=text(row[1], "records.rackZone"),
+        cell=whole(row[2], "records.stripe"),
+        weight=number(row[0], "records.units"),
+        born=up(row[3] or 0, "records.bootTime"),
+        phase=word(row[5], PHASES, "records.phase"),
+        sort=text(row[6], "records.generationHw"),
+    )
 
 
 def read_list(rows):
@@ -43,19 +57,29 @@
 
 
 def read_lookup(event, _lists):
-    return i.Lookup(id=whole(event[1], "newRequest.corr"), kind=text(event[4], "newRequest.qos"),
-                    object=text(event[9], "newRequest.contentId"),
-                    part=whole(event[6] or 0, "newRequest.slice"),
-                    group=whole(event[5] or 0, "newRequest.purgeGroup"),
-                    size=number(event[7] or 0, "newRequest.sizeKb"), due=down(event[8], "newRequest.due"),
-                    repeat=bool(whole(event[2] or 0, "newRequest.flags") & 2))
+    return i.Lookup(
+        id=whole(event[1], "newRequest.corr"),
+        kind=text(event[4], "newRequest.qos"),
+        object=text(event[9], "newRequest.contentId"),
+        part=whole(event[6] or 0, "newRequest.slice"),
+        group=whole(event[5] or 0, "newRequest.purgeGroup"),
+        size=number(event[7] or 0, "newRequest.sizeKb"),
+        due=down(event[8], "newRequest.due"),
+        repeat=bool(whole(event[2] or 0, "newRequest.flags") & 2),
+    )
 
 
 def read_end(event, _lists):
-    return i.SendEnd(id=whole(event[1], "result.corr"), send=whole(event[4], "result.hop"),
-                     end=word(event[2], ENDS, "result.outcome"), note=whole(event[3] or 0, "result.info"),
-                     settled=flag(event[5], "result.complete"), took=up(event[6], "result.rtt"),
-                     cache=text(event[7], "result.cache"), report=read_report(event[9], "result.telemetry"))
+    return i.SendEnd(
+        id=whole(event[1], "result.corr"),
+        send=whole(event[4], "result.hop"),
+        end=word(event[2], ENDS, "result.outcome"),
+        note=whole(event[3] or 0, "result.info"),
+        settled=flag(event[5], "result.complete"),
+        took=up(event[6], "result.rtt"),
+        cache=text(event[7], "result.cache"),
+        report=read_report(event[9], "result.telemetry"),
+    )
 
 
 # By the wire's name: how many values follow it, and what reads them.
@@ -66,13 +90,24 @@
     "result": (9, read_end),
     "hangup": (1, lambda e, _: i.ClientGone(whole(e[1], "hangup.corr"))),
     "reminder": (1, lambda e, _: i.Alarm(whole(e[1], "reminder.label"))),
-    "probeResult": (4, lambda e, _: i.ProbeEnd(
-        word(e[1], ENDS, "probeResult.outcome"), text(e[2], "probeResult.cache"),
-        up(e[3], "probeResult.rtt"), read_report(e[4], "probeResult.telemetry"))),
+    "probeResult": (
+        4,
+        lambda e, _: i.ProbeEnd(
+            word(e[1], ENDS, "probeResult.outcome"),
+            text(e[2], "probeResult.cache"),
+            up(e[3], "probeResult.rtt"),
+            read_report(e[4], "probeResult.telemetry"),
+        ),
+    ),
     "whisper": (2, lambda e, _: i.Whisper(whole(e[1], "whisper.neighbour"), read_bytes(e[2], "whisper.msg"))),
-    "replaced": (3, lambda e, _: i.Purged(
-        down(e[1], "replaced.howOld"), whole(e[2], "replaced.group"),
-        None if e[3] is None else text(e[3], "replaced.contentId"))),
+    "replaced": (
+        3,
+        lambda e, _: i.Purged(
+            down(e[1], "replaced.howOld"),
+            whole(e[2], "replaced.group"),
+            None if e[3] is None else text(e[3], "replaced.contentId"),
+        ),
+    ),
 }
 
 
--- a/hookrouter/caches/connection.py
+++ b/hookrouter/caches/connection.py
@@ -51,8 +51,9 @@
         try:
             self.answers.feed(data)
         except Malformed as wrong:
-            self.caches.log("cache sent what cannot be read, connection ended",
-                            f"{self.place.name}: {wrong.told()}")
+            self.caches.log(
+                "cache sent what cannot be read, connection ended", f"{self.place.name}: {wrong.told()}"
+            )
             self.caches.count("caches_malformed")
             self.caches.lost_answer(self)
         if self.send is not None and self.send.ended is None and self.caches.room.full():
--- a/hookrouter/caches/errands.py
+++ b/hookrouter/caches/errands.py
@@ -9,8 +9,13 @@
 
 MOST_DIGITS = 15  # of a time in milliseconds: years have 13
 LONGEST_BODY = 240_000  # bytes, of any object's part
-NOTES = {b"hit": i.FOUND, b"filled": i.FILLED, b"via_origin": i.FROM_ORIGIN, b"joined": i.JOINED,
-         b"stale": i.AGED}
+NOTES = {
+    b"hit": i.FOUND,
+    b"filled": i.FILLED,
+    b"via_origin": i.FROM_ORIGIN,
+    b"joined": i.JOINED,
+    b"stale": i.AGED,
+}
 
 
 class Errand(NamedTuple):
@@ -67,8 +72,16 @@
         fields.append((b"X-Priority", b"%d" % errand.rank))
     if errand.age:
         fields.append((b"X-Stale-Limit", millis(errand.age)))
-    ways = [word for word, wanted in ((b"join", errand.join), (b"held", errand.held_only),
-                                      (b"nocopy", errand.unkept), (b"renew", errand.renew)) if wanted]
+    ways = [
+        word
+        for word, wanted in (
+            (b"join", errand.join),
+            (b"held", errand.held_only),
+            (b"nocopy", errand.unkept),
+            (b"renew", errand.renew),
+        )
+        if wanted
+    ]
     if ways:
         fields.append((b"X-Do", b"+".join(ways)))
     if errand.seen is not None:
@@ -93,11 +106,19 @@
     elif declined and answer.status == 504:
         end = i.VOID
     since, tags = read_since(answer), answer.fields.get(b"x-tags")
-    return Ended(end, NOTES.get(answer.fields.get(b"x-result"), 0),
-                 read_report(answer.fields.get(b"x-stats"), names), pieces, length, answer.status == 304,
-                 since if answer.status == 200 else None,
-                 answer.fields.get(b"x-rev", b"").decode("latin-1"), since,
-                 None if tags is None else tags.decode("latin-1"), answer.status == 409)
+    return Ended(
+        end,
+        NOTES.get(answer.fields.get(b"x-result"), 0),
+        read_report(answer.fields.get(b"x-stats"), names),
+        pieces,
+        length,
+        answer.status == 304,
+        since if answer.status == 200 else None,
+        answer.fields.get(b"x-rev", b"").decode("latin-1"),
+        since,
+        None if tags is None else tags.decode("latin-1"),
+        answer.status == 409,
+    )
 
 
 def read_since(answer):
--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -65,8 +65,15 @@
         if place is None:
             return self._nowhere()
         seen = None if errand.seen is None else errand.seen.encode()
-        send = Send(self, place, errands.request(errand, place.field), seen,
-                    (errand.kind, errand.object, errand.part), errand.once, wanted)
+        send = Send(
+            self,
+            place,
+            errands.request(errand, place.field),
+            seen,
+            (errand.kind, errand.object, errand.part),
+            errand.once,
+            wanted,
+        )
         return self._go(send, within, leave_within)
 
     def probe(self, name):
@@ -112,7 +119,8 @@
         self.count("connections")
         connection.send, send.connection = send, connection
         connection.connector = self.reactor.connectTCP(
-            send.place.host, send.place.port, Outgoing(connection), timeout=None)
+            send.place.host, send.place.port, Outgoing(connection), timeout=None
+        )
 
     def _put(self, send, connection):
         """The one place where a request leaves: none does that nobody waits for, nor past its last moment."""
--- a/hookrouter/caches/send.py
+++ b/hookrouter/caches/send.py
@@ -24,8 +24,21 @@
 class Send:
     """One request and its Deferred, which fires with Ended."""
 
-    __slots__ = ("caches", "place", "pieces", "seen", "asked", "once", "wanted", "deadline", "leave_by",
-                 "deferred", "connection", "written", "ended")
+    __slots__ = (
+        "caches",
+        "place",
+        "pieces",
+        "seen",
+        "asked",
+        "once",
+        "wanted",
+        "deadline",
+        "leave_by",
+        "deferred",
+        "connection",
+        "written",
+        "ended",
+    )
 
     def __init__(self, caches, place, pieces, seen=None, asked=None, once=False, wanted=always):
         self.caches, self.place, self.pieces = caches, place, pieces
--- a/hookrouter/command/__init__.py
+++ b/hookrouter/command/__init__.py
@@ -55,6 +55,7 @@
         return ended_by(wrong)
     except OSError as wrong:
         from ..errors.commands import System
+
         return ended_by(System(wrong))
     return DONE
 
@@ -71,8 +72,14 @@
     return trouble.exit
 
 
-site_option = click.option("--site", "site_file", envvar="HOOKROUTER_SITE", metavar="FILE",
-                           type=click.Path(dir_okay=False), help="The operator's file (HOOKROUTER_SITE).")
+site_option = click.option(
+    "--site",
+    "site_file",
+    envvar="HOOKROUTER_SITE",
+    metavar="FILE",
+    type=click.Path(dir_okay=False),
+    help="The operator's file (HOOKROUTER_SITE).",
+)
 
 
 def read_site(name):
@@ -80,12 +87,14 @@
     if not name:
         return {}
     from ..site import read
+
     return read(name)
 
 
 def sections_of(site_file, *wanted):
     """The sections of the operator's file, of which a command needs some."""
     from ..errors.site import Lacking, Unnamed
+
     if not site_file:
         raise Unnamed("the operator's file is wanted: --site FILE or HOOKROUTER_SITE")
     sections = read_site(site_file)
@@ -102,8 +111,11 @@
     def observe(event):
         if event["log_level"] in (LogLevel.error, LogLevel.critical):
             failure = event.get("log_failure")
-            log("uncaught error", failure.getTraceback() if failure is not None else formatEvent(event),
-                level="error")
+            log(
+                "uncaught error",
+                failure.getTraceback() if failure is not None else formatEvent(event),
+                level="error",
+            )
 
     globalLogBeginner.beginLoggingTo([observe], redirectStandardIO=False)
 
--- a/hookrouter/command/fleet/changing.py
+++ b/hookrouter/command/fleet/changing.py
@@ -11,8 +11,13 @@
 @fleet.command()
 @click.argument("name")
 @click.option("--fault", type=click.Choice(["kill", "stop", "cut"]), required=True)
-@click.option("--for", "span", type=click.FloatRange(0.5, 30.0), default=3.0,
-              help="Seconds of a stop or cut; what follows is watched for as long again, 5 s at least.")
+@click.option(
+    "--for",
+    "span",
+    type=click.FloatRange(0.5, 30.0),
+    default=3.0,
+    help="Seconds of a stop or cut; what follows is watched for as long again, 5 s at least.",
+)
 @site_option
 def drill(name, fault, span, site_file):
     """Kill, stop or cut off a keeper of a fleet on this machine, and report what follows, by the second.
@@ -27,6 +32,7 @@
     if any(not host.startswith("127.") for host, _ in section["keepers"].values()):
         raise Misused("a drill is for a fleet on loopback; this one has other addresses")
     from .rehearsal import rehearse
+
     if rehearse(section, name, fault, span):
         raise FleetRefused("the drill ended with duties that have no owner, or was not begun")
 
--- a/hookrouter/command/fleet/records.py
+++ b/hookrouter/command/fleet/records.py
@@ -81,6 +81,7 @@
     """
     from ...stores import PurgeLog
     from ...stores.keeper_log import KeeperLog
+
     sections = sections_of(site_file, "fleet")
     store = sections["fleet"]["store"]
     if store is None:
@@ -111,8 +112,13 @@
     for line in wrong:
         print(line)
     if wrong:
-        raise Held("end the keeper before its files are looked at") if held else Damaged(
-            "start the keeper: what is damaged is put away or set aside, and comes from the others")
+        raise (
+            Held("end the keeper before its files are looked at")
+            if held
+            else Damaged(
+                "start the keeper: what is damaged is put away or set aside, and comes from the others"
+            )
+        )
 
 
 @fleet.command("import")
@@ -125,6 +131,7 @@
     Example: hookrouter fleet import --site site.ini
     """
     from ...fleet.decisions.owners import words as w
+
     wrong, held = [], []
 
     def decide(found, who, life):
@@ -133,10 +140,12 @@
             return None
         copies = [(name, copy) for name, each in found.items() for copy in each["copies"] if copy[2]]
         if len(copies) != 1:
-            wrong.append(f"{len(copies)} keepers hold a store with purges, one is wanted: put the store in "
-                         "place as its [desk] store while that keeper is down, and start it")
+            wrong.append(
+                f"{len(copies)} keepers hold a store with purges, one is wanted: put the store in "
+                "place as its [desk] store while that keeper is down, and start it"
+            )
             return None
-        (name, (duty, _, newest, _, seal)), = copies
+        ((name, (duty, _, newest, _, seal)),) = copies
         held.extend((name, newest))
         return w.Ask(f"{who}#{life}/2", "adopt", [duty, life, newest, bytes.fromhex(seal)])
 
--- a/hookrouter/command/fleet/rehearsal.py
+++ b/hookrouter/command/fleet/rehearsal.py
@@ -40,8 +40,11 @@
         if found["state"] == "leading":
             self.note("leader", f"{name}, term {found['term']}")
             for duty, owner, number, _, left in found["duties"]:
-                self.note(f"duty {duty}", f"{(owner or 'nobody').partition('#')[0]}, number {number}"
-                          + ("" if left else ", lease over"))
+                self.note(
+                    f"duty {duty}",
+                    f"{(owner or 'nobody').partition('#')[0]}, number {number}"
+                    + ("" if left else ", lease over"),
+                )
                 self.owned[duty] = bool(owner and left)
 
     def look(self):
--- a/hookrouter/command/fleet/shared.py
+++ b/hookrouter/command/fleet/shared.py
@@ -19,6 +19,7 @@
     Example: hookrouter fleet shared --site site.ini
     """
     from ...fleet.decisions.owners import words as w
+
     found = ask(section_of(site_file), lambda who, life: w.Roster(f"{who}#{life}/1"), True)
     rows = {name: row["shared"] for name, row in sorted(found.items()) if "shared" in row}
     if not rows:
@@ -27,6 +28,8 @@
         print(json.dumps(rows))
         return
     for name, row in rows.items():
-        print(f"{name}: zone {row['zone']}, {row['routers']} routers, {len(row['tellers'])} tell, "
-              f"{row['speaker'] or 'nobody'} speaks for it")
+        print(
+            f"{name}: zone {row['zone']}, {row['routers']} routers, {len(row['tellers'])} tell, "
+            f"{row['speaker'] or 'nobody'} speaks for it"
+        )
         table(("cache", "out", "a second", "age ms", "tell", "of", "doubted"), row["caches"])
--- a/hookrouter/command/fleet/showing.py
+++ b/hookrouter/command/fleet/showing.py
@@ -41,8 +41,12 @@
         )
     else:
         answer = f"{len(found)} of {len(section['keepers'])} keepers answer"
-        print(f"{leader['keeper']} leads in term {leader['term']}, {answer}, {len(leader['duties'])} duties, "
-              f"{len(leader['members'])} members" if leader else f"no leader: {answer}, duties stand still")
+        print(
+            f"{leader['keeper']} leads in term {leader['term']}, {answer}, {len(leader['duties'])} duties, "
+            f"{len(leader['members'])} members"
+            if leader
+            else f"no leader: {answer}, duties stand still"
+        )
         for line in wrong:
             print(line)
     if leader is None:
@@ -60,11 +64,13 @@
     Example: hookrouter fleet members --site site.ini
     """
     from ...fleet.decisions.owners import words as w
+
     section = section_of(site_file)
     if watch:
         # A reactor runs once in a process: each look is a command of its own.
         import subprocess
         import sys
+
         try:
             while True:
                 again = [sys.executable, "-m", "hookrouter", "fleet", "members", "--site", site_file]
@@ -81,12 +87,16 @@
         return
     for name, row in sorted(found.items()):
         said = "not settled" if row["settled_ms"] is None else f"settled for {row['settled_ms'] / 1000:.1f} s"
-        print(f"{name}: {row['alive']} members, {said}, view {row['digest']}"
-              + (f", slow itself ({row['slow_itself']})" if row["slow_itself"] else "")
-              + "".join(f", another process named {twin}" for twin in row["twins"]))
+        print(
+            f"{name}: {row['alive']} members, {said}, view {row['digest']}"
+            + (f", slow itself ({row['slow_itself']})" if row["slow_itself"] else "")
+            + "".join(f", another process named {twin}" for twin in row["twins"])
+        )
     best = max(found.values(), key=lambda row: row["alive"])
-    table(("member", "state", "zone", "role", "address", "version", "incarnation", "life"),
-          [(row[0], row[7], row[3], row[4], row[2], row[5], row[6], row[1]) for row in best["members"]])
+    table(
+        ("member", "state", "zone", "role", "address", "version", "incarnation", "life"),
+        [(row[0], row[7], row[3], row[4], row[2], row[5], row[6], row[1]) for row in best["members"]],
+    )
 
 
 @fleet.command()
@@ -99,6 +109,7 @@
     Example: hookrouter fleet explain k2 --site site.ini
     """
     from ...fleet.decisions.owners import words as w
+
     found = ask(section_of(site_file), lambda who, life: w.Roster(f"{who}#{life}/1", name), True)
     rows = sorted((at, teller, *rest) for teller, told in found.items() for at, *rest in told)
     if not rows:
@@ -107,9 +118,19 @@
         names = ("at_ms", "teller", "life", "before", "state", "incarnation", "why", "by")
         print(json.dumps([dict(zip(names, row)) for row in rows]))
         return
-    table(("at", "teller", "life", "was", "is", "inc.", "why", "by"),
-          [(f"{time.strftime('%H:%M:%S', time.localtime(row[0] / 1000))}.{row[0] % 1000:03d}", *row[1:3],
-            row[3] or "", *row[4:7], ",".join(row[7])) for row in rows])
+    table(
+        ("at", "teller", "life", "was", "is", "inc.", "why", "by"),
+        [
+            (
+                f"{time.strftime('%H:%M:%S', time.localtime(row[0] / 1000))}.{row[0] % 1000:03d}",
+                *row[1:3],
+                row[3] or "",
+                *row[4:7],
+                ",".join(row[7]),
+            )
+            for row in rows
+        ],
+    )
 
 
 @fleet.command()
--- a/hookrouter/command/purges.py
+++ b/hookrouter/command/purges.py
@@ -41,6 +41,7 @@
 
 # ---- the processes
 
+
 def run(make, listen, secret, submits, log):
     """Listens, runs until SIGTERM or SIGINT, and ends with the exit code."""
     from twisted.internet import reactor
@@ -66,8 +67,12 @@
             desk.stop().addBoth(lambda _: reactor.callLater(0.01, reactor.stop))
 
     desk.start()
-    log("serving purges", listens=f"{host}:{port.getHost().port}", epoch=desk.tail.epoch,
-        newest=desk.tail.newest.n)
+    log(
+        "serving purges",
+        listens=f"{host}:{port.getHost().port}",
+        epoch=desk.tail.epoch,
+        newest=desk.tail.newest.n,
+    )
     run_until(ending, reactor)
     log.close()
 
@@ -84,6 +89,7 @@
     from ..desk.own import Own
     from ..desk.paced import paced
     from ..log import Log
+
     log = Log(form=sections.get("log", {}).get("format", "text"))
 
     def made(reactor):
@@ -110,11 +116,13 @@
     from ..desk.relay import Relay
     from ..log import Log
     from ..tables.deadlines import Deadlines
+
     log = Log(form=sections.get("log", {}).get("format", "text"))
 
     def made(reactor):
-        row = Relay(reactor, Deadlines(reactor), log, sections["purges"], sections["relay"],
-                    "admission" in sections)
+        row = Relay(
+            reactor, Deadlines(reactor), log, sections["purges"], sections["relay"], "admission" in sections
+        )
         return paced(row, sections, sections["relay"]["name"], log)
 
     run(made, sections["relay"]["listen"], sections["purges"]["secret"], False, log)
@@ -122,6 +130,7 @@
 
 # ---- calls to the desk
 
+
 class Desk:
     """The desk as a command calls it; ends the command with one line where it cannot be reached."""
 
@@ -176,8 +185,14 @@
 
 def options(command):
     for sort in reversed(SORTS):
-        example = {"object": "7f3a9c21e0b4d655", "group": "17", "tag": "winter-prices", "prefix": "clip/7f",
-                   "glob": "page/*ab", "regex": "(clip|page)/0[0-9]+"}[sort]
+        example = {
+            "object": "7f3a9c21e0b4d655",
+            "group": "17",
+            "tag": "winter-prices",
+            "prefix": "clip/7f",
+            "glob": "page/*ab",
+            "regex": "(clip|page)/0[0-9]+",
+        }[sort]
         command = click.option(f"--{sort}", multiple=True, metavar="NAME", help=f"As in {example}.")(command)
     return command
 
@@ -190,8 +205,9 @@
 @click.option("--everything", is_flag=True, help="A pattern may match every name.")
 @click.option("--key", help="The same for all tries of one submission; made up without it.")
 @click.option("--wait", is_flag=True, help="Until all are in effect.")
-@click.option("--for", "span", type=click.FloatRange(0.1, 3600), default=60.0,
-              help="Seconds to wait at most.")
+@click.option(
+    "--for", "span", type=click.FloatRange(0.1, 3600), default=60.0, help="Seconds to wait at most."
+)
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
 def submit(site_file, pattern, from_file, everything, key, wait, span, as_json, **sorts):
     """Purge objects, groups, tags or patterns in every depot, in one submission.
@@ -212,16 +228,26 @@
     numbers = [row["number"] for row in accepted["purges"]]
     facts = waited(desk, numbers, span, as_json) if wait else None
     if as_json:
-        print(json.dumps({"numbers": numbers, "repeated": accepted["repeated"], "key": body["key"],
-                          "in_effect_ms": facts and facts["in_effect_ms"]}))
+        print(
+            json.dumps(
+                {
+                    "numbers": numbers,
+                    "repeated": accepted["repeated"],
+                    "key": body["key"],
+                    "in_effect_ms": facts and facts["in_effect_ms"],
+                }
+            )
+        )
     else:
         print(f"{'accepted before' if accepted['repeated'] else 'accepted'}: {shortened(numbers)}")
         if facts and facts["in_effect_ms"]:
             took = facts["in_effect_ms"] - facts["accepted_ms"]
             print(f"in effect since {clock(facts['in_effect_ms'])}, {took} ms after it was accepted")
     if wait and not facts["in_effect_ms"]:
-        raise NotYet(f"not in effect after {span:g} s; it will be by {clock(facts['latest_ms'])} at the "
-                     f"latest, behind: {behind(facts)}")
+        raise NotYet(
+            f"not in effect after {span:g} s; it will be by {clock(facts['latest_ms'])} at the "
+            f"latest, behind: {behind(facts)}"
+        )
 
 
 def listed(name):
@@ -281,8 +307,11 @@
         facts = good(desk.call("GET", f"/v1/purges/{numbers[-1]}"))
         if shown:
             missing = 0 if facts["in_effect_ms"] else len(facts["behind"])
-            print(f"\r{facts['members'] - missing} of {facts['members']} members have it ", end="",
-                  file=sys.stderr)
+            print(
+                f"\r{facts['members'] - missing} of {facts['members']} members have it ",
+                end="",
+                file=sys.stderr,
+            )
         if facts["in_effect_ms"] or time.monotonic() >= until:
             if shown:
                 print(file=sys.stderr)
@@ -307,6 +336,7 @@
     if at:
         from ..site import Wrong
         from ..site import address as read_address
+
         try:
             address = read_address(at, "")
         except Wrong as wrong:
@@ -316,18 +346,34 @@
     if as_json:
         print(json.dumps(facts))
     elif number:
-        print(f"{facts['number']}: {facts['sort']} {facts['what']}, by {facts['key']}, "
-              f"accepted {clock(facts['accepted_ms'])}, "
-              + (f"in effect since {clock(facts['in_effect_ms'])}{' at the latest' if facts['by'] else ''}"
-                 if facts["in_effect_ms"] else
-                 f"in effect by {clock(facts['latest_ms'])} at the latest, behind: {behind(facts)}"))
+        print(
+            f"{facts['number']}: {facts['sort']} {facts['what']}, by {facts['key']}, "
+            f"accepted {clock(facts['accepted_ms'])}, "
+            + (
+                f"in effect since {clock(facts['in_effect_ms'])}{' at the latest' if facts['by'] else ''}"
+                if facts["in_effect_ms"]
+                else f"in effect by {clock(facts['latest_ms'])} at the latest, behind: {behind(facts)}"
+            )
+        )
     else:
-        print(f"{facts['role']}: epoch {facts['epoch']}, newest {facts['newest']}, {facts['live']} live, "
-              f"{facts['followers']} followers, {facts['undone']} not in effect yet")
-        table(("member", "state", "applied", "of all below", "relay", "heard ms ago"),
-              [(row["name"], row["state"], row["n"], row["all"], "yes" if row["relay"] else "",
-                row["heard_ms_ago"])
-               for row in facts["members"]])
+        print(
+            f"{facts['role']}: epoch {facts['epoch']}, newest {facts['newest']}, {facts['live']} live, "
+            f"{facts['followers']} followers, {facts['undone']} not in effect yet"
+        )
+        table(
+            ("member", "state", "applied", "of all below", "relay", "heard ms ago"),
+            [
+                (
+                    row["name"],
+                    row["state"],
+                    row["n"],
+                    row["all"],
+                    "yes" if row["relay"] else "",
+                    row["heard_ms_ago"],
+                )
+                for row in facts["members"]
+            ],
+        )
 
 
 @purges.command("list")
@@ -344,14 +390,32 @@
     if as_json:
         print(json.dumps({"purges": rows, "of": found["of"]}))
         return
-    table(("number", "what", "by", "accepted", "in effect", "after ms"),
-          [(row["number"], f"{row['sort']} {row['what']}", row["key"], dated(row["accepted_ms"]),
-            ("by " if row["by"] else "") + clock(row["in_effect_ms"]) if row["in_effect_ms"] else "not yet",
-            row["in_effect_ms"] - row["accepted_ms"] if row["in_effect_ms"] else "") for row in rows])
+    table(
+        ("number", "what", "by", "accepted", "in effect", "after ms"),
+        [
+            (
+                row["number"],
+                f"{row['sort']} {row['what']}",
+                row["key"],
+                dated(row["accepted_ms"]),
+                ("by " if row["by"] else "") + clock(row["in_effect_ms"])
+                if row["in_effect_ms"]
+                else "not yet",
+                row["in_effect_ms"] - row["accepted_ms"] if row["in_effect_ms"] else "",
+            )
+            for row in rows
+        ],
+    )
     if more > 0:
-        print(f"{more} more are kept that are older"
-              + (f"; --last {min(1_000, found['of'])} shows {'them' if found['of'] <= 1_000 else 'more'}"
-                 if last < 1_000 else ""), file=sys.stderr)
+        print(
+            f"{more} more are kept that are older"
+            + (
+                f"; --last {min(1_000, found['of'])} shows {'them' if found['of'] <= 1_000 else 'more'}"
+                if last < 1_000
+                else ""
+            ),
+            file=sys.stderr,
+        )
 
 
 @purges.command()
@@ -365,6 +429,7 @@
     """
     from ..errors.stores import Damaged
     from ..stores import PurgeLog
+
     store = store or sections_of(site_file, "purges", "desk")["desk"]["store"]
     if not os.path.exists(store):
         raise Missing(f"{store}: there is no such file")
@@ -378,5 +443,7 @@
     if faults:
         for fault in faults:
             print(f"hookrouter: {fault}", file=sys.stderr)
-        raise Damaged("the store is damaged; restore a copy, start the desk on it (it begins a new epoch), "
-                      "and repeat the purges made since that copy")
+        raise Damaged(
+            "the store is damaged; restore a copy, start the desk on it (it begins a new epoch), "
+            "and repeat the purges made since that copy"
+        )
--- a/hookrouter/command/router.py
+++ b/hookrouter/command/router.py
@@ -14,6 +14,7 @@
     """Both files as they are now, for a reload; Malformed names what cannot be used."""
     from ..node.start import read_start
     from ..site import Refused, read
+
     try:
         return read_start(os.environ, sections=read(site_file) if site_file else {})
     except Refused as wrong:
@@ -23,17 +24,21 @@
 def member_of(reactor, log, sections, router):
     """This router's part in its fleet; imported only where there is one."""
     from ..fleet.member.service import Member
+
     member = Member(reactor, log, sections, routes=True)
     if "sharing" in sections:  # imported only then
         from ..fleet.member.sharing import Sharing
         from ..node.told import Told
+
         member.sharing = Sharing(reactor, log, sections["sharing"], member, Told(router))
     if "spread" in sections:
         from ..fleet.member.spread import Spreading
+
         member.spread = Spreading(reactor, log, sections["spread"], member.sharing, router)
     if "warming" in sections:
         from ..fleet.member.warming import Warmer
         from ..node.heed import Heed
+
         router.heed = Heed(router)
         member.warming = Warmer(reactor, log, sections["warming"], member, router, router.heed)
     return member
@@ -41,8 +46,9 @@
 
 @click.command()
 @site_option
-@click.option("--log-format", type=click.Choice(["text", "json"]),
-              help="In place of the file's [log] format.")
+@click.option(
+    "--log-format", type=click.Choice(["text", "json"]), help="In place of the file's [log] format."
+)
 @click.pass_obj
 def serve(signals, site_file, log_format):
     """Serve lookups until SIGTERM.
@@ -53,6 +59,7 @@
     """
     from ..node.signals import Signals
     from ..node.start import read_start
+
     signals = signals or Signals()  # before all that takes time: none that comes meanwhile ends the process
     sections = read_site(site_file)
     start = read_start(os.environ, sections=sections)
@@ -62,6 +69,7 @@
     from ..node.counters import Counters
     from ..node.router import Router
     from ..node.service import Service
+
     log = Log(form=log_format or sections.get("log", {}).get("format", "text"))
     counters = Counters([kind.name for kind in start.terms.kinds])
     router = Router(start, reactor, log, counters)
@@ -80,11 +88,14 @@
     Example: EDGE_CONFIG=docs/example.json hookrouter check --site deploy/hookrouter.ini
     """
     from ..node.start import read_start
+
     sections = read_site(site_file)
     start = read_start(os.environ, sections=sections)
     (host, port), (feed, feed_port) = start.listen, start.feed
-    print(f"{start.name}: listens on {host}:{port}, follows {feed}:{feed_port}, "
-          f"{len(start.terms.kinds)} object kinds, {len(start.known)} known events")
+    print(
+        f"{start.name}: listens on {host}:{port}, follows {feed}:{feed_port}, "
+        f"{len(start.terms.kinds)} object kinds, {len(start.known)} known events"
+    )
     if sections:
         print(f"{site_file}: {', '.join(sections)}")
     raise SystemExit(DONE)
--- a/hookrouter/command/shown.py
+++ b/hookrouter/command/shown.py
@@ -7,6 +7,7 @@
     if sys.stdout.isatty():
         from rich.console import Console
         from rich.table import Table
+
         made = Table(*heads)
         for row in rows:
             made.add_row(*map(str, row))
--- a/hookrouter/command/trace.py
+++ b/hookrouter/command/trace.py
@@ -25,12 +25,14 @@
 def found(paths):
     """Segments of files and folders, those of one router in their order."""
     from ..stores.trace_log import segments
+
     files = []
     for path in paths:
         files += [path for _, path in segments(path)] if os.path.isdir(path) else [path]
     if not files:
-        raise NoTraces(f"{', '.join(paths)}: no traces there; "
-                       "wanted are NAME.NUMBER.trace or folders of them")
+        raise NoTraces(
+            f"{', '.join(paths)}: no traces there; " "wanted are NAME.NUMBER.trace or folders of them"
+        )
     return files
 
 
@@ -41,6 +43,7 @@
     """
     from ..stores.trace_log import lines
     from ..trace import read_header, read_row
+
     lives = {}  # name -> when its life began
     for path in files:
         name, bad = None, 0
@@ -83,6 +86,7 @@
     Example: hookrouter trace show traces/n3.00000001.trace --lookup 9b1f03aa5c7e2d41
     """
     from collections import deque
+
     wanted, kept = set(), deque(maxlen=last)
     for name, row in rows(found(paths)):
         if not hasattr(row, "event"):
@@ -95,12 +99,18 @@
                 wanted.discard(number)
                 if row.ref == lookup:
                     wanted.add(number)
-            named = any((name, fields[0]) in wanted for word, fields, _ in row.effects
-                        if word in ("Ask", "Obtain", "Nack", "Fail", "Give"))
+            named = any(
+                (name, fields[0]) in wanted
+                for word, fields, _ in row.effects
+                if word in ("Ask", "Obtain", "Nack", "Fail", "Give")
+            )
             if not named and (row.event not in ("Lookup", "SendEnd", "ClientGone") or number not in wanted):
                 continue
-        if cache is not None and cache not in row.fields and not any(
-                cache in fields for _, fields, _ in row.effects):
+        if (
+            cache is not None
+            and cache not in row.fields
+            and not any(cache in fields for _, fields, _ in row.effects)
+        ):
             continue
         kept.append((name, began, row))
         if last is None:
@@ -114,12 +124,20 @@
         print(json.dumps([name, *row]))
         return
     fields = " ".join(str(field) for field in row.fields[:8])
-    said = "; ".join(f"{word} {' '.join(str(field) for field in fields[1:])}"
-                     + (f" (out {belief[0]} of {bound(belief[1])}, feeding {belief[2]} of {bound(belief[3])})"
-                        if belief else "")
-                     for word, fields, belief in row.effects if word != "SetAlarm")
-    print(f"{(row.at - began) / SECOND:10.4f} {name} {row.event} {row.ref or ''} {fields[:120]}"
-          f" -> {said or '-'}")
+    said = "; ".join(
+        f"{word} {' '.join(str(field) for field in fields[1:])}"
+        + (
+            f" (out {belief[0]} of {bound(belief[1])}, feeding {belief[2]} of {bound(belief[3])})"
+            if belief
+            else ""
+        )
+        for word, fields, belief in row.effects
+        if word != "SetAlarm"
+    )
+    print(
+        f"{(row.at - began) / SECOND:10.4f} {name} {row.event} {row.ref or ''} {fields[:120]}"
+        f" -> {said or '-'}"
+    )
 
 
 def bound(window):
@@ -136,6 +154,7 @@
     Example: hookrouter trace account traces/ --step 5
     """
     from ..trace import Account
+
     made = Account()
     for name, row in rows(found(paths)):
         if hasattr(row, "event"):
@@ -147,33 +166,69 @@
         nothing.exit = FAILED
         raise nothing
     course, kinds, lost, sends, beliefs, sizes = (
-        made.by_second(step), made.by_kind(), made.lost(), made.sends(), made.beliefs(), made.by_size())
+        made.by_second(step),
+        made.by_kind(),
+        made.lost(),
+        made.sends(),
+        made.beliefs(),
+        made.by_size(),
+    )
     if as_json:
-        print(json.dumps({"lookups": len(made.ends), "rows": made.rows, "skipped": made.skipped,
-                          "course": course, "kinds": kinds,
-                          "lost": [[*key, count, share] for key, count, share in lost],
-                          "sends": [[*key, *row] for key, row in sends.items()],
-                          "beliefs": beliefs, "sizes": sizes}))
+        print(
+            json.dumps(
+                {
+                    "lookups": len(made.ends),
+                    "rows": made.rows,
+                    "skipped": made.skipped,
+                    "course": course,
+                    "kinds": kinds,
+                    "lost": [[*key, count, share] for key, count, share in lost],
+                    "sends": [[*key, *row] for key, row in sends.items()],
+                    "beliefs": beliefs,
+                    "sizes": sizes,
+                }
+            )
+        )
         return
     percent = lambda share: f"{100 * share:.1f}"  # noqa: E731
     words = ("in budget", "late", "nacked", "failed", "left")
     print(f"{len(made.ends)} lookups, {made.rows} decisions")
-    table(("from s", "lookups", *words, "utility %", "sends"),
-          [(second, count, *(percent(ends[word]) for word in words), percent(worth), f"{tries:.2f}")
-           for second, count, ends, worth, tries in course])
-    table(("kind", "lookups", *words, "utility %"),
-          [(kind, count, *(percent(ends[word]) for word in words), percent(worth))
-           for kind, (count, ends, worth) in kinds.items()])
-    table(("kind", "lookups", "answered %", "of it the largest tenth", "the next fifth"),
-          [(kind, count, percent(whole), f"{largest:.2f}", f"{after:.2f}")
-           for kind, (count, whole, largest, after) in sizes.items()])
-    table(("kind", "end", "cause", "lookups", "% of all utility"),
-          [(*key, count, f"{100 * share:.2f}") for key, count, share in lost[:20]])
-    table(("sends", "ended", "count", "median ms"),
-          [(*key, count, f"{middle / 10:.0f}") for key, (count, middle) in sends.items()])
-    table(("out there of all routers", "sends", "own out", "window", "in budget %"),
-          [(f"{least} to {most}", count, f"{own:.2f}", bound(window), percent(good))
-           for least, most, count, own, window, good in beliefs])
+    table(
+        ("from s", "lookups", *words, "utility %", "sends"),
+        [
+            (second, count, *(percent(ends[word]) for word in words), percent(worth), f"{tries:.2f}")
+            for second, count, ends, worth, tries in course
+        ],
+    )
+    table(
+        ("kind", "lookups", *words, "utility %"),
+        [
+            (kind, count, *(percent(ends[word]) for word in words), percent(worth))
+            for kind, (count, ends, worth) in kinds.items()
+        ],
+    )
+    table(
+        ("kind", "lookups", "answered %", "of it the largest tenth", "the next fifth"),
+        [
+            (kind, count, percent(whole), f"{largest:.2f}", f"{after:.2f}")
+            for kind, (count, whole, largest, after) in sizes.items()
+        ],
+    )
+    table(
+        ("kind", "end", "cause", "lookups", "% of all utility"),
+        [(*key, count, f"{100 * share:.2f}") for key, count, share in lost[:20]],
+    )
+    table(
+        ("sends", "ended", "count", "median ms"),
+        [(*key, count, f"{middle / 10:.0f}") for key, (count, middle) in sends.items()],
+    )
+    table(
+        ("out there of all routers", "sends", "own out", "window", "in budget %"),
+        [
+            (f"{least} to {most}", count, f"{own:.2f}", bound(window), percent(good))
+            for least, most, count, own, window, good in beliefs
+        ],
+    )
 
 
 @trace.command()
@@ -185,29 +240,43 @@
     Example: hookrouter trace replay traces/
     """
     from ..trace import Replay
+
     made, lives = {}, []
     for name, row in rows(found(paths)):
         if not hasattr(row, "event"):
             made[name] = Replay(row)
             lives.append((name, made[name]))
             if row.guarded:
-                print(f"hookrouter: {name}: purges of the fleet were on; what they refused will differ",
-                      file=sys.stderr)
+                print(
+                    f"hookrouter: {name}: purges of the fleet were on; what they refused will differ",
+                    file=sys.stderr,
+                )
             continue
         try:
             made[name].take(row)
         except (KeyError, TypeError, IndexError, AttributeError) as wrong:
-            raise NotReplayed(f"{name}: a {row.event} at {row.at} that this build cannot play: {wrong!r}; "
-                         "wanted is the trace of a whole life, from its first segment on") from None
+            raise NotReplayed(
+                f"{name}: a {row.event} at {row.at} that this build cannot play: {wrong!r}; "
+                "wanted is the trace of a whole life, from its first segment on"
+            ) from None
     if as_json:
-        print(json.dumps([{"router": name, "decisions": life.rows, "different": life.different}
-                          for name, life in lives]))
+        print(
+            json.dumps(
+                [
+                    {"router": name, "decisions": life.rows, "different": life.different}
+                    for name, life in lives
+                ]
+            )
+        )
     else:
-        table(("router", "decisions", "different"),
-              [(name, life.rows, life.different) for name, life in lives])
+        table(
+            ("router", "decisions", "different"), [(name, life.rows, life.different) for name, life in lives]
+        )
         for name, life in lives:
             for row, effects in life.differences[:3]:
-                print(f"{name} at {row.at}, {row.event} {row.fields[:3]}: was "
-                      f"{[effect[:2] for effect in row.effects]}, is now {effects}"[:400])
+                print(
+                    f"{name} at {row.at}, {row.event} {row.fields[:3]}: was "
+                    f"{[effect[:2] for effect in row.effects]}, is now {effects}"[:400]
+                )
     if any(life.different for _, life in lives):
         raise SystemExit(FAILED)
--- a/hookrouter/desk/above.py
+++ b/hookrouter/desk/above.py
@@ -92,7 +92,7 @@
         tail = self.above.tail
         if self.snapshot is not None:
             if self.snapshot:
-                part, self.snapshot = self.snapshot[:wire.MOST_IN_EVENT], self.snapshot[wire.MOST_IN_EVENT:]
+                part, self.snapshot = self.snapshot[: wire.MOST_IN_EVENT], self.snapshot[wire.MOST_IN_EVENT :]
                 return wire.Event("purges", tail.epoch, purges=part)
             self.snapshot, event = None, self.end
             return event
@@ -173,8 +173,9 @@
             return False
         snapshot = None if place == t.RESUME else list(self.tail.live.values())
         self.count("followers_resumed" if snapshot is None else "followers_given_snapshots")
-        stream = Stream(self, request, position.n if snapshot is None else self.tail.newest.n, snapshot,
-                        given)
+        stream = Stream(
+            self, request, position.n if snapshot is None else self.tail.newest.n, snapshot, given
+        )
         self.streams[stream] = True
         request.notifyFinish().addBoth(lambda _: stream.close())
         stream.pump()
@@ -199,8 +200,15 @@
         on_branch = self.tail.place(Position(asked.epoch, asked.n), asked.seen) == t.RESUME
         known = self.members.rows.get(asked.name)
         before = None if known is None else known.generation
-        renewal = Renewal(asked.name, asked.generation, on_branch, min(asked.n, asked.least), asked.all,
-                          asked.skew, asked.relay)
+        renewal = Renewal(
+            asked.name,
+            asked.generation,
+            on_branch,
+            min(asked.n, asked.least),
+            asked.all,
+            asked.skew,
+            asked.relay,
+        )
         span = self.members.renew(now, renewal, self.tail.newest.n, self.span_left())
         if span is None:
             self.count("members_refused")
@@ -246,11 +254,23 @@
         now = steady()
         rows = self.members.rows.values()
         return {
-            "epoch": self.tail.epoch, "newest": wire.number(self.tail.newest), "live": len(self.tail.live),
-            "followers": len(self.streams), "undone": len(self.members.undone),
-            "members": [{"name": row.name, "state": self.members.state(now, row), "n": row.n, "all": row.all,
-                         "relay": row.relay, "generation": row.generation,
-                         "heard_ms_ago": None if row.heard is None else (now - row.heard) // 10}
-                        for row in sorted(rows, key=lambda row: row.name)],
+            "epoch": self.tail.epoch,
+            "newest": wire.number(self.tail.newest),
+            "live": len(self.tail.live),
+            "followers": len(self.streams),
+            "undone": len(self.members.undone),
+            "members": [
+                {
+                    "name": row.name,
+                    "state": self.members.state(now, row),
+                    "n": row.n,
+                    "all": row.all,
+                    "relay": row.relay,
+                    "generation": row.generation,
+                    "heard_ms_ago": None if row.heard is None else (now - row.heard) // 10,
+                }
+                for row in sorted(rows, key=lambda row: row.name)
+            ],
             "counters": dict(sorted(self.counters.items())),
-            **({} if self.admission is None else {"admission": self.admission.facts()})}
+            **({} if self.admission is None else {"admission": self.admission.facts()}),
+        }
--- a/hookrouter/desk/admission.py
+++ b/hookrouter/desk/admission.py
@@ -130,8 +130,12 @@
             request.finish()
 
     def _tell(self, request, told):
-        fields = {"Retry_After": -(-told.wait // SECOND), "X_Wait": told.wait, "X_Fleet": told.fleet,
-                  "X_Late": int(told.late)}
+        fields = {
+            "Retry_After": -(-told.wait // SECOND),
+            "X_Wait": told.wait,
+            "X_Fleet": told.fleet,
+            "X_Late": int(told.late),
+        }
         if told.ticket:
             fields["X_Ticket"] = told.ticket
         if told.elsewhere:
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -1,5 +1,4 @@
-"""The desk: takes purges, has them made durable, tells them in order, and says from when each is in effect.
-"""
+"""The desk: takes purges, makes them durable, tells them in order, and says from when each is in effect."""
 
 import time
 
@@ -91,8 +90,12 @@
         """A follower has heard of a later life: this store is an older copy. Once for all that say so."""
         if self.ledger.state == g.BROKEN:
             return
-        self.log("store is older than what followers know; purges since its copy are lost, repeat them",
-                 level="error", epoch=self.tail.epoch, heard=seen)
+        self.log(
+            "store is older than what followers know; purges since its copy are lost, repeat them",
+            level="error",
+            epoch=self.tail.epoch,
+            heard=seen,
+        )
         self.count("stores_restored")
         self._carry(self.ledger.restored(), seen + 1)
 
@@ -122,8 +125,11 @@
         self._carry(self.ledger.written())
 
     def _failed(self, failure):
-        self.log("store cannot be written, what was to be written is refused", failure.getErrorMessage(),
-                 level="error")
+        self.log(
+            "store cannot be written, what was to be written is refused",
+            failure.getErrorMessage(),
+            level="error",
+        )
         self.count("batches_failed")
         self._carry(self.ledger.failed())
 
@@ -188,8 +194,9 @@
         self.joined, self.gone, self.noting = {}, set(), True
         self.names.difference_update(left)
         done = self.store.members(joined, left)
-        done.addCallbacks(lambda _: self.names.update(name for name, _ in joined),
-                          self._not_noted).addCallback(self._noted)
+        done.addCallbacks(
+            lambda _: self.names.update(name for name, _ in joined), self._not_noted
+        ).addCallback(self._noted)
 
     def _noted(self, _):
         self.noting = False
@@ -220,14 +227,23 @@
                 effect = latest = wall + 2 * self.members.span + self.members.settling()
         else:
             latest = wall + self.members.latest(at) - at
-        return {"number": wire.number(purge), "sort": purge.sort, "what": purge.what, "key": key,
-                "accepted_ms": wall // 10,
-                "in_effect_ms": effect // 10 if effect is not None else None,
-                "by": former, "latest_ms": latest // 10,
-                "members": len(self.members.rows),
-                "behind": [] if former and effect is not None else [
-                    {"name": name, "state": state, "n": place}
-                    for name, state, place in self.members.behind(now, n)[:100]]}
+        return {
+            "number": wire.number(purge),
+            "sort": purge.sort,
+            "what": purge.what,
+            "key": key,
+            "accepted_ms": wall // 10,
+            "in_effect_ms": effect // 10 if effect is not None else None,
+            "by": former,
+            "latest_ms": latest // 10,
+            "members": len(self.members.rows),
+            "behind": []
+            if former and effect is not None
+            else [
+                {"name": name, "state": state, "n": place}
+                for name, state, place in self.members.behind(now, n)[:100]
+            ],
+        }
 
     def newest(self, most):
         """(facts of so many of the newest purges, how many the store holds in all)."""
@@ -235,5 +251,9 @@
         return [self.purge_facts(n) | {"behind": None} for n in numbers], self.tail.newest.n - self.floor
 
     def facts(self):
-        return {**super().facts(), "patterns": self.ledger.patterns, "state": self.ledger.state,
-                "role": "desk"}
+        return {
+            **super().facts(),
+            "patterns": self.ledger.patterns,
+            "state": self.ledger.state,
+            "role": "desk",
+        }
--- a/hookrouter/desk/paced.py
+++ b/hookrouter/desk/paced.py
@@ -7,5 +7,6 @@
     """above: the Desk or Relay, given back."""
     if "admission" in sections:
         from .admission import Admission
+
         above.admission = Admission(above.reactor, log, sections, above, name)
     return above
--- a/hookrouter/desk/relay.py
+++ b/hookrouter/desk/relay.py
@@ -55,8 +55,9 @@
         self.noted_names = {name for name, _ in names or ()}  # that are in the file for sure
         self.new = set()
         address = (relay["above"],) if relay["above"] else purges["desk"]
-        self.feed = PurgeFeed(reactor, deadlines, self, address, purges, relay["name"], log, self.count,
-                              relay=True)
+        self.feed = PurgeFeed(
+            reactor, deadlines, self, address, purges, relay["name"], log, self.count, relay=True
+        )
         if paced:
             self.feed.pace()
 
@@ -135,8 +136,9 @@
         try:
             self.names.write((name, 0) for name in sorted(names))
         except OSError as wrong:
-            self.log("relay's file of members cannot be written, new ones get no lease", str(wrong),
-                     level="error")
+            self.log(
+                "relay's file of members cannot be written, new ones get no lease", str(wrong), level="error"
+            )
             return
         self.noted_names, self.new = names, set()
 
--- a/hookrouter/desk/web.py
+++ b/hookrouter/desk/web.py
@@ -53,8 +53,9 @@
         given = request.getHeader(b"authorization") or b""
         if not hmac.compare_digest(given, b"Bearer " + self.secret.value):
             self.desk.count("requests_unauthorized")
-            return answer(request, 401, {"error": "the secret is not the one of this desk"},
-                          WWW_Authenticate="Bearer")
+            return answer(
+                request, 401, {"error": "the secret is not the one of this desk"}, WWW_Authenticate="Bearer"
+            )
         try:
             return super().render(request)
         except wire.Malformed as wrong:
@@ -88,8 +89,9 @@
             return answer(request, 503, {"error": "nothing has been heard from above yet"}, Retry_After=1)
         granted = self.desk.renew(wire.read_renew(request.content.read()))
         if granted is None:
-            return answer(request, 409,
-                          {"error": "a later life of this member is known, or there are too many"})
+            return answer(
+                request, 409, {"error": "a later life of this member is known, or there are too many"}
+            )
         return answer(request, 200, granted)
 
 
@@ -120,11 +122,17 @@
             fields = {"Retry_After": -(-ended.retry // 10_000)} if ended.retry else {}
             body = answer(request, STATUS[ended.why], {"error": ended.reason}, **fields)
         else:
-            body = answer(request, 200, {
-                "repeated": ended.repeated,
-                "purges": [{"number": wire.number(p), "made_ms": p.made // 10, "sort": p.sort,
-                            "what": p.what}
-                           for p in ended.purges]})
+            body = answer(
+                request,
+                200,
+                {
+                    "repeated": ended.repeated,
+                    "purges": [
+                        {"number": wire.number(p), "made_ms": p.made // 10, "sort": p.sort, "what": p.what}
+                        for p in ended.purges
+                    ],
+                },
+            )
         request.write(body)
         request.finish()
 
--- a/hookrouter/errors/__init__.py
+++ b/hookrouter/errors/__init__.py
@@ -22,6 +22,7 @@
 def every():
     """All kinds, by code."""
     from importlib import import_module
+
     for area in AREAS:
         import_module(f".{area}", __name__)
     found, kinds = {}, [Trouble]
--- a/hookrouter/errors/stores.py
+++ b/hookrouter/errors/stores.py
@@ -28,8 +28,10 @@
     """The store is not as it was written. n: the first purge that cannot be trusted, or None."""
 
     code = "store-damaged"
-    advice = ("move it away; a keeper learns anew from the others, a desk of its own needs a copy put back "
-              "and the purges made since")
+    advice = (
+        "move it away; a keeper learns anew from the others, a desk of its own needs a copy put back "
+        "and the purges made since"
+    )
 
     def __init__(self, text, n=None):
         super().__init__(text)
--- a/hookrouter/feed/caller.py
+++ b/hookrouter/feed/caller.py
@@ -72,8 +72,12 @@
     def start(self, method, target, fields, body, within):
         """A Deferred of (status, body); it fails after that many seconds, or with the connection."""
         host, port = self.address
-        self.pieces = http1.request(method, target, [
-            (b"Host", f"{host}:{port}".encode()), (b"Content-Length", b"%d" % len(body)), *fields], body)
+        self.pieces = http1.request(
+            method,
+            target,
+            [(b"Host", f"{host}:{port}".encode()), (b"Content-Length", b"%d" % len(body)), *fields],
+            body,
+        )
         call = self.call = Deferred()
         self.deadline = self.deadlines.after(within, self._overdue)
         if self.connection is None:
--- a/hookrouter/feed/events.py
+++ b/hookrouter/feed/events.py
@@ -34,9 +34,14 @@
 def read_cache(row):
     row = terms.Stated(row, "endpoints")
     cache = i.Cache(
-        id=row.get("name", terms.text), zone=row.get("zone", terms.text), cell=row.get("group", terms.whole),
-        weight=row.get("weight", terms.number), born=row.get("since_ms", terms.up),
-        phase=row.get("status", terms.word, PHASES), sort=row.get("type", terms.text))
+        id=row.get("name", terms.text),
+        zone=row.get("zone", terms.text),
+        cell=row.get("group", terms.whole),
+        weight=row.get("weight", terms.number),
+        born=row.get("since_ms", terms.up),
+        phase=row.get("status", terms.word, PHASES),
+        sort=row.get("type", terms.text),
+    )
     return cache, row.get("address", read_address)
 
 
@@ -46,14 +51,22 @@
     if "members" in event.values:
         members = event.part("members")
         rows = [read_cache(row) for row in members.get("endpoints", terms.listed)]
-        return Listed(n, members.get("snapshot", terms.flag), tuple(cache for cache, _ in rows),
-                      tuple(address for _, address in rows))
+        return Listed(
+            n,
+            members.get("snapshot", terms.flag),
+            tuple(cache for cache, _ in rows),
+            tuple(address for _, address in rows),
+        )
     if "purge" not in event.values:
         raise Malformed("event: neither members nor a purge")
     purge = event.part("purge")
     by_key = "key" in purge.values
-    return Purge(n, purge.get("at", terms.down), 0 if by_key else purge.get("group", terms.whole),
-                 purge.get("key", terms.text) if by_key else None)
+    return Purge(
+        n,
+        purge.get("at", terms.down),
+        0 if by_key else purge.get("group", terms.whole),
+        purge.get("key", terms.text) if by_key else None,
+    )
 
 
 def parse_event(data):
--- a/hookrouter/feed/follower.py
+++ b/hookrouter/feed/follower.py
@@ -10,22 +10,31 @@
 FIRST_PAUSE = 0.05  # seconds before the next connection, doubled each time nothing came over the last
 LONGEST_PAUSE = 0.4  # seconds: what a feed has counts as told 2 s after it broke off; refusals cost little
 PASSED_OVER = "look at the feed's version; the event is lost, the place is kept"
-LONGEST_STREAM = 2 ** 60  # bytes: one connection may carry events for as long as it lasts
+LONGEST_STREAM = 2**60  # bytes: one connection may carry events for as long as it lasts
 
 
 class Stream(Protocol):
     def __init__(self, feed):
         self.feed, self.why = feed, None
-        self.answers = http1.Answers(self._on_head, self._on_body, self._on_end, LONGEST_STREAM,
-                                     until_close=True)
+        self.answers = http1.Answers(
+            self._on_head, self._on_body, self._on_end, LONGEST_STREAM, until_close=True
+        )
         self.events = sse.Events()
 
     def connectionMade(self):
         feed = self.feed
         feed.heard(self)
-        self.transport.writeSequence(http1.request(b"GET", feed.path, [
-            (b"Host", f"{feed.host}:{feed.port}".encode()), (b"Accept", b"text/event-stream"),
-                                                                       *feed.fields()]))
+        self.transport.writeSequence(
+            http1.request(
+                b"GET",
+                feed.path,
+                [
+                    (b"Host", f"{feed.host}:{feed.port}".encode()),
+                    (b"Accept", b"text/event-stream"),
+                    *feed.fields(),
+                ],
+            )
+        )
 
     def dataReceived(self, data):
         self.feed.heard(self)
--- a/hookrouter/feed/paced.py
+++ b/hookrouter/feed/paced.py
@@ -23,8 +23,7 @@
     def fields(self):
         """Of a request: the lease that is left, and the ticket."""
         ticket = self.comer.ticket
-        return [(b"X-Lease", b"%d" % self.desk.left()),
-                *([(b"X-Ticket", ticket.encode())] if ticket else [])]
+        return [(b"X-Lease", b"%d" % self.desk.left()), *([(b"X-Ticket", ticket.encode())] if ticket else [])]
 
     def go(self):
         self.answer = None
@@ -44,8 +43,13 @@
             pause = self.comer.step(c.ENDED if self.comer.state == c.UP else c.NOTHING)
             return (c.BASE if pause is None else pause) / SECOND, False
         ticket = fields.get(b"x-ticket", b"").decode("latin-1")
-        wait = self.comer.step(c.TELL, whole(fields, b"x-wait"), ticket, whole(fields, b"x-late") == 1,
-                               whole(fields, b"x-fleet", 1))
+        wait = self.comer.step(
+            c.TELL,
+            whole(fields, b"x-wait"),
+            ticket,
+            whole(fields, b"x-late") == 1,
+            whole(fields, b"x-fleet", 1),
+        )
         if sent:
             return min(wait, ELSEWHERE) / SECOND, False
         return wait / SECOND, True
--- a/hookrouter/feed/purges.py
+++ b/hookrouter/feed/purges.py
@@ -31,8 +31,20 @@
     path, counted = b"/v1/feed", "purge_connections"
     ended = "purge feed connection ended, a new one follows"
 
-    def __init__(self, reactor, deadlines, desk, addresses, purges, name, log, count, relay=False,
-                 wall=time.time, steady=steady):
+    def __init__(
+        self,
+        reactor,
+        deadlines,
+        desk,
+        addresses,
+        purges,
+        name,
+        log,
+        count,
+        relay=False,
+        wall=time.time,
+        steady=steady,
+    ):
         """addresses: of which one has the desk at a time; the next is tried where one has not."""
         super().__init__(reactor, deadlines, desk, addresses[0], 0, log, count)
         self.addresses, self.hint = tuple(addresses), None
@@ -48,13 +60,18 @@
     def pace(self):
         """With [admission]: it comes back by jitter, or when it is told to."""
         from .paced import Pacing
+
         self.pacing = Pacing(self.desk)
 
     def fields(self):
         paced = [] if self.pacing is None else self.pacing.fields()
-        return [*paced, (b"Authorization", b"Bearer " + self.secret.value),
-                (b"X-Position", wire.number(self.place.position).encode()),
-                (b"X-Epoch", b"%d" % self.place.seen), (b"X-Member", self.name.encode())]
+        return [
+            *paced,
+            (b"Authorization", b"Bearer " + self.secret.value),
+            (b"X-Position", wire.number(self.place.position).encode()),
+            (b"X-Epoch", b"%d" % self.place.seen),
+            (b"X-Member", self.name.encode()),
+        ]
 
     def start(self):
         if self.pacing is not None:
@@ -75,8 +92,11 @@
             self.end(stream, f"an event that cannot be read: {wrong}")
             return
         if not self.place.epoch(event.epoch):
-            self.log("purge feed speaks for a former life of the desk, not heard", epoch=event.epoch,
-                     heard=self.place.seen)
+            self.log(
+                "purge feed speaks for a former life of the desk, not heard",
+                epoch=event.epoch,
+                heard=self.place.seen,
+            )
             self.end(stream, "a former life of the desk")
             return
         self.desk.heard(event.epoch)
@@ -167,8 +187,19 @@
 
     def _call(self, leave):
         least, every = self.desk.place(self.place.position.n)
-        body = wire.write(wire.Renew(self.name, self.generation, *self.place.position, least, every,
-                                     self.place.seen, self.skew, self.relay, leave))
+        body = wire.write(
+            wire.Renew(
+                self.name,
+                self.generation,
+                *self.place.position,
+                least,
+                every,
+                self.place.seen,
+                self.skew,
+                self.relay,
+                leave,
+            )
+        )
         fields = [(b"Authorization", b"Bearer " + self.secret.value)]
         return self.caller.start(b"POST", b"/v1/renew", fields, body, min(CALL_WITHIN, 2 * self.every))
 
@@ -214,5 +245,9 @@
         return self._call(True).addErrback(lambda _: None).addCallback(lambda _: self.stop())
 
 
-EVENTS = {"purges": PurgeFeed._purges, "begin": PurgeFeed._begin, "end": PurgeFeed._end,
-          "beat": PurgeFeed._beat}
+EVENTS = {
+    "purges": PurgeFeed._purges,
+    "begin": PurgeFeed._begin,
+    "end": PurgeFeed._end,
+    "beat": PurgeFeed._beat,
+}
--- a/hookrouter/fleet/decisions/admission/gate.py
+++ b/hookrouter/fleet/decisions/admission/gate.py
@@ -76,10 +76,16 @@
         return max(len(self.queue), self.known - len(self.back)) * self.gap()
 
     def facts(self):
-        return {"state": self.state, "waiting": len(self.queue), "here": len(self.queue.present),
-                "known": self.known, "back": len(self.back),
-                "rate": round(10_000 / self.gap(), 1), "took_ms": self.took // 10,
-                "counts": dict(sorted(self.counts.items()))}
+        return {
+            "state": self.state,
+            "waiting": len(self.queue),
+            "here": len(self.queue.present),
+            "known": self.known,
+            "back": len(self.back),
+            "rate": round(10_000 / self.gap(), 1),
+            "took_ms": self.took // 10,
+            "counts": dict(sorted(self.counts.items())),
+        }
 
     def load(self):
         """(waiting, room, rate a second) for the neighbours' queues."""
@@ -210,8 +216,9 @@
         gap, own = self.gap(), self.costs.of(come.how) + MARGIN
         missing = max(0, self.known - len(self.back) - len(self.queue)) if self.state == RECOVERING else 0
         urgent = (URGENT, now + come.left, 0, key[3])
-        if ((self.queue.index(key) + missing) * gap + own > come.left
-                and self.queue.index(urgent) * gap + own <= come.left):
+        if (self.queue.index(key) + missing) * gap + own > come.left and self.queue.index(
+            urgent
+        ) * gap + own <= come.left:
             return urgent
         return key
 
@@ -312,8 +319,9 @@
         if self.state in (PACING, OVERRUN):
             late = any(row.late for row in self.queue.rows.values())
             self._step(HOPELESS if late else IN_TIME)
-            if not self.queue.rows and (len(self.back) >= self.known
-                                        or now > self.started + self.gather + self.horizon() + FORGET):
+            if not self.queue.rows and (
+                len(self.back) >= self.known or now > self.started + self.gather + self.horizon() + FORGET
+            ):
                 self._step(ALL_BACK)
 
     def _step(self, word):
--- a/hookrouter/fleet/decisions/admission/words.py
+++ b/hookrouter/fleet/decisions/admission/words.py
@@ -32,6 +32,7 @@
 
 # ---- effects
 
+
 class Admit(NamedTuple):
     """It begins now; began() tells what it is given in truth, ended() that it is up to date."""
 
--- a/hookrouter/fleet/decisions/owners/duties.py
+++ b/hookrouter/fleet/decisions/owners/duties.py
@@ -131,8 +131,12 @@
         duty = self.rows[name]
         if duty.number != number:
             return ["old", duty.number]
-        if not (isinstance(least, int) and 0 <= least < MOST_EPOCH and isinstance(where, str)
-                and len(where) <= MOST_TEXT):
+        if not (
+            isinstance(least, int)
+            and 0 <= least < MOST_EPOCH
+            and isinstance(where, str)
+            and len(where) <= MOST_TEXT
+        ):
             return ["malformed"]
         order = self.orders.setdefault(name, Order())
         order.epoch, order.where = max(order.epoch + 1, least), where
@@ -183,6 +187,14 @@
         return result
 
 
-COMMANDS = {DECLARE: Duties._declare, DROP: Duties._drop, GRANT: Duties._grant, DONE: Duties._done,
-            OPEN: Duties._open, KEEP: Duties._keep, NAMES: Duties._names, SWEEP: Duties._sweep,
-            ADOPT: Duties._adopt}
+COMMANDS = {
+    DECLARE: Duties._declare,
+    DROP: Duties._drop,
+    GRANT: Duties._grant,
+    DONE: Duties._done,
+    OPEN: Duties._open,
+    KEEP: Duties._keep,
+    NAMES: Duties._names,
+    SWEEP: Duties._sweep,
+    ADOPT: Duties._adopt,
+}
--- a/hookrouter/fleet/decisions/owners/keeper/members.py
+++ b/hookrouter/fleet/decisions/owners/keeper/members.py
@@ -70,11 +70,19 @@
         duty, live = self.duties.rows.get(name), sorted(self.leases.live(self.now))
         if duty is None:
             return ["unknown duty"]
-        fit = [who for who in live if who != duty.owner and to in (None, who, who.partition("#")[0])
-               and self.leases.sessions[who].fit(name)]
+        fit = [
+            who
+            for who in live
+            if who != duty.owner
+            and to in (None, who, who.partition("#")[0])
+            and self.leases.sessions[who].fit(name)
+        ]
         if not fit:
-            return ["no other live member bears it" if to is None else
-                    f"{to} does not live, or does not bear it, or owns it already"]
+            return [
+                "no other live member bears it"
+                if to is None
+                else f"{to} does not live, or does not bear it, or owns it already"
+            ]
         counts = [row.owner for row in self.duties.rows.values()]
         target = min(fit, key=counts.count)
         self.leases.move(self.now, name, target)
@@ -92,8 +100,10 @@
         for name, duty in sorted(self.duties.rows.items()):
             left = max(0, self.leases.held_until(duty.owner) - self.now) if leading and duty.owner else None
             rows.append([name, duty.owner, duty.number, duty.step, left])
-        orders = [[name, order.epoch, order.newest, order.seal.hex(), order.where]
-                  for name, order in sorted(self.duties.orders.items())]
+        orders = [
+            [name, order.epoch, order.newest, order.seal.hex(), order.where]
+            for name, order in sorted(self.duties.orders.items())
+        ]
         return {
             "keeper": self.name,
             "state": self.state,
--- a/hookrouter/fleet/decisions/owners/keeper/recall.py
+++ b/hookrouter/fleet/decisions/owners/keeper/recall.py
@@ -16,8 +16,12 @@
         self.unfiled.clear()
         if duties.orders:
             self.unfiled.append(self.snapshot[0])
-        self.out.append(w.Caught(self.snapshot[0], tuple(
-            (name, order.newest, order.seal) for name, order in duties.orders.items())))
+        self.out.append(
+            w.Caught(
+                self.snapshot[0],
+                tuple((name, order.newest, order.seal) for name, order in duties.orders.items()),
+            )
+        )
         for index in range(self.snapshot[0] + 1, self.applied + 1):
             entry = self.entries[index - self.base - 1]
             if entry.sort == w.COMMAND:
--- a/hookrouter/fleet/decisions/owners/keeper/weights.py
+++ b/hookrouter/fleet/decisions/owners/keeper/weights.py
@@ -20,5 +20,8 @@
     if ask.command != KEEP:
         return True
     bodies = ask.fields[-1] if len(ask.fields) == 4 else None
-    return (isinstance(bodies, list) and all(isinstance(body, bytes) for body in bodies)
-            and 0 < sum(map(len, bodies)) <= w.MOST_BYTES)
+    return (
+        isinstance(bodies, list)
+        and all(isinstance(body, bytes) for body in bodies)
+        and 0 < sum(map(len, bodies)) <= w.MOST_BYTES
+    )
--- a/hookrouter/fleet/decisions/owners/leases.py
+++ b/hookrouter/fleet/decisions/owners/leases.py
@@ -54,16 +54,18 @@
     def forget(self, now, applied):
         """What is gone for long takes no room."""
         self.granting = {name: index for name, index in self.granting.items() if index > applied}
-        for who in [who for who, row in self.sessions.items()
-                    if not row.pending and now >= max(row.until, self.floor) + self.span]:
+        for who in [
+            who
+            for who, row in self.sessions.items()
+            if not row.pending and now >= max(row.until, self.floor) + self.span
+        ]:
             del self.sessions[who]
 
     def live(self, now):
         return [who for who, row in self.sessions.items() if now < row.until and not row.leaving]
 
     def held_until(self, who):
-        """When at the latest the last lease of that owner is over by its own clock, as this clock tells it.
-        """
+        """When at the latest the last lease of that owner is over by its own clock, in this clock's time."""
         session = self.sessions.get(who)
         return max(self.floor, session.until if session is not None else 0)
 
@@ -77,9 +79,12 @@
             return []
         counts = {who: len(duties.owned.get(who, ())) for who in sorted(live)}
         held = {who: now < self.held_until(who) for who in duties.owned}
-        free = [(name, duty) for name, duty in duties.rows.items()
-                if self.granting.get(name, 0) <= applied
-                and (duty.owner is None or not held[duty.owner] or (name, duty.number) in self.released)]
+        free = [
+            (name, duty)
+            for name, duty in duties.rows.items()
+            if self.granting.get(name, 0) <= applied
+            and (duty.owner is None or not held[duty.owner] or (name, duty.number) in self.released)
+        ]
         grants = []
         for name, duty in free:
             wanted = self.moving.pop(name, (None, 0))[0]
@@ -87,9 +92,14 @@
             least = min((counts[who] for who in fit), default=MOST_HELD)
             if least >= MOST_HELD:
                 continue
-            member = wanted if wanted in fit else min(
-                (who for who in fit if counts[who] == least),
-                key=lambda who, name=name: blake2b(f"{name}|{who}".encode(), digest_size=8).digest())
+            member = (
+                wanted
+                if wanted in fit
+                else min(
+                    (who for who in fit if counts[who] == least),
+                    key=lambda who, name=name: blake2b(f"{name}|{who}".encode(), digest_size=8).digest(),
+                )
+            )
             counts[member] += 1
             grants.append((name, member, duty.number))
         self._spread(now, duties, counts)
@@ -104,15 +114,20 @@
         """Duties of the most laden to the least, where three or more lie between: a move stops work for a
         moment, so it is not made for one duty more or less.
         """
-        self.moving = {name: row for name, row in self.moving.items()
-                       if now < row[1] and name in duties.rows}
+        self.moving = {name: row for name, row in self.moving.items() if now < row[1] and name in duties.rows}
         if now < self.spread_at or self.moving or len(counts) < 2:
             return
         self.spread_at = now + self.terms.spread_every
         most, least = (pick(sorted(counts), key=counts.get) for pick in (max, min))
         for _ in range((counts[most] - counts[least] - 1) // 2):
-            name = next((name for name in duties.owned.get(most, ())
-                         if name not in self.moving and self.sessions[least].fit(name)), None)
+            name = next(
+                (
+                    name
+                    for name in duties.owned.get(most, ())
+                    if name not in self.moving and self.sessions[least].fit(name)
+                ),
+                None,
+            )
             if name is not None:
                 self.move(now, name, least)
 
--- a/hookrouter/fleet/decisions/replicas/copy.py
+++ b/hookrouter/fleet/decisions/replicas/copy.py
@@ -126,7 +126,7 @@
             newest, seal = told.start, told.start_seal
         elif told.start != newest:
             return self._go()
-        bodies = told.bodies[:max(0, self.target[0] - newest)]
+        bodies = told.bodies[: max(0, self.target[0] - newest)]
         if bodies:
             steps.append((KEEP, newest + 1, tuple(bodies)))
             for body in bodies:
@@ -218,8 +218,12 @@
             return
         self.at, self.turn = (self.at + 1) % len(self.others), self.turn + 1
         self.asked, self.due = True, self.now + FETCH_WITHIN
-        self.out.append(Ask(self.others[self.at], Fetch(
-            self.duty, self.newest, self.seal, self.turn, self.newest >= self.target[0])))
+        self.out.append(
+            Ask(
+                self.others[self.at],
+                Fetch(self.duty, self.newest, self.seal, self.turn, self.newest >= self.target[0]),
+            )
+        )
 
     def _write(self, steps, index):
         self.token += 1
@@ -239,10 +243,10 @@
                     self._lacks(entry - 1, first - 1, None)
                     self._go()
                     return
-                held = bodies[:self.newest + 1 - first]
+                held = bodies[: self.newest + 1 - first]
                 if held:
                     steps.append((COMPARE, first, held))
-                new = bodies[len(held):]
+                new = bodies[len(held) :]
                 if new:
                     steps.append((KEEP, self.newest + 1, new))
                     for body in new:
@@ -287,8 +291,9 @@
         self.writing = None
 
     def _behind(self):
-        self._tell("copy lacks records, they are fetched", duty=self.duty, has=self.newest,
-                   wants=self.target[0])
+        self._tell(
+            "copy lacks records, they are fetched", duty=self.duty, has=self.newest, wants=self.target[0]
+        )
         self.due, self.asked = self.now, False
 
     def _reached(self):
--- a/hookrouter/fleet/decisions/sharing/board.py
+++ b/hookrouter/fleet/decisions/sharing/board.py
@@ -111,8 +111,7 @@
                 gone[name] = teller.life, teller.number
                 del self.tellers[name]
             elif len(teller.borns) > 1:
-                teller.rows = {
-                    key: row for key, row in teller.rows.items() if teller.borns[row[0]] > oldest}
+                teller.rows = {key: row for key, row in teller.rows.items() if teller.borns[row[0]] > oldest}
                 teller.tidy(self.terms.most_caches)
         return gone
 
@@ -126,8 +125,15 @@
             if row[0] > after:
                 by_number.setdefault(row[0], []).append(w.Load(*key, *row[1:]))
         return [
-            w.Block(name, teller.life, number, max(0, now - teller.borns[number]), teller.count,
-                    number == teller.floor, loads)
+            w.Block(
+                name,
+                teller.life,
+                number,
+                max(0, now - teller.borns[number]),
+                teller.count,
+                number == teller.floor,
+                loads,
+            )
             for number, loads in sorted(by_number.items())
         ]
 
--- a/hookrouter/fleet/decisions/sharing/charges.py
+++ b/hookrouter/fleet/decisions/sharing/charges.py
@@ -21,7 +21,7 @@
             return False
         loads = {(load.cache, load.source): (load.out, load.rate) for load in block.loads}
         if not block.whole and old is not None and old[0] == block.life:
-            loads = dict(sorted({**old[3], **loads}.items())[:self.terms.most_caches])
+            loads = dict(sorted({**old[3], **loads}.items())[: self.terms.most_caches])
         self.rows[block.teller] = block.life, block.number, now - block.age, loads
         return True
 
@@ -32,7 +32,8 @@
 
     def forget(self, now, living):
         for name in [
-            name for name, row in self.rows.items()
+            name
+            for name, row in self.rows.items()
             if now - row[2] >= self.terms.silent_after or living.get(name) != row[0]
         ]:
             del self.rows[name]
@@ -49,9 +50,11 @@
                 outs.append(out)
                 rates.append(rate)
         return {
-            key: (cut(outs, [share] * len(outs), self.terms.floor_out * w.HUNDRED)[0],
-                  cut(rates, [share] * len(rates), self.terms.floor_rate * w.HUNDRED)[0])
-            for key, (outs, rates) in sorted(claims.items())[:self.terms.most_caches]
+            key: (
+                cut(outs, [share] * len(outs), self.terms.floor_out * w.HUNDRED)[0],
+                cut(rates, [share] * len(rates), self.terms.floor_rate * w.HUNDRED)[0],
+            )
+            for key, (outs, rates) in sorted(claims.items())[: self.terms.most_caches]
         }
 
     def age(self, now, own=1):
--- a/hookrouter/fleet/decisions/sharing/exchange.py
+++ b/hookrouter/fleet/decisions/sharing/exchange.py
@@ -50,7 +50,7 @@
     def _own(self, event):
         self.loads = {
             (cache, source): (_hundredths(out), _hundredths(rate))
-            for cache, source, out, rate in event.loads[:self.terms.most_caches]
+            for cache, source, out, rate in event.loads[: self.terms.most_caches]
         }
 
     def _living(self, event):
@@ -106,8 +106,10 @@
 
     def _block(self, sums, age, count):
         """Of many caches a part each time, in turn: one block is in one datagram."""
-        loads = [w.Load(*key, min(w.MOST_LOAD, int(out)), min(w.MOST_LOAD, int(rate)))
-                 for key, (out, rate) in sorted(sums.items())]
+        loads = [
+            w.Load(*key, min(w.MOST_LOAD, int(out)), min(w.MOST_LOAD, int(rate)))
+            for key, (out, rate) in sorted(sums.items())
+        ]
         parts, room = [[]], 0
         for load in loads:
             room -= load.size()
@@ -116,8 +118,9 @@
                 room = w.MOST_TOLD - w.BLOCK_HEAD - load.size()
             parts[-1].append(load)
         parts = parts[1:] or [[]]
-        return w.Block(self.name, self.life, self.number, age, count, len(parts) == 1,
-                       parts[self.number % len(parts)])
+        return w.Block(
+            self.name, self.life, self.number, age, count, len(parts) == 1, parts[self.number % len(parts)]
+        )
 
     # ---- comparing
 
@@ -142,8 +145,11 @@
         newer = [name for key, (name, number) in mine.items() if number > theirs.get(key, -1)]
         newer.sort(key=lambda name: (-self.board.tellers[name].born, name))  # what is fresh goes first
         part, size, parts = [], 0, 0
-        for block in (block for name in newer
-                      for block in self.board.blocks(self.now, name, theirs.get(marks[name], -1))):
+        for block in (
+            block
+            for name in newer
+            for block in self.board.blocks(self.now, name, theirs.get(marks[name], -1))
+        ):
             if part and (size + block.size() > w.MOST_TOLD or len(part) >= w.MOST_BLOCKS):
                 self.out.append(w.Send(heard.name, w.Told(part)))
                 part, size, parts = [], 0, parts + 1
@@ -203,8 +209,16 @@
                 self.summed, self.summed_age = self.charges.sums({}), self.charges.age(self.now, 0)
             out, rate = self.summed.get(key, (0.0, 0.0))
             mine = self.name, self.summed_age
-        return self.board.summary(self.now, cache, len(self.names), self.counts_of, source,
-                                  (out / w.HUNDRED, rate / w.HUNDRED), self.speaker, mine)
+        return self.board.summary(
+            self.now,
+            cache,
+            len(self.names),
+            self.counts_of,
+            source,
+            (out / w.HUNDRED, rate / w.HUNDRED),
+            self.speaker,
+            mine,
+        )
 
     def summaries(self):
         """Of each cache of which there is news."""
--- a/hookrouter/fleet/decisions/sharing/pulls.py
+++ b/hookrouter/fleet/decisions/sharing/pulls.py
@@ -45,7 +45,7 @@
             name, pull = self.waiting.pop(0)
             mark, data, _ = self.lists[pull.topic]
             start = pull.start if pull.mark in (0, mark) and pull.start <= len(data) else 0
-            part = data[start:start + PIECE]
+            part = data[start : start + PIECE]
             self.room -= len(part)
             out.append((name, w.Piece(pull.topic, mark, start, len(data) - start - len(part), part)))
         return out
--- a/hookrouter/fleet/decisions/sharing/soft.py
+++ b/hookrouter/fleet/decisions/sharing/soft.py
@@ -47,7 +47,8 @@
         # Deadlines: a low one gives sends up too early, so of two the longer holds, within what is sane.
         longest = max(rows, key=lambda row: (row.average + 4 * row.deviation, row.average))
         times[kind] = tuple(
-            min(MOST_TIME, max(LEAST_TIME, value)) for value in (longest.average, longest.deviation))
+            min(MOST_TIME, max(LEAST_TIME, value)) for value in (longest.average, longest.deviation)
+        )
     return Adopted(strikes, times, took, refused)
 
 
--- a/hookrouter/fleet/decisions/sharing/words.py
+++ b/hookrouter/fleet/decisions/sharing/words.py
@@ -85,8 +85,7 @@
 
 
 class Sums(msgspec.Struct, tag=True, array_like=True, frozen=True):
-    """What its board has: (mark of the teller's process, its number). answer: the other's turn comes no more.
-    """
+    """What its board has: (mark of the sender's process, its number). answer: the other's turn is over."""
 
     held: Annotated[list[tuple[Whole, Whole]], msgspec.Meta(max_length=64)]
     answer: bool
--- a/hookrouter/fleet/decisions/spread/spread.py
+++ b/hookrouter/fleet/decisions/spread/spread.py
@@ -33,14 +33,20 @@
     def cold(share, span, multiple, users):
         per = routers / (users * lump)
         pace = multiple * COLD_PACE
-        return ColdTerms(share, max(1, span), pace * per,
-                         (multiple - pace) * COLD_BURST * terms.fall_for * per)
+        return ColdTerms(
+            share, max(1, span), pace * per, (multiple - pace) * COLD_BURST * terms.fall_for * per
+        )
 
     return SpreadTerms(
-        number=top.number, routers=routers, zone=top.zone, lump=lump,
+        number=top.number,
+        routers=routers,
+        zone=top.zone,
+        lump=lump,
         cold=cold(terms.cold_share, terms.cold_for, terms.fall_multiple, crew),
         parent_cold=cold(terms.parent_cold_share, terms.parent_cold_for, terms.parent_fall_multiple, routers),
-        parent_sort=top.parent_sort, origin_sort=top.origin_sort)._replace(**more)
+        parent_sort=top.parent_sort,
+        origin_sort=top.origin_sort,
+    )._replace(**more)
 
 
 class Spread:
--- a/hookrouter/fleet/decisions/warming/__init__.py
+++ b/hookrouter/fleet/decisions/warming/__init__.py
@@ -13,5 +13,18 @@
 from .sketch import Sketch, Summary, merge
 from .steps import Warming
 
-__all__ = ("Allowance", "Borrowed", "Doors", "Lender", "Purged", "Scene", "Sketch", "Strain", "Summary",
-           "Warming", "fair", "make", "merge")
+__all__ = (
+    "Allowance",
+    "Borrowed",
+    "Doors",
+    "Lender",
+    "Purged",
+    "Scene",
+    "Sketch",
+    "Strain",
+    "Summary",
+    "Warming",
+    "fair",
+    "make",
+    "merge",
+)
--- a/hookrouter/fleet/decisions/warming/lists.py
+++ b/hookrouter/fleet/decisions/warming/lists.py
@@ -21,10 +21,18 @@
 
 def lend(summary, age, position, span):
     """A Lent of this router's Summary: the heaviest rows first, ties by name."""
-    rows = sorted(summary.rows.items(), key=lambda item: (-item[1][0], item[0]))[:w.MOST_ROWS]
-    return w.Lent(age, position[0], position[1], int(summary.total * w.THOUSAND), span, [
-        w.Row(*name[:2], name[2], group, min(int(size), w.MOST_SIZE), int(count * w.THOUSAND))
-        for name, (count, size, group) in rows])
+    rows = sorted(summary.rows.items(), key=lambda item: (-item[1][0], item[0]))[: w.MOST_ROWS]
+    return w.Lent(
+        age,
+        position[0],
+        position[1],
+        int(summary.total * w.THOUSAND),
+        span,
+        [
+            w.Row(*name[:2], name[2], group, min(int(size), w.MOST_SIZE), int(count * w.THOUSAND))
+            for name, (count, size, group) in rows
+        ],
+    )
 
 
 def read(data):
--- a/hookrouter/fleet/decisions/warming/plan.py
+++ b/hookrouter/fleet/decisions/warming/plan.py
@@ -89,7 +89,7 @@
     kind = scene.kinds.get(name[0])
     if kind is None or not kind.repeatable:
         return 0.0
-    found = rank(hashed(name[1], name[2]), scene.after)[:kind.candidates]
+    found = rank(hashed(name[1], name[2]), scene.after)[: kind.candidates]
     return 0.0 if scene.target not in found else 1.0 if found[0] == scene.target else SECOND
 
 
@@ -97,8 +97,7 @@
     """Whether the target keeps that name now, and did not before or as the second only."""
     key = hashed(name[1], name[2])
     after, before = rank(key, scene.after)[:candidates], rank(key, scene.before)[:candidates]
-    return scene.target in after and (
-        scene.target not in before or (after[0] == scene.target != before[0]))
+    return scene.target in after and (scene.target not in before or (after[0] == scene.target != before[0]))
 
 
 def best_source(scene, name):
@@ -134,4 +133,4 @@
 
 
 def in_steps(entries, size=STEP):
-    return [entries[k:k + size] for k in range(0, len(entries), size)][:w.MOST_STEPS]
+    return [entries[k : k + size] for k in range(0, len(entries), size)][: w.MOST_STEPS]
--- a/hookrouter/fleet/decisions/warming/sketch.py
+++ b/hookrouter/fleet/decisions/warming/sketch.py
@@ -74,14 +74,27 @@
     def summary(self):
         """The rows less the least, as a Summary of one row fewer."""
         least = self.least()
-        return Summary(self.total, {name: (count - least, size, group)
-                                    for name, (count, size, group, _) in self.rows.items() if count > least},
-                       self.k - 1)
+        return Summary(
+            self.total,
+            {
+                name: (count - least, size, group)
+                for name, (count, size, group, _) in self.rows.items()
+                if count > least
+            },
+            self.k - 1,
+        )
 
     def sure(self):
         """As a Summary to lend: each row less its own error, which is tighter, and does not merge further."""
-        return Summary(self.total, {name: (count - error, size, group) for name, (count, size, group, error)
-                                    in self.rows.items() if count > error}, self.k - 1)
+        return Summary(
+            self.total,
+            {
+                name: (count - error, size, group)
+                for name, (count, size, group, error) in self.rows.items()
+                if count > error
+            },
+            self.k - 1,
+        )
 
 
 def merge(one, other):
--- a/hookrouter/fleet/decisions/warming/stay.py
+++ b/hookrouter/fleet/decisions/warming/stay.py
@@ -10,6 +10,7 @@
     """The time after which a copy not asked for is gone. rows: (lookups a unit of time, size) of all that is
     asked there; room: of the cache, in the same unit as the sizes. LONGEST where all of it finds room.
     """
+
     def filled(span):
         return sum(size * (1 - exp(-rate * span)) for rate, size in rows)
 
--- a/hookrouter/fleet/decisions/warming/steps.py
+++ b/hookrouter/fleet/decisions/warming/steps.py
@@ -12,9 +12,27 @@
 from . import words as w
 
 NOTED, BORROWING, PLANNED, WARMING, HELD_BACK, DONE, GIVEN_UP = (
-    "noted", "borrowing", "planned", "warming", "held back", "done", "given up")
+    "noted",
+    "borrowing",
+    "planned",
+    "warming",
+    "held back",
+    "done",
+    "given up",
+)
 OWNED, CAME, ENOUGH, KEPT, EMPTY, ROOM, ENDED, STRAINED, CALM, OVER, VOID = (
-    "owned", "came", "enough", "kept", "empty", "room", "ended", "strained", "calm", "over", "void")
+    "owned",
+    "came",
+    "enough",
+    "kept",
+    "empty",
+    "room",
+    "ended",
+    "strained",
+    "calm",
+    "over",
+    "void",
+)
 
 BORROW_FOR = 5_000  # 0.5 s: who has not lent by then is not waited for
 FAILED_IN_A_ROW = 8  # fills: it has fallen, or what feeds it has
@@ -59,7 +77,7 @@
 
     def _owned(self, event):
         self.number, self.done = event.number, event.done
-        self.lent_by = event.lenders[:self.terms.lenders]
+        self.lent_by = event.lenders[: self.terms.lenders]
         self._step(OWNED)
 
     def _listed(self, event):
@@ -128,17 +146,18 @@
         """Behind the steps that are done, as those say who kept the former owner's course."""
         former = self._former()
         self.done = min(self.done, w.MOST_STEPS)
-        head = [list(step) for step in former[:self.done]]
+        head = [list(step) for step in former[: self.done]]
         head += [[] for _ in range(self.done - len(head))]
         already = frozenset(name for step in head for name in step)
         purged = self.terms.purged
         entries = planning.make(self.terms.scene(), self.borrowed, purged, already, self.terms.most)
-        self.steps = planning.in_steps(entries, self.terms.step)[:w.MOST_STEPS - self.done]
+        self.steps = planning.in_steps(entries, self.terms.step)[: w.MOST_STEPS - self.done]
         self.at, self.place, self.checked, self.told = 0, 0, purged.newest, self.done
         if not self.steps:
             return EMPTY
-        course = w.Course(self.terms.cache, self.number,
-                          head + [[entry.name for entry in step] for step in self.steps])
+        course = w.Course(
+            self.terms.cache, self.number, head + [[entry.name for entry in step] for step in self.steps]
+        )
         self.effects.append(w.Lodge(course, self.lent_by))
         self.until = self.now + self.terms.borrow_for
         return None if self.lent_by else KEPT
@@ -187,7 +206,7 @@
         if purged.newest == since:
             return True
         self.checked = purged.newest
-        left = [entry for step in self.steps[self.at:] for entry in step]
+        left = [entry for step in self.steps[self.at :] for entry in step]
         self.struck |= purged.struck(left, since)
         return purged.since(since) is not None
 
@@ -239,8 +258,13 @@
 }
 
 EVENTS = {
-    w.Owned: Warming._owned, w.Listed: Warming._listed, w.Lodged: Warming._lodged, w.Tick: Warming._ticked,
-    w.Ended: Warming._ended, w.Reported: Warming._reported, w.Strained: Warming._strained,
+    w.Owned: Warming._owned,
+    w.Listed: Warming._listed,
+    w.Lodged: Warming._lodged,
+    w.Tick: Warming._ticked,
+    w.Ended: Warming._ended,
+    w.Reported: Warming._reported,
+    w.Strained: Warming._strained,
     w.Over: Warming._void,
 }
 Warming.table, Warming.events = TABLE, EVENTS
--- a/hookrouter/fleet/decisions/warming/words.py
+++ b/hookrouter/fleet/decisions/warming/words.py
@@ -51,8 +51,10 @@
 
     cache: Text
     number: Whole
-    steps: Annotated[list[Annotated[list[Name], msgspec.Meta(max_length=MOST_IN_STEP)]],
-                     msgspec.Meta(max_length=MOST_STEPS)]
+    steps: Annotated[
+        list[Annotated[list[Name], msgspec.Meta(max_length=MOST_IN_STEP)]],
+        msgspec.Meta(max_length=MOST_STEPS),
+    ]
 
 
 # ---- what a warming is told
@@ -109,7 +111,13 @@
 
 FILLED, HELD_ALREADY, FAILED, OLD_NUMBER = "filled", "held already", "failed", "old number"
 LEFT, DRAINED, FELL, PURGED_ALL, LEASE, TIRED = (
-    "left", "drained", "fell", "all purged", "lease over", "held back too long")
+    "left",
+    "drained",
+    "fell",
+    "all purged",
+    "lease over",
+    "held back too long",
+)
 CAUSES = (LEFT, DRAINED, FELL, PURGED_ALL, LEASE, TIRED, OLD_NUMBER)
 
 
--- a/hookrouter/fleet/member/purges.py
+++ b/hookrouter/fleet/member/purges.py
@@ -47,8 +47,10 @@
         return self.duty.command(KEEP, [first, bodies]).addCallback(self._told, "kept")
 
     def members(self, joined, left):
-        parts = [self.duty.command(NAMES, [joined[at:at + MOST_NAMES], left[at:at + MOST_NAMES]])
-                 for at in range(0, max(len(joined), len(left)), MOST_NAMES)]
+        parts = [
+            self.duty.command(NAMES, [joined[at : at + MOST_NAMES], left[at : at + MOST_NAMES]])
+            for at in range(0, max(len(joined), len(left)), MOST_NAMES)
+        ]
         return gatherResults([part.addCallback(self._told, "noted") for part in parts], consumeErrors=True)
 
     def fold(self, upto):
@@ -90,7 +92,8 @@
         if self.filed(warrant.number):
             # Above those of a fleet that began anew without its stores, as a desk of its own does.
             self.opened(int(time.time() * 1_000)).addCallbacks(
-                self._began, self._not_begun, callbackArgs=(warrant,), errbackArgs=(warrant,))
+                self._began, self._not_begun, callbackArgs=(warrant,), errbackArgs=(warrant,)
+            )
         elif self.reactor.seconds() >= until:
             self.give_up(DUTY, "its copy does not come up to the grant")
         else:
@@ -115,8 +118,9 @@
         self.desk = paced(desk, self.sections, "desk", self.log)
         self.tree = web.tree(self.desk, self.purges["secret"], True)
         self.desk.start()
-        self.log("owns the desk", number=warrant.number, epoch=self.desk.tail.epoch,
-                 newest=self.desk.tail.newest.n)
+        self.log(
+            "owns the desk", number=warrant.number, epoch=self.desk.tail.epoch, newest=self.desk.tail.newest.n
+        )
 
     def _not_begun(self, failure, warrant):
         if warrant is self.warrant:
@@ -165,14 +169,16 @@
         self.reactor.callLater(SWEEP_EVERY, self._look, warrant)
         if self.records.whole():
             self.records.older(self.wall() - self.hold, MOST_SWEPT).addCallbacks(
-                self._found, lambda _: None, callbackArgs=(warrant,))
+                self._found, lambda _: None, callbackArgs=(warrant,)
+            )
 
     def _found(self, upto, warrant):
         act = warrant.act(self.clock(), upto) if upto and warrant is self.warrant else None
         if act is not None:
             step = self.step(SWEEPING) + 1
             self.asker.ask(SWEEP, [SWEEPING, act.number, step, DUTY, act.what]).addCallbacks(
-                self._swept, lambda _: None, callbackArgs=(upto,))
+                self._swept, lambda _: None, callbackArgs=(upto,)
+            )
 
     def _swept(self, result, upto):
         if result[0] == "done":
@@ -181,6 +187,7 @@
 
 # ---- the face of every keeper
 
+
 class Door(resource.Resource):
     """The owner's own desk, or the way to it."""
 
@@ -218,16 +225,25 @@
         off = not port or where == door.duty.where or request.getHeader(b"x-passed") is not None
         if off or request.path in (b"/v1/feed", b"/v1/renew") or door.passed >= MOST_PASSED:
             fields = {} if off else {"X_Desk": where}
-            return web.answer(request, 503, {"error": "the desk is elsewhere" if not off else
-                                             "nobody owns the desk now"}, Retry_After=1, **fields)
+            return web.answer(
+                request,
+                503,
+                {"error": "the desk is elsewhere" if not off else "nobody owns the desk now"},
+                Retry_After=1,
+                **fields,
+            )
         body = request.content.read()
-        fields = [(b"Authorization", b"Bearer " + self.secret.value), (b"X-Passed", b"1"),
-                  (b"Content-Type", b"application/json")]
+        fields = [
+            (b"Authorization", b"Bearer " + self.secret.value),
+            (b"X-Passed", b"1"),
+            (b"Content-Type", b"application/json"),
+        ]
         caller, gone = Caller(door.reactor, door.deadlines, (host, int(port))), []
         request.notifyFinish().addErrback(gone.append)
         door.passed += 1
         caller.start(request.method, request.uri, fields, body, PASS_WITHIN).addBoth(
-            self._came, request, caller, gone)
+            self._came, request, caller, gone
+        )
         return server.NOT_DONE_YET
 
     def _came(self, came, request, caller, gone):
--- a/hookrouter/fleet/member/records.py
+++ b/hookrouter/fleet/member/records.py
@@ -89,7 +89,8 @@
         elif not self.serving:  # one at a time: who serves is not slowed by who catches up
             self.serving += 1
             self._threaded(self._part, message).addCallbacks(
-                lambda told: self.send(sender, told), lambda _: None).addBoth(self._served)
+                lambda told: self.send(sender, told), lambda _: None
+            ).addBoth(self._served)
 
     def _part(self, asked):
         start, seal, bodies, agrees = self.store.part(asked.after, asked.seal, PART)
@@ -105,8 +106,11 @@
         for effect in effects:
             if isinstance(effect, c.Write):
                 self._threaded(self.store.file_steps, effect.steps, effect.index).addCallbacks(
-                    self._written, self._not_written, callbackArgs=(effect.token,),
-                    errbackArgs=(effect.token,))
+                    self._written,
+                    self._not_written,
+                    callbackArgs=(effect.token,),
+                    errbackArgs=(effect.token,),
+                )
             elif isinstance(effect, c.Ask):
                 self.send(effect.to, effect.message)
             elif isinstance(effect, c.Filed):
@@ -137,8 +141,11 @@
         if self.stopped:
             return
         differs = failure.check(Differs) is not None
-        self.log("copy of purges: " + ("differs" if differs else "cannot be written"),
-                 failure.getErrorMessage(), level="error")
+        self.log(
+            "copy of purges: " + ("differs" if differs else "cannot be written"),
+            failure.getErrorMessage(),
+            level="error",
+        )
         self._carry(self.copy.written(self.clock(), token, False, differs))
 
     def _again(self, how):
@@ -170,9 +177,11 @@
 
     def read(self, hold, epoch):
         """A Deferred of (tail, keys, loaded), as own.Own gives it."""
+
         def reading():
             loaded = self.store.load()
             return *taken(loaded, hold, epoch), loaded
+
         return self._threaded(reading)
 
     def older(self, made, most):
--- a/hookrouter/fleet/member/service.py
+++ b/hookrouter/fleet/member/service.py
@@ -47,8 +47,10 @@
                 raise
             self.keeper = Keeper(self.terms, stored, steady(), self.terms.life)
         self.holder, self.to, self.turn = Holder(self.name, self.terms.life, self.terms, []), None, 0
-        self.askers = {stream: Asker(reactor, f"{self.name}#{self.terms.life}.{stream}", self._tell)
-                       for stream in ("steps", "purges", "sweep")}
+        self.askers = {
+            stream: Asker(reactor, f"{self.name}#{self.terms.life}.{stream}", self._tell)
+            for stream in ("steps", "purges", "sweep")
+        }
         self.steps = Steps(reactor, fleet["drill"], self._done, log) if fleet["drill"] else None
         self.spread = None
         self.warming = None  # who works the duties warm/..., where this member does
@@ -68,15 +70,39 @@
     def _bear_purges(self, sections):
         from .purges import SWEEPING, Door, PurgesDuty, Sweeping
         from .records import DUTY, Records
+
         others = [name for name in self.fleet["keepers"] if name != self.name]
-        self.records = Records(self.reactor, sections["desk"]["store"], others, steady, self.log, self._send,
-                               self._filed, self._recall)
-        desk = PurgesDuty(self.reactor, self.log, sections, self.records, self.askers["purges"], steady,
-                          self._filed_upto, self._give_up)
+        self.records = Records(
+            self.reactor,
+            sections["desk"]["store"],
+            others,
+            steady,
+            self.log,
+            self._send,
+            self._filed,
+            self._recall,
+        )
+        desk = PurgesDuty(
+            self.reactor,
+            self.log,
+            sections,
+            self.records,
+            self.askers["purges"],
+            steady,
+            self._filed_upto,
+            self._give_up,
+        )
         self.work[DUTY] = desk
-        self.work[SWEEPING] = Sweeping(self.reactor, self.log, sections["purges"]["hold"], self.records,
-                                       self.askers["sweep"], lambda: int(time.time() * SECOND), steady,
-                                       self._step_of)
+        self.work[SWEEPING] = Sweeping(
+            self.reactor,
+            self.log,
+            sections["purges"]["hold"],
+            self.records,
+            self.askers["sweep"],
+            lambda: int(time.time() * SECOND),
+            steady,
+            self._step_of,
+        )
         self.door = Door(desk, self.reactor, lambda: self._where(DUTY))
         self.desk_listen = sections["desk"]["listen"]
 
@@ -94,6 +120,7 @@
         self.peers.listen(*self.fleet["listen"])
         if self.records is not None:
             from ...desk.web import serving
+
             host, port = self.desk_listen
             self.port = self.reactor.listenTCP(port, serving(self.door), backlog=512, interface=host)
         if self.keeper is not None:
@@ -211,8 +238,10 @@
             return
         if self.records is None:
             if isinstance(effect, w.File) or effect.orders:
-                self.log("records come of which this keeper keeps no copy: [purges] and [desk] are missing",
-                         level="error")
+                self.log(
+                    "records come of which this keeper keeps no copy: [purges] and [desk] are missing",
+                    level="error",
+                )
                 self._filed(effect.index)
         elif isinstance(effect, w.File):
             self.records.agreed(effect.index, effect.records)
--- a/hookrouter/fleet/member/sharing.py
+++ b/hookrouter/fleet/member/sharing.py
@@ -32,8 +32,11 @@
 
     def __init__(self, reactor, log, section, member, state):
         self.reactor, self.log, self.member, self.state = reactor, log, member, state
-        self.terms = w.Terms(silent_after=section["silent after"], pull_within=section["pull within"],
-                             pull_rate=section["lend"])
+        self.terms = w.Terms(
+            silent_after=section["silent after"],
+            pull_within=section["pull within"],
+            pull_rate=section["lend"],
+        )
         self.view = member.roster.view
         me = self.view.me
         self.exchange = Exchange(self.terms, me.name, me.life, me.life)
@@ -129,7 +132,8 @@
         self._carry(now, self.exchange.take(now, w.Tick()))
         if not self.stopped:
             self.call = self.reactor.callLater(
-                max(0.01, (self.exchange.alarm() - steady()) / 10_000), self._tick)
+                max(0.01, (self.exchange.alarm() - steady()) / 10_000), self._tick
+            )
 
     def _look(self, now):
         """The zone's routers, where the view has changed."""
@@ -194,12 +198,26 @@
         now, exchange = steady(), self.exchange
         exchange.now = max(now, exchange.now)
         return {
-            "zone": self.view.me.zone, "routers": len(exchange.names) + 1, "speaker": exchange.speaker,
+            "zone": self.view.me.zone,
+            "routers": len(exchange.names) + 1,
+            "speaker": exchange.speaker,
             "counts": dict(exchange.counts),
-            "tellers": [[name, teller.life, teller.number, teller.count, (now - teller.born) // 10]
-                        for name, teller in sorted(exchange.board.tellers.items())],
-            "caches": [[s.cache, round(s.others_out, 2), round(s.others_rate, 2), s.age // 10, s.tellers,
-                        s.of, s.doubted] for s in exchange.summaries()],
+            "tellers": [
+                [name, teller.life, teller.number, teller.count, (now - teller.born) // 10]
+                for name, teller in sorted(exchange.board.tellers.items())
+            ],
+            "caches": [
+                [
+                    s.cache,
+                    round(s.others_out, 2),
+                    round(s.others_rate, 2),
+                    s.age // 10,
+                    s.tellers,
+                    s.of,
+                    s.doubted,
+                ]
+                for s in exchange.summaries()
+            ],
         }
 
     def count(self, name, by=1):
--- a/hookrouter/fleet/member/spread.py
+++ b/hookrouter/fleet/member/spread.py
@@ -71,13 +71,18 @@
             # Once one send went well there it is found, though few go there yet.
             aside = health.trickle[n] == 1
             cold = -1 if self.control.cold.now(n) is None else max(0, wall - self.control.cold.born[n])
-            posts += self.spread.own(now, self.control.ids[n], aside, health.rest_until[n] if aside else None,
-                                     cold)
+            posts += self.spread.own(
+                now, self.control.ids[n], aside, health.rest_until[n] if aside else None, cold
+            )
         self._post(posts + self.spread.tick(now, wall))
         if self.alone != self.spread.busy.alone(now):
             self.alone = not self.alone
-            self.log("hears nothing of its zone's loads, decides alone" if self.alone
-                     else "spreads load by what its zone tells", members=len(neighbours))
+            self.log(
+                "hears nothing of its zone's loads, decides alone"
+                if self.alone
+                else "spreads load by what its zone tells",
+                members=len(neighbours),
+            )
         if not self.stopped:
             self.call = self.reactor.callLater(TICK, self._tick)
 
@@ -85,12 +90,22 @@
         """Lines of the list as Control has them, those that changed; a start that it took for one, too."""
         control, lines = self.control, {}
         for name, n in control.index.items():
-            lines[name] = i.Cache(name, control.where[n], 0, control.weight[n], control.cold.born[n],
-                                  control.phase[n], control.sort[n])
+            lines[name] = i.Cache(
+                name,
+                control.where[n],
+                0,
+                control.weight[n],
+                control.cold.born[n],
+                control.phase[n],
+                control.sort[n],
+            )
         here = [line for line in lines.values() if self._meets(line)]
         changed = [line for line in here if self.lines.get(line.id) != line]
-        gone = [line._replace(phase=i.GONE) for name, line in self.lines.items()
-                if name not in lines or not self._meets(lines[name])]
+        gone = [
+            line._replace(phase=i.GONE)
+            for name, line in self.lines.items()
+            if name not in lines or not self._meets(lines[name])
+        ]
         if changed or gone:
             self.spread.listed(now, gone + changed, wall)
             self.lines = {line.id: line for line in here}
@@ -98,8 +113,11 @@
     def _meets(self, line):
         """Whether this router sends there: what drains, too, has none of it."""
         terms = self.spread.terms
-        return line.phase == i.READY and line.sort != terms.origin_sort and (
-            line.zone == terms.zone or line.sort == terms.parent_sort)
+        return (
+            line.phase == i.READY
+            and line.sort != terms.origin_sort
+            and (line.zone == terms.zone or line.sort == terms.parent_sort)
+        )
 
     def _heard(self, now, name, life, data):
         self._post(self.spread.take(now, self.router.now(), name, data))
@@ -121,10 +139,20 @@
         """For people: levels of the others by cache, shares of cold ones, who seeks what."""
         now, busy = steady(), self.spread.busy
         return {
-            "alone": busy.alone(now), "counts": dict(self.counts), "mean": round(busy.mean(), 2),
-            "caches": [[name, None if (others := busy.others(name, now)) is None else round(others, 2),
-                        row.source.look(now, busy.terms)] for name, row in sorted(busy.rows.items())],
-            "shares": [[name, row.own.state, sum(unit.state == "held" for unit in row.lent.values())]
-                       for name, row in sorted(self.spread.shares.rows.items())],
+            "alone": busy.alone(now),
+            "counts": dict(self.counts),
+            "mean": round(busy.mean(), 2),
+            "caches": [
+                [
+                    name,
+                    None if (others := busy.others(name, now)) is None else round(others, 2),
+                    row.source.look(now, busy.terms),
+                ]
+                for name, row in sorted(busy.rows.items())
+            ],
+            "shares": [
+                [name, row.own.state, sum(unit.state == "held" for unit in row.lent.values())]
+                for name, row in sorted(self.spread.shares.rows.items())
+            ],
             "sought": {name: row.state for name, row in sorted(self.spread.trickle.rows.items())},
         }
--- a/hookrouter/fleet/member/warmed.py
+++ b/hookrouter/fleet/member/warmed.py
@@ -31,11 +31,19 @@
         self.allowance, self.strain = allowance, Strain(USUAL)
         self.doors = Doors(cache, allowance, warmer.section["slots"])
         self.doors.work = 1 / self.flow
-        self.kinds = {kind.name: Kind(kind.effect == i.IDEMPOTENT and not kind.write,
-                                      PARTS if kind.in_parts else WHOLE, kind.fresh, kind.utility)
-                      for kind in terms.kinds}
-        self.table = Warming(s.Terms(cache, self._scene, self.heed.purged, self.doors.may,
-                                     lenders=warmer.section["lenders"]), Borrowed())
+        self.kinds = {
+            kind.name: Kind(
+                kind.effect == i.IDEMPOTENT and not kind.write,
+                PARTS if kind.in_parts else WHOLE,
+                kind.fresh,
+                kind.utility,
+            )
+            for kind in terms.kinds
+        }
+        self.table = Warming(
+            s.Terms(cache, self._scene, self.heed.purged, self.doors.may, lenders=warmer.section["lenders"]),
+            Borrowed(),
+        )
 
     def _crew(self):
         return max(1, len(self.warmer.sharing.neighbours()) + 1)
@@ -50,14 +58,25 @@
         heed, now = self.heed, self.warmer.now()
         after, past = heed.edges(self.zone, now), heed.edges(self.zone, now, settled=True)
         before = tuple(name for name in after if name != self.cache)
-        return Scene(self.cache, before, after, self._warm(now), heed.parents(now), self.kinds,
-                     self.router.terms.topology.siblings != i.NO_SIBLINGS, past or before,
-                     self.warmer.section["room"] or 0)
+        return Scene(
+            self.cache,
+            before,
+            after,
+            self._warm(now),
+            heed.parents(now),
+            self.kinds,
+            self.router.terms.topology.siblings != i.NO_SIBLINGS,
+            past or before,
+            self.warmer.section["room"] or 0,
+        )
 
     def _warm(self, now):
         heed = self.heed
-        return frozenset(name for name in heed.edges(self.zone, now)
-                         if not heed.cold(heed.caches[name], now) and name != self.cache)
+        return frozenset(
+            name
+            for name in heed.edges(self.zone, now)
+            if not heed.cold(heed.caches[name], now) and name != self.cache
+        )
 
     def looked(self):
         """The list of caches has changed."""
@@ -69,8 +88,9 @@
         elif self.allowance is not None and row.born > self.allowance.born:
             self.take(w.Over(w.FELL))  # it started anew: that is another warming
         else:
-            self.doors.told(now, True, self._warm(now), self.heed.parents(now),
-                            *self.warmer.place(self.cache))
+            self.doors.told(
+                now, True, self._warm(now), self.heed.parents(now), *self.warmer.place(self.cache)
+            )
 
     def others(self, summary):
         if self.allowance is not None and summary is not None:
@@ -136,13 +156,25 @@
         # 16 hex digits as clients' ids have: this router's number, the duty's, the fill's.
         router = self.router.terms.topology.number
         trace = f"{router % 65_536:04x}{act.number % (1 << 32):08x}{self.sent % 65_536:04x}"
-        errand = Errand(kind_name, trace, object, part, None, None, b"",
-                        FILL_WITHIN, effect.source or self._origin(), 0,
-                        self.heed.age(kind, object, effect.group, now), True,
-                        fence=f"{act.duty} {act.number}")
+        errand = Errand(
+            kind_name,
+            trace,
+            object,
+            part,
+            None,
+            None,
+            b"",
+            FILL_WITHIN,
+            effect.source or self._origin(),
+            0,
+            self.heed.age(kind, object, effect.group, now),
+            True,
+            fence=f"{act.duty} {act.number}",
+        )
         self.warmer.count("warming_fills")
-        send = self.router.caches.send(self.cache, errand, FILL_WITHIN / 10_000,
-                                       self.router.control.rules.soon / 10_000)
+        send = self.router.caches.send(
+            self.cache, errand, FILL_WITHIN / 10_000, self.router.control.rules.soon / 10_000
+        )
         send.deferred.addCallback(self._ended, effect)
 
     def _origin(self):
@@ -164,6 +196,9 @@
 
 
 EFFECTS = {
-    w.Borrow: Warmed._borrow, w.Lodge: Warmed._lodge, w.Report: Warmed._report, w.Closed: Warmed._closed,
+    w.Borrow: Warmed._borrow,
+    w.Lodge: Warmed._lodge,
+    w.Report: Warmed._report,
+    w.Closed: Warmed._closed,
     w.Fill: Warmed._fill,
 }
--- a/hookrouter/fleet/member/warming.py
+++ b/hookrouter/fleet/member/warming.py
@@ -138,7 +138,8 @@
         """How far it is known to be done is asked of the keepers first."""
         cache = warrant.duty.removeprefix(f"{self.sort}/")
         self.asker.ask(DONE, [warrant.duty, warrant.number, 0]).addCallbacks(
-            self._begin, self._unasked, callbackArgs=(warrant, cache))
+            self._begin, self._unasked, callbackArgs=(warrant, cache)
+        )
 
     def _begin(self, result, warrant, cache, tries=LIST_TRIES):
         if result[0] != "out of order" or result[1] != warrant.number or warrant.act(steady(), None) is None:
@@ -159,7 +160,7 @@
 
     def lenders(self, cache):
         """Whom to ask, by the shared hash, so that a successor asks the same: routers of the zone."""
-        return tuple(rank(cache, [self.member.name, *self.sharing.neighbours()])[:self.section["lenders"]])
+        return tuple(rank(cache, [self.member.name, *self.sharing.neighbours()])[: self.section["lenders"]])
 
     def borrow(self, lender, cache, came):
         """came(lender, Lent or None, Course or None)."""
@@ -190,7 +191,8 @@
 
     def report(self, warmed, step):
         self.asker.ask(DONE, [warmed.warrant.duty, warmed.number, step]).addCallbacks(
-            self._told, self._unasked, callbackArgs=(warmed, step))
+            self._told, self._unasked, callbackArgs=(warmed, step)
+        )
 
     def _told(self, result, warmed, step):
         if result[0] == "done" or (result[0] == "out of order" and result[2] >= step):
@@ -203,8 +205,14 @@
         if self.at_work.get(warmed.cache) is warmed:
             del self.at_work[warmed.cache]
         self.own.pop(warmed.cache, None)
-        self.log("warming is over", cache=warmed.cache, state=state, why=cause, number=warmed.number,
-                 **dict(warmed.counts()))
+        self.log(
+            "warming is over",
+            cache=warmed.cache,
+            state=state,
+            why=cause,
+            number=warmed.number,
+            **dict(warmed.counts()),
+        )
         if cause not in (w.LEASE, w.OLD_NUMBER):
             # Those that saw the start a little later must find that the duty is there.
             self.reactor.callLater(DROP_AFTER, self._drop, warmed.warrant.duty)
--- a/hookrouter/fleet/wire/wire.py
+++ b/hookrouter/fleet/wire/wire.py
@@ -40,10 +40,10 @@
     """What is in a frame, or Malformed. wanted: the seal that has to stand before the text: nothing is read
     before that is found right.
     """
-    if not hmac.compare_digest(wanted, frame[:len(wanted)]):
+    if not hmac.compare_digest(wanted, frame[: len(wanted)]):
         raise Malformed("sealed with another secret, or not for this stream")
     try:
-        return decode(frame[len(wanted):])
+        return decode(frame[len(wanted) :])
     except msgspec.MsgspecError as wrong:
         raise Malformed(f"not a message of this version: {wrong}") from None
 
--- a/hookrouter/front/calls.py
+++ b/hookrouter/front/calls.py
@@ -8,10 +8,10 @@
 
 MOST_FIELDS = 32  # in one call: the service's own have eleven at most
 LONGEST_FIELD = 256  # bytes; the longest of the service's own has 32
-LONGEST_ALLOW = 10 ** 8  # milliseconds, over a day: no client waits longer
+LONGEST_ALLOW = 10**8  # milliseconds, over a day: no client waits longer
 MOST_GROUPS = 256
-MOST_PARTS = 10 ** 9  # of an object; the service's own have some dozens
-LARGEST = 10 ** 9  # KB of one part
+MOST_PARTS = 10**9  # of an object; the service's own have some dozens
+LARGEST = 10**9  # KB of one part
 HEX = frozenset("0123456789abcdefABCDEF")
 DIGITS = frozenset("0123456789")
 ID = 16  # digits of an id of a lookup or object
@@ -50,13 +50,18 @@
         except UnicodeDecodeError:
             raise Malformed("a field that is no plain text") from None
     asked = Asked(
-        trace=digits(fields, "ref", ID), kind=named(fields, "service"),
+        trace=digits(fields, "ref", ID),
+        kind=named(fields, "service"),
         allow=int(amount(fields, "allow", LONGEST_ALLOW) * TENTHS),
-        repeat=fields.get("dup", "") not in ("", "0"), key=mark(fields, "replay"),
-        object=digits(fields, "lookup", ID), part=whole(fields, "part", MOST_PARTS - 1),
+        repeat=fields.get("dup", "") not in ("", "0"),
+        key=mark(fields, "replay"),
+        object=digits(fields, "lookup", ID),
+        part=whole(fields, "part", MOST_PARTS - 1),
         group=whole(fields, "group", MOST_GROUPS - 1),
-        size=amount(fields, "room", LARGEST) if "room" in fields else 0.0, seen=mark(fields, "have"),
-        body=body)
+        size=amount(fields, "room", LARGEST) if "room" in fields else 0.0,
+        seen=mark(fields, "have"),
+        body=body,
+    )
     if asked.allow <= 0:
         raise Malformed("allow leaves no time")
     return asked
@@ -114,24 +119,35 @@
 
 
 def satisfied(name, seqid, pieces, length):
-    return thrift.message(thrift.REPLY, name, seqid, BODY + thrift.INT_AT.pack(length), *pieces,
-                          NO_FIELDS + GOOD + END + END)
+    return thrift.message(
+        thrift.REPLY, name, seqid, BODY + thrift.INT_AT.pack(length), *pieces, NO_FIELDS + GOOD + END + END
+    )
 
 
 def unchanged(name, seqid):
-    return thrift.message(thrift.REPLY, name, seqid,
-                          EMPTY + FIELDS + thrift.fields_of({"same": "1"}) + GOOD + END + END)
+    return thrift.message(
+        thrift.REPLY, name, seqid, EMPTY + FIELDS + thrift.fields_of({"same": "1"}) + GOOD + END + END
+    )
 
 
 def checked(name, seqid, good):
-    return thrift.message(thrift.REPLY, name, seqid,
-                          EMPTY + NO_FIELDS + (GOOD if good else NOT_GOOD) + END + END)
+    return thrift.message(
+        thrift.REPLY, name, seqid, EMPTY + NO_FIELDS + (GOOD if good else NOT_GOOD) + END + END
+    )
 
 
 def excepted(name, seqid, number, fields):
     """One of the exceptions that the service declares."""
-    return thrift.message(thrift.REPLY, name, seqid, thrift.field(thrift.STRUCT, number)
-                          + thrift.field(thrift.MAP, 1) + thrift.fields_of(fields) + END + END)
+    return thrift.message(
+        thrift.REPLY,
+        name,
+        seqid,
+        thrift.field(thrift.STRUCT, number)
+        + thrift.field(thrift.MAP, 1)
+        + thrift.fields_of(fields)
+        + END
+        + END,
+    )
 
 
 def nacked(name, seqid, stay_away):
--- a/hookrouter/front/methods.py
+++ b/hookrouter/front/methods.py
@@ -66,5 +66,8 @@
     connection.write(calls.checked(message.name, message.seqid, connection.front.desk.ready()))
 
 
-METHODS = {b"execute": (thrift.CALL, execute), b"check": (thrift.CALL, check),
-           b"interrupt": (thrift.ONEWAY, interrupt)}
+METHODS = {
+    b"execute": (thrift.CALL, execute),
+    b"check": (thrift.CALL, check),
+    b"interrupt": (thrift.ONEWAY, interrupt),
+}
--- a/hookrouter/interface.py
+++ b/hookrouter/interface.py
@@ -7,7 +7,16 @@
 
 # How a send ended. NEVER_RAN holds those that prove that the lookup did not run.
 SATISFIED, ERRED, FULL, LATE, UNREACHED, BROKEN, CANCELLED, VOID, MISSING = (
-    "satisfied", "erred", "full", "late", "unreached", "broken", "cancelled", "void", "missing")
+    "satisfied",
+    "erred",
+    "full",
+    "late",
+    "unreached",
+    "broken",
+    "cancelled",
+    "void",
+    "missing",
+)
 NEVER_RAN = frozenset((FULL, UNREACHED, VOID, MISSING))
 
 # What a repeat of a lookup does, by object kind.
@@ -120,6 +129,7 @@
 
 # ---- inputs
 
+
 class CacheList(NamedTuple):
     mode: str
     caches: tuple
--- a/hookrouter/lab/stations.py
+++ b/hookrouter/lab/stations.py
@@ -118,8 +118,7 @@
 
 
 class Copies:
-    """What a cache keeps: so many KB, the longest unasked for goes first; each copy with the time it is of.
-    """
+    """What a cache keeps: so many KB, least recently used goes first; each copy with the time it is of."""
 
     def __init__(self, room):
         self.room, self.held, self.rows = room, 0.0, OrderedDict()  # name -> (size, made)
