--- a/hookrouter/log.py
+++ b/hookrouter/log.py
@@ -46,8 +46,11 @@
 
     def _write(self, kind, detail, level, values):
         try:
-            print(FORMS[self.form](self.wall, kind, detail, level, values), file=self.out or sys.stderr,
-                  flush=True)
+            print(
+                FORMS[self.form](self.wall, kind, detail, level, values),
+                file=self.out or sys.stderr,
+                flush=True,
+            )
         except OSError:
             pass  # nobody reads it any more: that must not keep the router from serving or ending
 
--- a/hookrouter/node/effects.py
+++ b/hookrouter/node/effects.py
@@ -17,8 +17,17 @@
 
 
 def obtain(router, effect):
-    send(router, effect, source=effect.source, rank=effect.rank, age=effect.age, join=effect.join,
-               held_only=effect.held_only, unkept=effect.unkept, renew=effect.renew)
+    send(
+        router,
+        effect,
+        source=effect.source,
+        rank=effect.rank,
+        age=effect.age,
+        join=effect.join,
+        held_only=effect.held_only,
+        unkept=effect.unkept,
+        renew=effect.renew,
+    )
 
 
 def send(router, effect, **ways):
@@ -27,16 +36,31 @@
         return  # only a fault of the module brings this here; nothing goes out after the answer
     asked, n = lookup.asked, lookup.sends
     lookup.sends += 1
-    errand = Errand(asked.kind, asked.trace, asked.object, asked.part, asked.key, asked.seen,
-                    asked.body, effect.wait, once=router.kinds[asked.kind].effect != i.IDEMPOTENT, **ways)
+    errand = Errand(
+        asked.kind,
+        asked.trace,
+        asked.object,
+        asked.part,
+        asked.key,
+        asked.seen,
+        asked.body,
+        effect.wait,
+        once=router.kinds[asked.kind].effect != i.IDEMPOTENT,
+        **ways,
+    )
     began, source = router.now(), ways.get("source")
     if router.tally is not None:
         router.tally.sent(effect.cache, source)
     if router.heed is not None:
         router.heed.sent(effect.cache, asked.size)
     lookup.running[n] = None  # it is held from here on: its client may be found to have gone on the way
-    out = lookup.running[n] = router.caches.send(effect.cache, errand, router.until(effect.wait),
-                                                 router.until(effect.leave), partial(router.wanted, lookup))
+    out = lookup.running[n] = router.caches.send(
+        effect.cache,
+        errand,
+        router.until(effect.wait),
+        router.until(effect.leave),
+        partial(router.wanted, lookup),
+    )
     out.deferred.addCallback(sent, router, lookup, n, effect.cache, source, began)
 
 
@@ -60,8 +84,19 @@
     if ended.made is not None and ended.end == i.SATISFIED:
         copy = ended.made, ended.length
         router.brought[lookup.number, n] = lookup.asked, ended
-    router.tell(i.SendEnd(lookup.number, n, ended.end, ended.note, lookup.ended, router.now() - began, cache,
-                        ended.report, copy))
+    router.tell(
+        i.SendEnd(
+            lookup.number,
+            n,
+            ended.end,
+            ended.note,
+            lookup.ended,
+            router.now() - began,
+            cache,
+            ended.report,
+            copy,
+        )
+    )
     router.withdraw(lookup)
 
 
@@ -125,7 +160,8 @@
 def probe(router, effect):
     began = router.now()
     router.caches.probe(effect.cache).deferred.addCallback(
-        lambda ended: router.tell(i.ProbeEnd(ended.end, effect.cache, router.now() - began, ended.report)))
+        lambda ended: router.tell(i.ProbeEnd(ended.end, effect.cache, router.now() - began, ended.report))
+    )
 
 
 def no_way(router, effect):
@@ -137,8 +173,17 @@
 
 
 EFFECTS = {
-    i.Ask: ask, i.Obtain: obtain, i.Nack: nack, i.Fail: fail,
-    i.Keep: keep, i.Drop: drop, i.Give: give, i.Cancel: cancel,
-    i.SetAlarm: set_alarm, i.Subscribe: subscribe, i.Probe: probe,
-    i.Tell: no_way, i.Log: log,
+    i.Ask: ask,
+    i.Obtain: obtain,
+    i.Nack: nack,
+    i.Fail: fail,
+    i.Keep: keep,
+    i.Drop: drop,
+    i.Give: give,
+    i.Cancel: cancel,
+    i.SetAlarm: set_alarm,
+    i.Subscribe: subscribe,
+    i.Probe: probe,
+    i.Tell: no_way,
+    i.Log: log,
 }
--- a/hookrouter/node/heed.py
+++ b/hookrouter/node/heed.py
@@ -28,8 +28,14 @@
         for name, n in control.index.items():  # what was known at the start came before this was there
             if control.phase[n] != i.GONE:
                 cache = self.caches[name] = i.Cache(
-                    name, control.where[n], control.cell[n], control.weight[n], control.cold.born[n],
-                    control.phase[n], control.sort[n])
+                    name,
+                    control.where[n],
+                    control.cell[n],
+                    control.weight[n],
+                    control.cold.born[n],
+                    control.phase[n],
+                    control.sort[n],
+                )
                 self.since[name] = now if self.cold(cache, now) else 0
 
     def asked(self, asked, now):
@@ -89,23 +95,37 @@
     # ---- asked by the executor
 
     def cold(self, cache, now):
-        span = (self.terms.parent_cold_for if cache.sort == self.terms.topology.parent_sort
-                else self.terms.cold_for)
+        span = (
+            self.terms.parent_cold_for
+            if cache.sort == self.terms.topology.parent_sort
+            else self.terms.cold_for
+        )
         return bool(cache.born) and now < cache.born + span
 
     def edges(self, zone, now, settled=False):
         """Ids of the zone's ready caches, in order; settled: only those that were there half a minute ago."""
         top = self.terms.topology
-        return tuple(sorted(
-            name for name, one in self.caches.items()
-            if one.zone == zone and one.phase == i.READY
-            and one.sort not in (top.parent_sort, top.origin_sort)
-            and not (settled and self.since.get(name, 0) > now - PAST)))
+        return tuple(
+            sorted(
+                name
+                for name, one in self.caches.items()
+                if one.zone == zone
+                and one.phase == i.READY
+                and one.sort not in (top.parent_sort, top.origin_sort)
+                and not (settled and self.since.get(name, 0) > now - PAST)
+            )
+        )
 
     def parents(self, now):
-        return tuple(sorted(name for name, one in self.caches.items()
-                            if one.sort == self.terms.topology.parent_sort and one.phase == i.READY
-                            and not self.cold(one, now)))
+        return tuple(
+            sorted(
+                name
+                for name, one in self.caches.items()
+                if one.sort == self.terms.topology.parent_sort
+                and one.phase == i.READY
+                and not self.cold(one, now)
+            )
+        )
 
     def age(self, kind, object, group, now):
         """The age that will do for a copy of it, tenths of a millisecond; never 0 for what was purged."""
--- a/hookrouter/node/purging.py
+++ b/hookrouter/node/purging.py
@@ -26,10 +26,21 @@
         self.steady = steady or boot_time
         self.router, self.log, self.count = router, log, count
         self.guard = Guard(purge_terms(purges), None if start.tags is None else Listed(start.tags))
-        self.judged = {kind.name for kind in start.terms.kinds
-                       if kind.effect == i.IDEMPOTENT and not kind.write}
-        self.feed = PurgeFeed(reactor, deadlines, self, follows(purges), purges, start.name, log, count,
-                              wall=router.wall, steady=self.steady)
+        self.judged = {
+            kind.name for kind in start.terms.kinds if kind.effect == i.IDEMPOTENT and not kind.write
+        }
+        self.feed = PurgeFeed(
+            reactor,
+            deadlines,
+            self,
+            follows(purges),
+            purges,
+            start.name,
+            log,
+            count,
+            wall=router.wall,
+            steady=self.steady,
+        )
         if start.paced:
             self.feed.pace()
         self.state = self.guard.state()
@@ -79,14 +90,17 @@
     # ---- asked by the router
 
     def look(self):
-        """Before each decision and each answer: a process that was paused learns here that its lease is over.
-        """
+        """Before each decision and answer: a process that was paused learns here that its lease is over."""
         self.guard.at(self.steady())
         state = self.guard.state()
         if state != self.state:
             before, self.state = self.state, state
-            self.log("purges: lease held" if state == CURRENT else "purges: without a lease, fenced",
-                     level="info" if state == CURRENT else "warn", was=before, now=state)
+            self.log(
+                "purges: lease held" if state == CURRENT else "purges: without a lease, fenced",
+                level="info" if state == CURRENT else "warn",
+                was=before,
+                now=state,
+            )
 
     def checked(self, ended, asked, began):
         """The end as it counts: a copy that a purge has made old is as good as none.
@@ -97,14 +111,17 @@
             return ended
         now = self.router.now()
         tags = None if ended.tags is None else read_tags(ended.tags)
-        if self.guard.shut() or self.guard.refused(now, began, asked.kind, asked.object, asked.group,
-                                                   ended.since,
-                                                   tags):
+        if self.guard.shut() or self.guard.refused(
+            now, began, asked.kind, asked.object, asked.group, ended.since, tags
+        ):
             self.count("copies_refused")
             return ended._replace(end=i.MISSING, pieces=(), length=0, made=None)
         self.guard.learn(asked.object, ended.since or 0, tags)
         return ended
 
     def held(self):
-        return {"purges_live": len(self.guard.index), "purges_fenced": int(self.state != CURRENT),
-                "tags_held": len(self.guard.tags.rows)}
+        return {
+            "purges_live": len(self.guard.index),
+            "purges_fenced": int(self.state != CURRENT),
+            "tags_held": len(self.guard.tags.rows),
+        }
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -56,16 +56,19 @@
         clients = start.sockets // 3
         left = room_left(start.memory)
         room, asked = Room(int(left * BODIES), self._filled), Room(int(left * CALLS), self._filled)
-        self.front = Front(self, self.deadlines, asked, clients, int(left * HALVES),
-                           terms.idle_for / SECOND, log, self.count)
-        self.caches = Caches(reactor, self.deadlines, room, start.sockets - clients - RESERVED, terms, log,
-                             self.count)
+        self.front = Front(
+            self, self.deadlines, asked, clients, int(left * HALVES), terms.idle_for / SECOND, log, self.count
+        )
+        self.caches = Caches(
+            reactor, self.deadlines, room, start.sockets - clients - RESERVED, terms, log, self.count
+        )
         self.feed = Feed(reactor, self.deadlines, self, start.feed, start.last, log, self.count)
         self.listed_once = self.stopping = False
         self.due_by = inf  # what comes at the end is due before the process may be killed
         self.guard = self.purges = None
         if start.purges is not None:  # imported only then
             from .purging import Purging
+
             self.purges = Purging(start, reactor, self.deadlines, self, log, self.count, steady)
             self.guard = self.purges.guard
         self.control = Control(start.seed, terms, self.guard, told)
@@ -75,6 +78,7 @@
         self.trace = None
         if start.trace is not None:  # imported only then
             from .tracing import Tracing
+
             self.trace = Tracing(start, self.now(), self.guard is not None, self.deadlines, log, self.count)
         for event in start.known:
             if isinstance(event, Listed):
@@ -125,8 +129,11 @@
     def _concerned(self, event):
         """Those whom nobody will answer now: the event's own, or, with an alarm lost, all that are due."""
         own = event.id if isinstance(event, (i.Lookup, i.SendEnd)) else None
-        return [lookup.number for lookup in self.lookups.held()
-                if not lookup.ended and (lookup.number == own or lookup.due <= self.latest)]
+        return [
+            lookup.number
+            for lookup in self.lookups.held()
+            if not lookup.ended and (lookup.number == own or lookup.due <= self.latest)
+        ]
 
     def until(self, span):
         """Seconds until that long after the decision: an alarm and a send for one moment end together."""
@@ -166,8 +173,18 @@
             self.heed.asked(asked, self.latest)
         self.by_call[call] = lookup.number
         self.traces.add(asked.trace)
-        self.tell(i.Lookup(lookup.number, asked.kind, asked.object, asked.part, asked.group, asked.size,
-                           lookup.due, asked.repeat))
+        self.tell(
+            i.Lookup(
+                lookup.number,
+                asked.kind,
+                asked.object,
+                asked.part,
+                asked.group,
+                asked.size,
+                lookup.due,
+                asked.repeat,
+            )
+        )
 
     def left(self, call):
         """The client waits no more."""
--- a/hookrouter/node/service.py
+++ b/hookrouter/node/service.py
@@ -52,8 +52,12 @@
         if self.router.purges is not None:
             self.router.purges.feed.start()
         self.log("serving", f"{self.start.name} on {host}:{self.port.getHost().port}")
-        calls = {signal.SIGHUP: self.reload, signal.SIGTERM: self.stop, signal.SIGINT: self.stop,
-                 signal.SIGUSR1: self.show}
+        calls = {
+            signal.SIGHUP: self.reload,
+            signal.SIGTERM: self.stop,
+            signal.SIGINT: self.stop,
+            signal.SIGUSR1: self.show,
+        }
         signals.tell(lambda number: self.reactor.callFromThread(calls[number]))
         globalLogBeginner.beginLoggingTo([self._observe], redirectStandardIO=False)
         self.reactor.run(installSignalHandlers=False)
@@ -90,8 +94,11 @@
             left.append("purges")
         if start.trace != self.start.trace:
             left.append("trace")
-        self.log("reloaded", f"follows {start.feed[0]}:{start.feed[1]}"
-                 + (f"; stays as it was until a restart: {', '.join(left)}" if left else ""))
+        self.log(
+            "reloaded",
+            f"follows {start.feed[0]}:{start.feed[1]}"
+            + (f"; stays as it was until a restart: {', '.join(left)}" if left else ""),
+        )
         self.router.reload(start)
         if self.router.purges is not None and start.purges is not None:
             self.router.purges.feed.move(follows(start.purges))
--- a/hookrouter/node/start.py
+++ b/hookrouter/node/start.py
@@ -46,11 +46,14 @@
     """(section, tags by object or None): what the two files say together, or Malformed."""
     for kind in kinds:
         if kind.fresh + kind.grace > purges["hold"]:
-            raise Malformed(f"[purges] hold: shorter than copies of {kind.name} may answer, "
-                            f"{(kind.fresh + kind.grace) / terms.SECOND:g} s")
+            raise Malformed(
+                f"[purges] hold: shorter than copies of {kind.name} may answer, "
+                f"{(kind.fresh + kind.grace) / terms.SECOND:g} s"
+            )
     if purges["tag file"] is None:
         return purges, None
     from ..purges.tags import read_list
+
     try:
         with opened(purges["tag file"], encoding="utf-8") as file:
             return purges, read_list(file)
@@ -75,8 +78,11 @@
     sockets = limits.get("sockets", terms.whole)
     if sockets < 64:
         raise Malformed(f"config.limits.sockets: {sockets} is too few, 64 at least")
-    memory, flow, link = (limits.get("memory_mb", terms.whole), stated.get("flow_bytes_per_s", terms.number),
-                          stated.get("link_bytes_per_s", terms.number))
+    memory, flow, link = (
+        limits.get("memory_mb", terms.whole),
+        stated.get("flow_bytes_per_s", terms.number),
+        stated.get("link_bytes_per_s", terms.number),
+    )
     if flow <= 0 or link <= 0:
         raise Malformed("config.flow_bytes_per_s and config.link_bytes_per_s must be above 0")
     known = stated.get("known", terms.named)
@@ -89,11 +95,20 @@
         purges, tags = read_purges(sections["purges"], stated_terms.kinds, opened)
     return Start(
         name=environment.get("EDGE_NAME") or stated.get("name", terms.text),
-        listen=read_address(environment.get("EDGE_LISTEN") or stated.get("listen", terms.text),
-                            "EDGE_LISTEN"),
-        seed=stated.get("seed", seed), memory=memory, sockets=sockets,
+        listen=read_address(
+            environment.get("EDGE_LISTEN") or stated.get("listen", terms.text), "EDGE_LISTEN"
+        ),
+        seed=stated.get("seed", seed),
+        memory=memory,
+        sockets=sockets,
         feed=stated.get("feed", read_address),
         terms=stated_terms._replace(
-            own_room=int(COPIES * room_left(memory)), own_flows=link / flow, own_flow=flow / terms.SECOND),
-        purges=purges, paced="admission" in (sections or {}), tags=tags, trace=(sections or {}).get("trace"),
-        last=last, known=events)
+            own_room=int(COPIES * room_left(memory)), own_flows=link / flow, own_flow=flow / terms.SECOND
+        ),
+        purges=purges,
+        paced="admission" in (sections or {}),
+        tags=tags,
+        trace=(sections or {}).get("trace"),
+        last=last,
+        known=events,
+    )
--- a/hookrouter/node/told.py
+++ b/hookrouter/node/told.py
@@ -17,7 +17,10 @@
         self.router, self.control = router, router.control
         self.tally = router.tally = Tally()
         self.health, self.times, self.cold = (
-            router.control.health, router.control.times, router.control.cold)
+            router.control.health,
+            router.control.times,
+            router.control.cold,
+        )
 
     def loads(self, now):
         return self.tally.look(now)
@@ -38,12 +41,22 @@
                 continue
             took, refused = self.tally.answers.get(name, (0.0, 0.0))
             born = self.cold.born[n]
-            rows.append(w.Soft(name, min(1_000, self.health.strikes[n]), bool(self.cold.lost[n]), took,
-                               min(1.0, refused), max(0, now - born) if born else -1,
-                               max(0, now - control.heard[n])))
-        kinds = [w.Times(name, max(0.0, self.times.average[k]), max(0.0, self.times.deviation[k]), 0)
-                 for name, k in control.kinds.items()]
-        return soft.Learnt(rows[:soft.MOST_CACHES], kinds[:soft.MOST_KINDS])
+            rows.append(
+                w.Soft(
+                    name,
+                    min(1_000, self.health.strikes[n]),
+                    bool(self.cold.lost[n]),
+                    took,
+                    min(1.0, refused),
+                    max(0, now - born) if born else -1,
+                    max(0, now - control.heard[n]),
+                )
+            )
+        kinds = [
+            w.Times(name, max(0.0, self.times.average[k]), max(0.0, self.times.deviation[k]), 0)
+            for name, k in control.kinds.items()
+        ]
+        return soft.Learnt(rows[: soft.MOST_CACHES], kinds[: soft.MOST_KINDS])
 
     def adopt(self, told):
         """told: soft.Learnt of each neighbour that lent; number of rows taken over."""
--- a/hookrouter/parsers/http1.py
+++ b/hookrouter/parsers/http1.py
@@ -11,7 +11,14 @@
 BARE = frozenset((204, 304))  # statuses without a body
 
 HEAD, COUNTED, SIZE, CHUNK, CHUNK_END, TRAILER, UNTIL_CLOSE = (
-    "head", "counted", "size", "chunk", "chunk end", "trailer", "until close")
+    "head",
+    "counted",
+    "size",
+    "chunk",
+    "chunk end",
+    "trailer",
+    "until close",
+)
 
 
 class Answer:
@@ -80,7 +87,7 @@
                 raise Malformed(f"a head of more than {LONGEST_HEAD} bytes")
             return False
         answer = read_head(self.buffer, end)
-        del self.buffer[:end + 4]
+        del self.buffer[: end + 4]
         if answer.status < 200:
             return True  # an interim answer: the real one follows
         self.total = 0
@@ -147,16 +154,27 @@
         return True
 
 
-STEPS = {HEAD: Answers._head, COUNTED: Answers._counted, SIZE: Answers._size, CHUNK: Answers._counted,
-         CHUNK_END: Answers._chunk_end, TRAILER: Answers._trailer, UNTIL_CLOSE: Answers._rest}
+STEPS = {
+    HEAD: Answers._head,
+    COUNTED: Answers._counted,
+    SIZE: Answers._size,
+    CHUNK: Answers._counted,
+    CHUNK_END: Answers._chunk_end,
+    TRAILER: Answers._trailer,
+    UNTIL_CLOSE: Answers._rest,
+}
 
 
 def read_head(buffer, end):
     """The head in buffer[:end], read line by line in place."""
     line_end = buffer.find(b"\r\n", 0, end)
-    first = bytes(buffer[:line_end if line_end >= 0 else end])
-    if first[:7] != b"HTTP/1." or first[7:9] not in (b"0 ", b"1 ") or not first[9:12].isdigit() or (
-            len(first) > 12 and first[12:13] != b" "):
+    first = bytes(buffer[: line_end if line_end >= 0 else end])
+    if (
+        first[:7] != b"HTTP/1."
+        or first[7:9] not in (b"0 ", b"1 ")
+        or not first[9:12].isdigit()
+        or (len(first) > 12 and first[12:13] != b" ")
+    ):
         raise Malformed("a status line that is none")
     status, fields = int(first[9:12]), {}
     if not 100 <= status <= 599:
@@ -172,7 +190,7 @@
         name = bytes(buffer[at:colon]).lower()
         if name != name.strip():
             raise Malformed("a field's name with spaces")
-        value = bytes(buffer[colon + 1:line_end]).strip()
+        value = bytes(buffer[colon + 1 : line_end]).strip()
         if name in fields and name == b"content-length" and fields[name] != value:
             raise Malformed("two lengths")
         fields[name] = value
--- a/hookrouter/parsers/thrift.py
+++ b/hookrouter/parsers/thrift.py
@@ -40,7 +40,7 @@
                 raise Malformed(f"a frame of {length} bytes, not of 1 to {self.longest}")
             if len(buffer) - at - 4 < length:
                 break
-            frames.append(bytes(memoryview(buffer)[at + 4:at + 4 + length]))
+            frames.append(bytes(memoryview(buffer)[at + 4 : at + 4 + length]))
             at += 4 + length
         if at:
             del buffer[:at]
@@ -60,7 +60,7 @@
             raise Malformed(f"version {head >> 16:#06x}, not strict binary")
         if not 0 <= length <= LONGEST_NAME or len(frame) < 12 + length:
             raise Malformed(f"a method's name of {length} bytes")
-        self.kind, self.name = head & 0xFF, frame[8:8 + length]
+        self.kind, self.name = head & 0xFF, frame[8 : 8 + length]
         self.seqid = INT_AT.unpack_from(frame, 8 + length)[0]
         self.frame, self.at = frame, 12 + length
 
@@ -82,7 +82,7 @@
         return (value != 0 if kind == BOOL else value), at + fixed.size
     if kind == STRING:
         length, at = read_size(frame, at, 1)
-        return frame[at:at + length], at + length
+        return frame[at : at + length], at + length
     if depth >= DEEPEST:
         raise Malformed(f"nested more than {DEEPEST} deep")
     if kind == STRUCT:
@@ -144,7 +144,7 @@
         if not 0 <= length <= size - at:
             raise Malformed(f"a length of {length} beyond the frame")
         at += 4 + length
-        texts.append(frame[at - length:at])
+        texts.append(frame[at - length : at])
     return dict(zip(texts[::2], texts[1::2])), at
 
 
@@ -162,6 +162,7 @@
 
 # ---- writing: pieces to be sent one after another, so that a body is never copied into them
 
+
 def field(kind, number):
     return FIELD_AT.pack(kind, number)
 
@@ -186,5 +187,9 @@
 
 
 def application_exception(name, seqid, code, text):
-    return message(EXCEPTION, name, seqid, field(STRING, 1) + string(text.encode())
-                   + field(I32, 2) + INT_AT.pack(code) + bytes((STOP,)))
+    return message(
+        EXCEPTION,
+        name,
+        seqid,
+        field(STRING, 1) + string(text.encode()) + field(I32, 2) + INT_AT.pack(code) + bytes((STOP,)),
+    )
--- a/hookrouter/purges/bounds.py
+++ b/hookrouter/purges/bounds.py
@@ -1,5 +1,4 @@
-"""How old a copy may be: the newest purge of one name, and the newest that binds answers of sends out, too.
-"""
+"""How old a copy may be: the newest purge of a name, and the newest that binds answers of sends out, too."""
 
 
 class Bound:
--- a/hookrouter/purges/index.py
+++ b/hookrouter/purges/index.py
@@ -99,8 +99,13 @@
         tags: of the copy or object, None where they are not known. Remembered, for a lookup asks three times.
         """
         row = self.asked.get(name)
-        if (row is not None and row[0] == self.version and row[3] == tags and row[1] == kind
-                and row[2] == group):
+        if (
+            row is not None
+            and row[0] == self.version
+            and row[3] == tags
+            and row[1] == kind
+            and row[2] == group
+        ):
             return row[4]
         found = [*self.objects.find(name), *self.groups.find(group), self.all]
         if tags is None:
@@ -113,8 +118,11 @@
         if row is None and len(self.asked) >= REMEMBERED:
             del self.asked[next(iter(self.asked))]
         found = tuple(bound for bound in found if bound is not None)
-        made = (max((bound.newest for bound in found), default=0),
-                max((bound.told for bound in found), default=0), found)
+        made = (
+            max((bound.newest for bound in found), default=0),
+            max((bound.told for bound in found), default=0),
+            found,
+        )
         self.asked[name] = self.version, kind, group, tags, made
         return made
 
--- a/hookrouter/purges/ledger.py
+++ b/hookrouter/purges/ledger.py
@@ -66,8 +66,7 @@
 
 
 class Ledger:
-    """tail: what is durable and told. keys: idempotency key -> its purges, of all that are not folded away.
-    """
+    """tail: what is durable and told. keys: idempotency key -> its purges, of all not folded away."""
 
     def __init__(self, tail, keys, limits):
         self.tail, self.keys, self.limits = tail, keys, limits
@@ -94,8 +93,10 @@
             return [full]
         # The desk's clock may go back; the order's times do not.
         self.made = max(self.made, now)
-        purges = tuple(w.Purge(self.tail.epoch, self.next + n, self.made, sort, what)
-                       for n, (sort, what) in enumerate(submission.items))
+        purges = tuple(
+            w.Purge(self.tail.epoch, self.next + n, self.made, sort, what)
+            for n, (sort, what) in enumerate(submission.items)
+        )
         self.next += len(purges)
         self.pending += len(purges)
         self.open[submission.key] = [purges, []]
@@ -149,13 +150,21 @@
         new = [(sort, what) for sort, what in submission.items if (sort, what) not in live]
         matching = sum(sort in w.PATTERNS for sort, _ in new)
         if matching and self.patterns + matching > self.limits.most_patterns:
-            return Refused(submission.token, "busy",
-                           f"{self.patterns} patterns are live, {self.limits.most_patterns} may be; "
-                           "purge by tag, group or object, or a wider pattern", RETRY)
+            return Refused(
+                submission.token,
+                "busy",
+                f"{self.patterns} patterns are live, {self.limits.most_patterns} may be; "
+                "purge by tag, group or object, or a wider pattern",
+                RETRY,
+            )
         if len(live) + self.pending + len(new) > self.limits.most_live:
-            return Refused(submission.token, "busy",
-                           f"{len(live)} purges are live, {self.limits.most_live} may be; "
-                           "purge by tag, group or pattern", RETRY)
+            return Refused(
+                submission.token,
+                "busy",
+                f"{len(live)} purges are live, {self.limits.most_live} may be; "
+                "purge by tag, group or pattern",
+                RETRY,
+            )
         self.patterns += matching
         return None
 
@@ -178,8 +187,9 @@
             self.state = IDLE
             return []
         self.state = WRITING
-        return [Write(tuple((purge, submission.key)
-                            for submission, purges in self.batch for purge in purges))]
+        return [
+            Write(tuple((purge, submission.key) for submission, purges in self.batch for purge in purges))
+        ]
 
     def _done(self):
         effects, told, keys = [], [], []
@@ -195,8 +205,7 @@
         return [*effects, Tell(tuple(told), tuple(keys)), *self._write()]
 
     def _break(self):
-        """All that was not durable is refused; what of it is on disk is found when the store is read again.
-        """
+        """All that was not durable is refused; what of it is on disk is found when the store is next read."""
         effects = []
         for submission, purges in (*self.batch, *self.waiting):
             for token in (submission.token, *self._close(submission, purges)):
--- a/hookrouter/purges/members.py
+++ b/hookrouter/purges/members.py
@@ -84,8 +84,9 @@
             if row is not None and row.until > now:
                 # Routers below a relay's former life, or a second one of the same name, may rely on it yet.
                 self.ghosts.append((row.until, row.n))
-            row = self.rows[renewal.name] = Member(renewal.name, renewal.generation, now,
-                                                   row is not None and row.had_lease)
+            row = self.rows[renewal.name] = Member(
+                renewal.name, renewal.generation, now, row is not None and row.had_lease
+            )
         row.heard, row.relay, row.skew = now, renewal.relay, renewal.skew
         if not renewal.on_branch:
             return 0
@@ -174,8 +175,11 @@
 
     def behind(self, now, n):
         """Members that lack this purge, as (name, state, position), the farthest behind first."""
-        rows = [(row.name, self.state(now, row), row.all) for row in self.rows.values()
-                if row.all < n and row.had_lease]
+        rows = [
+            (row.name, self.state(now, row), row.all)
+            for row in self.rows.values()
+            if row.all < n and row.had_lease
+        ]
         return sorted(rows, key=lambda row: (row[2], row[0]))
 
     def _strike_off(self, now):
--- a/hookrouter/purges/patterns.py
+++ b/hookrouter/purges/patterns.py
@@ -62,8 +62,7 @@
         inner = inner[negated:]
         if not inner:
             raise ValueError("an empty [] in a glob")
-        pieces.append("[" + "^" * negated + "".join(
-            c if c == "-" else escaped(c) for c in inner) + "]")
+        pieces.append("[" + "^" * negated + "".join(c if c == "-" else escaped(c) for c in inner) + "]")
     return "".join(pieces)
 
 
@@ -150,8 +149,8 @@
             last = self.segments[-JOINED:]
             size = len(last[0].bounds)
             if size * JOINED > LARGEST or any(
-                    len(one.bounds) != size or one.first != last[0].first + n * size
-                    for n, one in enumerate(last)):
+                len(one.bounds) != size or one.first != last[0].first + n * size for n, one in enumerate(last)
+            ):
                 return
             whole = Segment(last[0].first)
             for one in last:
@@ -187,8 +186,9 @@
         for segment in reversed(self.segments):  # the newest first: most of them have been seen
             if segment.first + len(segment.bounds) <= seen:
                 break
-            bounds.extend(segment.bounds[n] for n in segment.set.Match(name)
-                          or () if segment.first + n >= seen)
+            bounds.extend(
+                segment.bounds[n] for n in segment.set.Match(name) or () if segment.first + n >= seen
+            )
         merged = None
         for bound in bounds:
             merged = bound.copy() if merged is None else merged.join(bound)
--- a/hookrouter/purges/place.py
+++ b/hookrouter/purges/place.py
@@ -4,7 +4,12 @@
 
 # How what came stands to the place, and what is done.
 REPEATED, NEXT, GAP, LOWER_EPOCH, SNAPSHOT_PART = (
-    "repeated", "next", "gap", "lower epoch", "part of a snapshot")
+    "repeated",
+    "next",
+    "gap",
+    "lower epoch",
+    "part of a snapshot",
+)
 PASS, APPLY, CUT, KEEP = "pass", "apply", "cut", "keep"
 TABLE = {
     REPEATED: PASS,
--- a/hookrouter/purges/tags.py
+++ b/hookrouter/purges/tags.py
@@ -5,8 +5,7 @@
 
 
 def read_tags(text):
-    """Tags of a field, apart by spaces or commas, or None where they are not to be used: then any tag counts.
-    """
+    """Tags of a field, apart by spaces or commas, or None where they are not usable: then any tag counts."""
     tags = tuple(dict.fromkeys(text.replace(",", " ").split()))
     if len(tags) > MOST_TAGS or any(len(tag) > LONGEST_TAG or not tag.isprintable() for tag in tags):
         return None
--- a/hookrouter/purges/tail.py
+++ b/hookrouter/purges/tail.py
@@ -11,7 +11,12 @@
 
 # How a follower's position stands to this order, and what it is given.
 SAME_BRANCH, OLD, OTHER_BRANCH, BEYOND, NEWER_EPOCH = (
-    "same branch", "old", "other branch", "beyond", "newer epoch")
+    "same branch",
+    "old",
+    "other branch",
+    "beyond",
+    "newer epoch",
+)
 RESUME, SNAPSHOT, RAISE = "resume", "snapshot", "raise"
 TABLE = {
     SAME_BRANCH: RESUME,
--- a/hookrouter/site.py
+++ b/hookrouter/site.py
@@ -31,6 +31,7 @@
 
 # ---- values
 
+
 def amount(units, least, most, example):
     """Reads a number with its unit, in whole units of the program, from least to most of them."""
     pattern = re.compile(r"(\d+(?:\.\d+)?)\s*([A-Za-z%]+)")
@@ -48,8 +49,9 @@
 
 
 def shown(value, units):
-    unit = max((u for u in units if units[u] <= max(1, value)), key=lambda u: units[u],
-               default=next(iter(units)))
+    unit = max(
+        (u for u in units if units[u] <= max(1, value)), key=lambda u: units[u], default=next(iter(units))
+    )
     return f"{value / units[unit]:g} {unit}"
 
 
@@ -98,8 +100,10 @@
         found[name(who.strip(), folder)] = address(where.strip(), folder)
     different = len(set(found.values())) == len(found) == text.count(",") + 1
     if len(found) not in (3, 5) or not different:
-        raise Wrong("three or five keepers of different names and addresses are wanted, as in "
-                    "k1 10.0.0.1:9300, k2 10.0.0.2:9300, k3 10.0.0.3:9300")
+        raise Wrong(
+            "three or five keepers of different names and addresses are wanted, as in "
+            "k1 10.0.0.1:9300, k2 10.0.0.2:9300, k3 10.0.0.3:9300"
+        )
     return found
 
 
@@ -165,15 +169,25 @@
         "desk": Key(addresses, WANTED, "where purges are submitted; the keepers' where a fleet has the desk"),
         "follow": Key(address, None, "where routers follow: a relay, or else the desk"),
         "secret": Key(secret, WANTED, "file with the secret that submitters and followers share"),
-        "lease": Key(span(5_000, 60 * SECOND, "2 s"), 2 * SECOND,
-                     "without word of the desk for that long a router fences itself"),
-        "hold": Key(span(60 * SECOND, 30 * 86_400 * SECOND, "24 h"), 24 * 3_600 * SECOND,
-                    "no copy older than that answers; purges are folded away then"),
-        "grace": Key(span(0, SECOND), 5_000,
-                     "from that long after it was told a purge binds sends that were out"),
+        "lease": Key(
+            span(5_000, 60 * SECOND, "2 s"),
+            2 * SECOND,
+            "without word of the desk for that long a router fences itself",
+        ),
+        "hold": Key(
+            span(60 * SECOND, 30 * 86_400 * SECOND, "24 h"),
+            24 * 3_600 * SECOND,
+            "no copy older than that answers; purges are folded away then",
+        ),
+        "grace": Key(
+            span(0, SECOND), 5_000, "from that long after it was told a purge binds sends that were out"
+        ),
         "skew": Key(span(0, 4_000, "20 ms"), 200, "between the clocks of desk, origin and routers, at most"),
-        "fenced": Key(word(w.YOUNG, w.NACK), w.YOUNG,
-                      "a router without a lease answers from copies younger than the lease, or nacks"),
+        "fenced": Key(
+            word(w.YOUNG, w.NACK),
+            w.YOUNG,
+            "a router without a lease answers from copies younger than the lease, or nacks",
+        ),
         "tags": Key(word(w.ANSWERS, w.FILE), w.ANSWERS, "where the tags of objects come from"),
         "tag file": Key(file, None, "a line an object: its id, then its tags"),
         "names": Key(count(100, 10_000_000), 100_000, "objects and tags that a router keeps one by one"),
@@ -192,8 +206,11 @@
         "store": Key(path, WANTED, "file with the names of its members, on a disk that lasts"),
     },
     "admission": {
-        "share": Key(amount({"%": 1}, 10, 99, "95 %"), 95,
-                     "of a desk's or relay's time that returns may take; what each takes is measured"),
+        "share": Key(
+            amount({"%": 1}, 10, 99, "95 %"),
+            95,
+            "of a desk's or relay's time that returns may take; what each takes is measured",
+        ),
         "secret": Key(secret, None, "file with the secret of tickets; without it they bear that of [purges]"),
     },
     "trace": {
@@ -209,27 +226,43 @@
         "keepers": Key(keepers, WANTED, "the three or five that decide: NAME ADDRESS:PORT, ..."),
         "secret": Key(secret, WANTED, "file with the secret that all members share"),
         "store": Key(path, None, "a keeper's file, on a disk that lasts"),
-        "lease": Key(span(2_000, 60 * SECOND, "1 s"), SECOND,
-                     "of a duty: without word for that long it is lost"),
+        "lease": Key(
+            span(2_000, 60 * SECOND, "1 s"), SECOND, "of a duty: without word for that long it is lost"
+        ),
         "drill": Key(address, None, "a register at which duties named drill/... are worked"),
     },
     "sharing": {
-        "silent after": Key(span(2 * SECOND, 60 * SECOND, "8 s"), 8 * SECOND,
-                            "who hears nothing of its zone for that long decides alone"),
-        "pull within": Key(span(0, 10 * SECOND, "1 s"), SECOND,
-                           "a router that starts waits for what neighbours learnt, at most"),
-        "lend": Key(amount(SIZES, 20_000, 100_000_000, "256 kB"), 256_000,
-                    "of lists a second that this router lends, to all together"),
+        "silent after": Key(
+            span(2 * SECOND, 60 * SECOND, "8 s"),
+            8 * SECOND,
+            "who hears nothing of its zone for that long decides alone",
+        ),
+        "pull within": Key(
+            span(0, 10 * SECOND, "1 s"),
+            SECOND,
+            "a router that starts waits for what neighbours learnt, at most",
+        ),
+        "lend": Key(
+            amount(SIZES, 20_000, 100_000_000, "256 kB"),
+            256_000,
+            "of lists a second that this router lends, to all together",
+        ),
     },
     "spread": {
-        "lease": Key(span(SECOND, 10 * SECOND, "2 s"), 2 * SECOND,
-                     "of a share of a cold cache that one router cedes to another"),
+        "lease": Key(
+            span(SECOND, 10 * SECOND, "2 s"),
+            2 * SECOND,
+            "of a share of a cold cache that one router cedes to another",
+        ),
     },
     "warming": {
         "lenders": Key(count(1, 16), 5, "routers of the zone whose lists the owner of a warming borrows"),
         "slots": Key(count(1, 64), 4, "fills out at one source, for all warmings together"),
-        "room": Key(amount(SIZES, 1_000_000, 1 << 50, "200 GB"), None,
-                    "what a cache keeps; without it names count as asked for half a minute ahead"),
+        "room": Key(
+            amount(SIZES, 1_000_000, 1 << 50, "200 GB"),
+            None,
+            "what a cache keeps; without it names count as asked for half a minute ahead",
+        ),
     },
     "log": {
         "format": Key(word("text", "json"), "text", "lines for people, or a JSON object each"),
@@ -240,7 +273,8 @@
 def contradictions(sections):
     """(section, key, what is wrong) for each pair of values that cannot both be meant."""
     if (fleet := sections.get("fleet")) is not None and (fleet["name"] in fleet["keepers"]) != (
-            fleet["store"] is not None):
+        fleet["store"] is not None
+    ):
         yield "fleet", "store", "wanted where this member is one of the keepers, and only there"
     if "admission" in sections and "purges" not in sections:
         yield "admission", None, "[purges] is missing; what is paced are returns to its desk and relays"
@@ -265,6 +299,7 @@
 
 # ---- the file
 
+
 def read(name, opened=open):
     """{section: {key: value}} for the sections that are there; Refused with every fault."""
     try:
@@ -332,9 +367,15 @@
 
 def purge_terms(purges):
     """The section [purges] as a router's PurgeTerms."""
-    return w.PurgeTerms(lease=purges["lease"], hold=purges["hold"], grace=purges["grace"],
-                        skew=purges["skew"],
-                        fenced=purges["fenced"], most_names=purges["names"], most_tagged=purges["tagged"])
+    return w.PurgeTerms(
+        lease=purges["lease"],
+        hold=purges["hold"],
+        grace=purges["grace"],
+        skew=purges["skew"],
+        fenced=purges["fenced"],
+        most_names=purges["names"],
+        most_tagged=purges["tagged"],
+    )
 
 
 def follows(purges):
--- a/hookrouter/stores/purge_log.py
+++ b/hookrouter/stores/purge_log.py
@@ -47,8 +47,10 @@
     """(Purge, key); ValueError or struct.error where it is none."""
     epoch, n, made, of_sort, of_what = NUMBERS.unpack_from(body)
     sort, what = NUMBERS.size + of_sort, NUMBERS.size + of_sort + of_what
-    return (Purge(epoch, n, made, body[NUMBERS.size:sort].decode(), body[sort:what].decode()),
-            body[what:].decode())
+    return (
+        Purge(epoch, n, made, body[NUMBERS.size : sort].decode(), body[sort:what].decode()),
+        body[what:].decode(),
+    )
 
 
 def seal(before, purge, key):
@@ -59,8 +61,13 @@
     def __init__(self, path, must_exist=False):
         self.path = path
         try:
-            self.file = sqlite3.connect(f"file:{path}?mode={'rw' if must_exist else 'rwc'}", uri=True,
-                                        isolation_level=None, check_same_thread=False, timeout=BUSY)
+            self.file = sqlite3.connect(
+                f"file:{path}?mode={'rw' if must_exist else 'rwc'}",
+                uri=True,
+                isolation_level=None,
+                check_same_thread=False,
+                timeout=BUSY,
+            )
             self._open()
         except sqlite3.DatabaseError as wrong:
             raise not_opened(path, wrong, "a desk") from None
@@ -94,8 +101,12 @@
     def load(self):
         """All that is there, each seal checked. Damaged names the first row that is not as it was written."""
         rows = list(self._rows())
-        return Loaded(self._fact("epoch"), self._fact("floor"), rows,
-                      self.file.execute("SELECT name, generation FROM members ORDER BY name").fetchall())
+        return Loaded(
+            self._fact("epoch"),
+            self._fact("floor"),
+            rows,
+            self.file.execute("SELECT name, generation FROM members ORDER BY name").fetchall(),
+        )
 
     def _rows(self):
         n = 0
@@ -127,8 +138,11 @@
         """(purges that are sound, what is wrong, a line each)."""
         sound, wrong = 0, []
         try:
-            wrong += [f"{self.path}: {row[0]}" for row in self.file.execute("PRAGMA integrity_check(20)")
-                      if row[0] != "ok"]
+            wrong += [
+                f"{self.path}: {row[0]}"
+                for row in self.file.execute("PRAGMA integrity_check(20)")
+                if row[0] != "ok"
+            ]
         except sqlite3.DatabaseError as error:
             wrong.append(f"{self.path}: {error}")
         try:
@@ -227,8 +241,9 @@
 
     def _step_compare(self, first, bodies):
         for n, body in enumerate(bodies, first):
-            row = self.file.execute("SELECT epoch, n, made, sort, what, key FROM purges WHERE n = ?",
-                                    (n,)).fetchone()
+            row = self.file.execute(
+                "SELECT epoch, n, made, sort, what, key FROM purges WHERE n = ?", (n,)
+            ).fetchone()
             if row is not None and pack(Purge(*row[:5]), row[5]) != body:
                 raise Differs(f"purge {n} is another")
 
@@ -243,8 +258,9 @@
         else:
             start, start_seal, agrees = after, own, own == told
         bodies, size = [], 0
-        rows = self.file.execute("SELECT epoch, n, made, sort, what, key FROM purges WHERE n > ? ORDER BY n",
-                                 (start,))
+        rows = self.file.execute(
+            "SELECT epoch, n, made, sort, what, key FROM purges WHERE n > ? ORDER BY n", (start,)
+        )
         for row in rows:
             bodies.append(pack(Purge(*row[:5]), row[5]))
             size += len(bodies[-1])
@@ -258,12 +274,20 @@
 
     def older(self, made, most):
         """The number of the last of the oldest purges made before then, so many at most; 0: none."""
-        row = self.file.execute("SELECT max(n) FROM (SELECT n, made FROM purges ORDER BY n LIMIT ?) "
-                                "WHERE made < ?", (most, made)).fetchone()
+        row = self.file.execute(
+            "SELECT max(n) FROM (SELECT n, made FROM purges ORDER BY n LIMIT ?) " "WHERE made < ?",
+            (most, made),
+        ).fetchone()
         return row[0] or 0
 
 
 # of hookrouter/replicas/copy.py -> what is done; within one transaction
-STEPS = {"keep": PurgeLog._step_keep, "open": PurgeLog._step_open, "names": PurgeLog._step_names,
-         "sweep": PurgeLog._step_sweep, "reset": PurgeLog._floor, "verify": PurgeLog._step_verify,
-         "compare": PurgeLog._step_compare}
+STEPS = {
+    "keep": PurgeLog._step_keep,
+    "open": PurgeLog._step_open,
+    "names": PurgeLog._step_names,
+    "sweep": PurgeLog._step_sweep,
+    "reset": PurgeLog._floor,
+    "verify": PurgeLog._step_verify,
+    "compare": PurgeLog._step_compare,
+}
--- a/hookrouter/stores/trace_log.py
+++ b/hookrouter/stores/trace_log.py
@@ -38,7 +38,7 @@
     def _next(self):
         self.close()
         self.number += 1
-        for _, path in segments(self.folder, self.name)[:-(SEGMENTS - 1)]:
+        for _, path in segments(self.folder, self.name)[: -(SEGMENTS - 1)]:
             os.unlink(path)
         self.file = open(os.path.join(self.folder, f"{self.name}.{self.number:08d}.trace"), "xb")
         self.size = self.file.write(self.compressor.compress(self.header))
--- a/hookrouter/tables/beliefs.py
+++ b/hookrouter/tables/beliefs.py
@@ -13,8 +13,26 @@
 class Held:
     """A lookup that still lacks its final answer."""
 
-    __slots__ = ("id", "kind", "name", "key", "group", "work", "due", "state", "sends", "overruns",
-                 "caches", "doubts", "sources", "straight", "hits_only", "refused", "own", "why")
+    __slots__ = (
+        "id",
+        "kind",
+        "name",
+        "key",
+        "group",
+        "work",
+        "due",
+        "state",
+        "sends",
+        "overruns",
+        "caches",
+        "doubts",
+        "sources",
+        "straight",
+        "hits_only",
+        "refused",
+        "own",
+        "why",
+    )
 
     def __init__(self, lk, kind, flow, state):
         """kind: its place among the terms' kinds; flow: KB a second of one answer, 0 where not told."""
@@ -71,7 +89,7 @@
         if n is None:
             n = self.index[cache.id] = self._free()
             for column, first in self.columns:
-                column[n:n + 1] = [first]
+                column[n : n + 1] = [first]
             self.ids[n], self.sort[n] = cache.id, cache.sort
             self.cell[n], self.where[n] = cache.cell, cache.zone
         return n
--- a/hookrouter/tables/deadlines.py
+++ b/hookrouter/tables/deadlines.py
@@ -38,8 +38,7 @@
             self.dropped = 0
 
     def sooner(self, entry, seconds):
-        """Whether a call that much from now would come before this one; so it would where this one is over.
-        """
+        """Whether a call that much from now would come before this one; true where this one is over."""
         return entry[2] is None or self.clock.seconds() + seconds < entry[0]
 
     def due(self, entry, unit):
--- a/hookrouter/tables/kept.py
+++ b/hookrouter/tables/kept.py
@@ -27,8 +27,11 @@
 
     def purge(self, what, made):
         """Names of the copies of that object or group that were made by then; they are gone."""
-        return [name for name, (since, _, group) in list(self.copies.items())
-                if since <= made and what in (name[1], group) and self._drop(name)]
+        return [
+            name
+            for name, (since, _, group) in list(self.copies.items())
+            if since <= made and what in (name[1], group) and self._drop(name)
+        ]
 
     def _drop(self, name):
         copy = self.copies.pop(name, None)
--- a/hookrouter/tables/turns.py
+++ b/hookrouter/tables/turns.py
@@ -3,7 +3,7 @@
 from functools import lru_cache
 from math import gcd
 
-GOLDEN = (5 ** 0.5 - 1) / 2  # steps of this part of a round leave the widest gaps, however many are made
+GOLDEN = (5**0.5 - 1) / 2  # steps of this part of a round leave the widest gaps, however many are made
 
 
 @lru_cache(maxsize=4_096)  # units of a fleet; a router alone asks for its own, at each look at a cold cache
--- a/hookrouter/terms.py
+++ b/hookrouter/terms.py
@@ -95,39 +95,64 @@
     if not 0 <= origin < len(sorts) or not -1 <= parents < len(sorts):
         raise Malformed("conf.extra: upperKind or masterKind is outside machineTypes")
     topology = i.Topology(
-        number=conf.get("myNumber", whole), routers=conf.get("balancers", whole), zone=conf.get("az", text),
-        zones=conf.list("zones", text), hubs=extra.list("hubByZone", whole),
-        crews=extra.list("crewByZone", whole), links=extra.list("feedKbPerS", number),
-        parent_sort=None if parents < 0 else sorts[parents], origin_sort=sorts[origin],
-        siblings=extra.get("peersFill", word, SIBLINGS), flow=extra.get("oneFlowKbPerS", number))
+        number=conf.get("myNumber", whole),
+        routers=conf.get("balancers", whole),
+        zone=conf.get("az", text),
+        zones=conf.list("zones", text),
+        hubs=extra.list("hubByZone", whole),
+        crews=extra.list("crewByZone", whole),
+        links=extra.list("feedKbPerS", number),
+        parent_sort=None if parents < 0 else sorts[parents],
+        origin_sort=sorts[origin],
+        siblings=extra.get("peersFill", word, SIBLINGS),
+        flow=extra.get("oneFlowKbPerS", number),
+    )
     if topology.zone not in topology.zones or len(topology.crews) != len(topology.zones):
         raise Malformed("conf: az, zones and extra.crewByZone do not go together")
     return i.Terms(
-        topology=topology, kinds=read_kinds(conf, extra),
-        must_subscribe=conf.get("discovery", word, DISCOVERY), most_sends=limits.get("maxAttempts", whole),
-        second_copies=limits.get("mayDuplicate", flag), may_cancel=limits.get("mayCancel", flag),
-        may_probe=limits.get("probing", flag), may_whisper=limits.get("peers", flag),
-        pass_by=extra.get("mayPassBy", flag), joins=extra.get("joins", flag),
-        longest_stay_away=limits.get("maxRetryAfter", down), connect_for=limits.get("connectTimeout", down),
-        idle_for=limits.get("idleClose", down), most_held=limits.get("mostHeld", whole),
+        topology=topology,
+        kinds=read_kinds(conf, extra),
+        must_subscribe=conf.get("discovery", word, DISCOVERY),
+        most_sends=limits.get("maxAttempts", whole),
+        second_copies=limits.get("mayDuplicate", flag),
+        may_cancel=limits.get("mayCancel", flag),
+        may_probe=limits.get("probing", flag),
+        may_whisper=limits.get("peers", flag),
+        pass_by=extra.get("mayPassBy", flag),
+        joins=extra.get("joins", flag),
+        longest_stay_away=limits.get("maxRetryAfter", down),
+        connect_for=limits.get("connectTimeout", down),
+        idle_for=limits.get("idleClose", down),
+        most_held=limits.get("mostHeld", whole),
         advice=limits.get("retryAfter", flag),
         report_fields=conf.part("report").list("fields", text),
-        reports=conf.part("report").get("how", word, REPORTS), notes=extra.get("noteLevel", word, NOTES),
-        drain_grace=rules.get("drainGrace", down), purge_grace=extra.get("purgeGrace", down),
-        purge_done=extra.get("clearedWithin", up), cold_share=rules.get("coldFrom", number),
-        cold_for=rules.get("warmWithin", up), fall_multiple=rules.get("fallMultiple", number),
-        fall_for=rules.get("fall", up), parent_cold_share=extra.get("parentFloor", number),
+        reports=conf.part("report").get("how", word, REPORTS),
+        notes=extra.get("noteLevel", word, NOTES),
+        drain_grace=rules.get("drainGrace", down),
+        purge_grace=extra.get("purgeGrace", down),
+        purge_done=extra.get("clearedWithin", up),
+        cold_share=rules.get("coldFrom", number),
+        cold_for=rules.get("warmWithin", up),
+        fall_multiple=rules.get("fallMultiple", number),
+        fall_for=rules.get("fall", up),
+        parent_cold_share=extra.get("parentFloor", number),
         parent_cold_for=extra.get("parentCold", up),
         parent_fall_multiple=extra.get("parentFallMultiple", number),
         origin_fall_multiple=extra.get("originFallMultiple", number),
-        origin_fall_for=extra.get("originFall", up), tick=conf.get("tick", up))
+        origin_fall_for=extra.get("originFall", up),
+        tick=conf.get("tick", up),
+    )
 
 
 def read_kinds(conf, extra):
     rows = conf.get("classes", listed)
-    by_kind = [extra.list("freshFor", down), extra.list("classGrace", down),
-               extra.list("classStaleWorth", number), extra.list("classParts", flag),
-               extra.list("passOn", flag)]
+    by_kind = [
+        extra.list("freshFor", down),
+        extra.list("classGrace", down),
+        extra.list("classStaleWorth", number),
+        extra.list("classParts", flag),
+        extra.list("passOn", flag),
+    ]
     if any(len(column) != len(rows) for column in by_kind):
         raise Malformed("conf.extra: a list by class is not as long as conf.classes")
     kinds = []
@@ -135,13 +160,23 @@
         row = Stated(row, f"conf.classes[{n}]")
         effect = row.get("idempotency", word, EFFECTS)
         keyed = effect == i.DEDUPLICATED
-        kinds.append(i.ObjectKind(
-            name=row.get("name", text), latency_budget=row.get("aim", down),
-            # The wire leaves the key out where the budget does not stretch.
-            budget_stretch=row.get("aimStretch", number) if "aimStretch" in row.values else 0.0,
-            deadline=row.get("deadline", down), utility=row.get("worth", number),
-            late_share=row.get("lateWorth", number), effect=effect,
-            dropped_at=row.get("group", word, DROPPED) if keyed else i.EVERYWHERE,
-            remembered=row.get("memorySpan", down) if keyed else 0,
-            fresh=fresh, grace=grace, stale_share=stale, in_parts=parts, write=write))
+        kinds.append(
+            i.ObjectKind(
+                name=row.get("name", text),
+                latency_budget=row.get("aim", down),
+                # The wire leaves the key out where the budget does not stretch.
+                budget_stretch=row.get("aimStretch", number) if "aimStretch" in row.values else 0.0,
+                deadline=row.get("deadline", down),
+                utility=row.get("worth", number),
+                late_share=row.get("lateWorth", number),
+                effect=effect,
+                dropped_at=row.get("group", word, DROPPED) if keyed else i.EVERYWHERE,
+                remembered=row.get("memorySpan", down) if keyed else 0,
+                fresh=fresh,
+                grace=grace,
+                stale_share=stale,
+                in_parts=parts,
+                write=write,
+            )
+        )
     return tuple(kinds)
--- a/hookrouter/trace/account.py
+++ b/hookrouter/trace/account.py
@@ -116,8 +116,9 @@
             return
         number = len(lookup.sends)
         source, held = (fields[2], fields[7]) if len(fields) > len(i.Ask._fields) else (None, True)
-        sent = self.out[router, fields[0], number] = Send(row.at, fields[1], source, held,
-                                                          (*belief, self.at_cache[fields[1]]))
+        sent = self.out[router, fields[0], number] = Send(
+            row.at, fields[1], source, held, (*belief, self.at_cache[fields[1]])
+        )
         self.at_cache[fields[1]] += 1
         lookup.sends.append(sent)
 
@@ -154,8 +155,16 @@
         began, rows = min(end.at for end in self.ends), defaultdict(list)
         for end in self.ends:
             rows[(end.at - began) // (step * SECOND) * step].append(end)
-        return [(second, len(ends), shares(ends), self._earned(ends),
-                 sum(len(end.sends) for end in ends) / len(ends)) for second, ends in sorted(rows.items())]
+        return [
+            (
+                second,
+                len(ends),
+                shares(ends),
+                self._earned(ends),
+                sum(len(end.sends) for end in ends) / len(ends),
+            )
+            for second, ends in sorted(rows.items())
+        ]
 
     def by_size(self):
         """See sizes.by_size: whether large objects are answered as the rest of their kind is."""
@@ -185,8 +194,10 @@
                 key = end.kind, end.outcome, self.cause(end)
                 counted[key] += 1
                 worth[key] += (self.kinds[end.kind].utility - self._worth(end)) / asked
-        return [(key, counted[key], share) for key, share in
-                sorted(worth.items(), key=lambda row: (-row[1], row[0]))]
+        return [
+            (key, counted[key], share)
+            for key, share in sorted(worth.items(), key=lambda row: (-row[1], row[0]))
+        ]
 
     def cause(self, end):
         """Of one lookup that was not satisfied in its budget."""
@@ -211,8 +222,13 @@
         took = defaultdict(list)
         for end in self.ends:
             for sent, ended, time in end.sends:
-                way = "held" if sent.held_only else "itself" if sent.source == sent.target else (
-                    "with a source" if sent.source else "plain")
+                way = (
+                    "held"
+                    if sent.held_only
+                    else "itself"
+                    if sent.source == sent.target
+                    else ("with a source" if sent.source else "plain")
+                )
                 took[way, ended or "out at the end"].append(time or 0)
         return {key: (len(times), median(times)) for key, times in sorted(took.items())}
 
@@ -228,10 +244,16 @@
         found = []
         for bits, sent in sorted(rows.items()):
             windows = [belief[1] for belief, _ in sent if belief[1] is not None]
-            found.append((1 << bits >> 1, (1 << bits) - 1, len(sent),
-                          sum(belief[0] - 1 for belief, _ in sent) / len(sent),
-                          sum(windows) / len(windows) if windows else None,
-                          sum(good for _, good in sent) / len(sent)))
+            found.append(
+                (
+                    1 << bits >> 1,
+                    (1 << bits) - 1,
+                    len(sent),
+                    sum(belief[0] - 1 for belief, _ in sent) / len(sent),
+                    sum(windows) / len(windows) if windows else None,
+                    sum(good for _, good in sent) / len(sent),
+                )
+            )
         return found
 
 
@@ -241,5 +263,10 @@
 
 
 READERS = {"Lookup": Account._lookup, "SendEnd": Account._ended, "ClientGone": Account._gone}
-EFFECTS = {"Ask": Account._sent, "Obtain": Account._sent, "Nack": Account._nack, "Fail": Account._fail,
-           "Give": Account._given}
+EFFECTS = {
+    "Ask": Account._sent,
+    "Obtain": Account._sent,
+    "Nack": Account._nack,
+    "Fail": Account._fail,
+    "Give": Account._given,
+}
--- a/hookrouter/trace/replay.py
+++ b/hookrouter/trace/replay.py
@@ -3,8 +3,20 @@
 from .. import interface as i
 from ..control import Control
 
-EVENTS = {kind.__name__: kind for kind in (i.CacheList, i.Lookup, i.Begun, i.SendEnd, i.ClientGone, i.Alarm,
-                                           i.ProbeEnd, i.Whisper, i.Purged)}
+EVENTS = {
+    kind.__name__: kind
+    for kind in (
+        i.CacheList,
+        i.Lookup,
+        i.Begun,
+        i.SendEnd,
+        i.ClientGone,
+        i.Alarm,
+        i.ProbeEnd,
+        i.Whisper,
+        i.Purged,
+    )
+}
 
 
 class Replay:
@@ -45,5 +57,6 @@
 
 def terms_of(values):
     terms = i.Terms(*map(frozen, values))
-    return terms._replace(topology=i.Topology(*terms.topology),
-                          kinds=tuple(i.ObjectKind(*kind) for kind in terms.kinds))
+    return terms._replace(
+        topology=i.Topology(*terms.topology), kinds=tuple(i.ObjectKind(*kind) for kind in terms.kinds)
+    )
--- a/hookrouter/trace/rows.py
+++ b/hookrouter/trace/rows.py
@@ -50,8 +50,10 @@
 
 
 def header_of(name, terms, began, seed, guarded):
-    kinds = [KindRow(k.name, k.latency_budget, k.budget_stretch, k.deadline, k.utility, k.late_share)
-             for k in terms.kinds]
+    kinds = [
+        KindRow(k.name, k.latency_budget, k.budget_stretch, k.deadline, k.utility, k.late_share)
+        for k in terms.kinds
+    ]
     return Header(name, __version__, terms.topology.flow / SECOND, kinds, began, seed, list(terms), guarded)
 
 
@@ -64,8 +66,10 @@
         self.encode = msgspec.json.Encoder(enc_hook=list).encode
 
     def decided(self, now, event, effects, control, ref=None):
-        said = [(type(effect).__name__, effect, belief(control, effect) if type(effect) in SENDS else None)
-                for effect in effects]
+        said = [
+            (type(effect).__name__, effect, belief(control, effect) if type(effect) in SENDS else None)
+            for effect in effects
+        ]
         line = self.encode((now, type(event).__name__, event, said, ref))
         self.lines.append(line)
         self.size += len(line) + 1
@@ -82,8 +86,12 @@
     via = None
     if source is not None:  # what feeds it: a parent or the origin that is the target itself
         via = n if n not in control.edges else control.index[source]
-    return (control.out[n], control.windows.room[n], None if via is None else control.out[via],
-            None if via is None else control.windows.room[via])
+    return (
+        control.out[n],
+        control.windows.room[n],
+        None if via is None else control.out[via],
+        None if via is None else control.windows.room[via],
+    )
 
 
 decode_header = msgspec.json.Decoder(Header).decode
--- a/hookrouter/trace/sizes.py
+++ b/hookrouter/trace/sizes.py
@@ -21,7 +21,7 @@
         count = len(sized)
         largest = max(1, int(count * (TENTH if count >= FEW else QUARTER)))
         whole = share(sized)
-        parts = share(sized[:largest]), share(sized[largest:largest + int(count * FIFTH)])
+        parts = share(sized[:largest]), share(sized[largest : largest + int(count * FIFTH)])
         rows[kind] = count, whole, *(part / whole if whole else 0.0 for part in parts)
     return rows
 
--- a/standins/followers.py
+++ b/standins/followers.py
@@ -29,8 +29,9 @@
 
     def __init__(self, sections, name, history, dice, forget, rude, deadlines):
         purges = sections["purges"]
-        super().__init__(reactor, deadlines, self, follows(purges), purges, name, lambda *a, **k: None,
-                         lambda what: None)
+        super().__init__(
+            reactor, deadlines, self, follows(purges), purges, name, lambda *a, **k: None, lambda what: None
+        )
         if "admission" in sections and not rude:
             self.pace()
         self.fence, self.history, self.up, self.last_row = Fence(purges["lease"]), history, False, None
@@ -108,8 +109,10 @@
     sections, dice = read(site), Random(count)
     file = open(history, "w", encoding="utf-8", buffering=1)
     deadlines = Deadlines(reactor)
-    followers = [Follower(sections, f"{prefix}{n:03d}", file, dice, forget, dice.random() < rude, deadlines)
-                 for n in range(count)]
+    followers = [
+        Follower(sections, f"{prefix}{n:03d}", file, dice, forget, dice.random() < rude, deadlines)
+        for n in range(count)
+    ]
     for n, one in enumerate(followers):
         one.desk = Desk(one)
         if one.pacing is not None:
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -32,8 +32,9 @@
     ends with; streams then reach each by its advertised address, too.
     """
 
-    def __init__(self, folder, keepers=3, members=0, lease="1 s", purges=False, hold="24 h",
-                 sections="", zones=2):
+    def __init__(
+        self, folder, keepers=3, members=0, lease="1 s", purges=False, hold="24 h", sections="", zones=2
+    ):
         self.folder, self.lease = Path(folder), lease
         self.keepers = [f"k{n}" for n in range(keepers)]
         self.names = [*self.keepers, *(f"m{n}" for n in range(members))]
@@ -46,8 +47,9 @@
             if b in self.keepers
         }
         self.sections, self.zones = sections, zones
-        self.doors = {name: Link(("127.0.0.1", self.ports[name]))
-                      for name in (self.names if sections else ())}
+        self.doors = {
+            name: Link(("127.0.0.1", self.ports[name])) for name in (self.names if sections else ())
+        }
         self.exchange = Exchange(self.ports, at={name: door.port for name, door in self.doors.items()})
         self.register_port, self.audit = free_port(), self.folder / "audit.jsonl"
         self.secret = self.folder / "secret"
@@ -75,8 +77,11 @@
             f"[fleet]\nname = {name}\nlisten = 127.0.0.1:{self.ports[name]}\nkeepers = {keepers}\n"
             f"address = 127.0.0.1:{self.exchange.ports[name]}\nseeds = {seeds}\nzone = {zone}\n"
             f"secret = secret\n{store}lease = {self.lease}\ndrill = 127.0.0.1:{self.register_port}\n"
-            + (self.purges() + f"[desk]\nlisten = 127.0.0.1:{self.desks[name]}\nstore = {name}-purges.db\n"
-               if name in self.desks else "")
+            + (
+                self.purges() + f"[desk]\nlisten = 127.0.0.1:{self.desks[name]}\nstore = {name}-purges.db\n"
+                if name in self.desks
+                else ""
+            )
             + self.sections
         )
         if name == self.keepers[0]:  # commands reach each keeper itself
@@ -89,8 +94,10 @@
     def purges(self):
         """The section, as routers and people have it."""
         desks = ", ".join(f"127.0.0.1:{port}" for port in self.desks.values())
-        return (f"[purges]\ndesk = {desks}\nsecret = purges-secret\nlease = 1 s\nskew = 1 ms\n"
-                f"hold = {self.hold}\n")
+        return (
+            f"[purges]\ndesk = {desks}\nsecret = purges-secret\nlease = 1 s\nskew = 1 ms\n"
+            f"hold = {self.hold}\n"
+        )
 
     def start(self, *names):
         for name in names or self.names:
@@ -114,12 +121,23 @@
         port = free_port()
         (self.folder / f"{name}.ini").write_text(
             self.purges()
-            + f"[relay]\nname = {name}\nlisten = 127.0.0.1:{port}\nstore = {name}-members.json\n")
+            + f"[relay]\nname = {name}\nlisten = 127.0.0.1:{port}\nstore = {name}-members.json\n"
+        )
         out = open(self.folder / f"{name}.log", "ab")
         self.processes[name] = subprocess.Popen(
-            [sys.executable, "-m", "hookrouter", "purges", "relay", "--site",
-             str(self.folder / f"{name}.ini")],
-            cwd=ROOT, stdout=out, stderr=out)
+            [
+                sys.executable,
+                "-m",
+                "hookrouter",
+                "purges",
+                "relay",
+                "--site",
+                str(self.folder / f"{name}.ini"),
+            ],
+            cwd=ROOT,
+            stdout=out,
+            stderr=out,
+        )
         out.close()
         return "127.0.0.1", port
 
--- a/standins/storm.py
+++ b/standins/storm.py
@@ -29,21 +29,34 @@
         desk = f"[desk]\nlisten = 127.0.0.1:{self.port}\nstore = purges.db\n"
         relay = f"[relay]\nname = depot\nlisten = 127.0.0.1:{self.relay_port}\nstore = names\n"
         self.link = Link(("127.0.0.1", self.relay_port))  # routers hang off the relay by it
-        self.sites = {"desk": self._site("desk", desk), "relay": self._site("relay", relay),
-                      "direct": self._site("direct"), "below": self._site("below", follow=self.link.port)}
+        self.sites = {
+            "desk": self._site("desk", desk),
+            "relay": self._site("relay", relay),
+            "direct": self._site("direct"),
+            "below": self._site("below", follow=self.link.port),
+        }
 
     def _site(self, name, more="", follow=None):
         path = self.folder / f"{name}.ini"
-        path.write_text(f"[purges]\ndesk = 127.0.0.1:{self.port}\nsecret = secret\nlease = 2 s\n"
-                        "skew = 1 ms\n"
-                        + (f"follow = 127.0.0.1:{follow}\n" if follow else "") + self.more
-                        + ("[admission]\n" if self.paced else "") + more)
+        path.write_text(
+            f"[purges]\ndesk = 127.0.0.1:{self.port}\nsecret = secret\nlease = 2 s\n"
+            "skew = 1 ms\n"
+            + (f"follow = 127.0.0.1:{follow}\n" if follow else "")
+            + self.more
+            + ("[admission]\n" if self.paced else "")
+            + more
+        )
         return str(path)
 
     def start(self, *words, said, **environment):
         """A process that has said so on its standard error, which is read away after that."""
-        process = subprocess.Popen([sys.executable, "-m", *words], stderr=subprocess.PIPE, text=True,
-                                   cwd=ROOT, env={**os.environ, **environment})
+        process = subprocess.Popen(
+            [sys.executable, "-m", *words],
+            stderr=subprocess.PIPE,
+            text=True,
+            cwd=ROOT,
+            env={**os.environ, **environment},
+        )
         self.all.append(process)
         process.lines = []
         for line in process.stderr:
@@ -56,19 +69,30 @@
         return process
 
     def desk(self):
-        return self.start("hookrouter", "purges", "serve", "--site", self.sites["desk"],
-                          said="serving purges")
+        return self.start(
+            "hookrouter", "purges", "serve", "--site", self.sites["desk"], said="serving purges"
+        )
 
     def relay(self):
-        return self.start("hookrouter", "purges", "relay", "--site", self.sites["relay"],
-                          said="serving purges")
+        return self.start(
+            "hookrouter", "purges", "relay", "--site", self.sites["relay"], said="serving purges"
+        )
 
     def followers(self, count, site="direct", **options):
         """The file of their history."""
         path = str(self.folder / f"history{len(self.all)}")
         words = [word for key, value in options.items() for word in (f"--{key}", str(value))]
-        self.start("standins.followers", "--site", self.sites[site], "--count", str(count), "--history",
-                   path, *words, said="following")
+        self.start(
+            "standins.followers",
+            "--site",
+            self.sites[site],
+            "--count",
+            str(count),
+            "--history",
+            path,
+            *words,
+            said="following",
+        )
         return path
 
     def kill(self, process):
@@ -80,8 +104,12 @@
     def call(self, method, path, body=None, port=None):
         connection = http.client.HTTPConnection("127.0.0.1", port or self.port, timeout=5)
         try:
-            connection.request(method, path, None if body is None else json.dumps(body),
-                               {"Authorization": f"Bearer {SECRET}"})
+            connection.request(
+                method,
+                path,
+                None if body is None else json.dumps(body),
+                {"Authorization": f"Bearer {SECRET}"},
+            )
             got = connection.getresponse()
             return got.status, json.loads(got.read())
         finally:
@@ -111,6 +139,7 @@
 
     def purge_on(self, every):
         """Purges go on until over()."""
+
         def run():
             n = 0
             while not self.stop_purging.wait(every):
--- a/tests/admission_mistakes.py
+++ b/tests/admission_mistakes.py
@@ -51,7 +51,7 @@
 class UnsealedAccepted(Gate):
     def _ticket(self, come):
         try:
-            return tickets._decode(bytes.fromhex(come.ticket)[tickets.SEAL:]) if come.ticket else None
+            return tickets._decode(bytes.fromhex(come.ticket)[tickets.SEAL :]) if come.ticket else None
         except (ValueError, msgspec.MsgspecError):
             return None
 
@@ -137,6 +137,21 @@
         return super().pick(now, waiting, rate)
 
 
-MISTAKES = (TwoForOneSlot, FormerRefused, FormerAtEnd, TailByArrival, UrgentNotFirst, UnsealedAccepted,
-            SlotEachTime, BegunInVain, LateUnsaid, HorizonBySetCost, AllAtOnce, TicketUsedTwice,
-            FlowsUnbounded, FormerInAnyOrder, OnOneBeat, SentByOldNews)
+MISTAKES = (
+    TwoForOneSlot,
+    FormerRefused,
+    FormerAtEnd,
+    TailByArrival,
+    UrgentNotFirst,
+    UnsealedAccepted,
+    SlotEachTime,
+    BegunInVain,
+    LateUnsaid,
+    HorizonBySetCost,
+    AllAtOnce,
+    TicketUsedTwice,
+    FlowsUnbounded,
+    FormerInAnyOrder,
+    OnOneBeat,
+    SentByOldNews,
+)
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -14,11 +14,20 @@
 
 BORN = 1_000_000
 LATE = 2 * SECOND  # the latest list
-DOWN = (0, 50 * MS, 200 * MS, 600 * MS)  # how long a restart may take: the sooner, the more turns are open still
+DOWN = (
+    0,
+    50 * MS,
+    200 * MS,
+    600 * MS,
+)  # how long a restart may take: the sooner, the more turns are open still
 PLACES = {  # who shares the cache -> all routers, those that share it
-    "20": (20, range(20)), "30": (30, range(30)), "200": (200, range(200)),
-    "25 of 200, every eighth": (200, range(0, 200, 8)), "25 of 200, in a row": (200, range(60, 85)),
-    "25 of 200, by chance": (200, None)}
+    "20": (20, range(20)),
+    "30": (30, range(30)),
+    "200": (200, range(200)),
+    "25 of 200, every eighth": (200, range(0, 200, 8)),
+    "25 of 200, in a row": (200, range(60, 85)),
+    "25 of 200, by chance": (200, None),
+}
 LOCATION = 10  # routers of a location, of those that share a parent
 
 
@@ -43,17 +52,25 @@
 
     def terms(self, number):
         t = terms()
-        top = t.topology._replace(number=number, routers=self.routers, crews=(0, LOCATION if self.parent else len(self.users)))
-        kinds = tuple(KINDS[0]._replace(name=f"k{n}", latency_budget=row[0]) for n, row in enumerate(self.kinds))
+        top = t.topology._replace(
+            number=number, routers=self.routers, crews=(0, LOCATION if self.parent else len(self.users))
+        )
+        kinds = tuple(
+            KINDS[0]._replace(name=f"k{n}", latency_budget=row[0]) for n, row in enumerate(self.kinds)
+        )
         t = t._replace(topology=top, kinds=kinds, fall_for=self.fall)
         if self.parent:
-            return t._replace(parent_cold_share=self.share, parent_cold_for=self.span, parent_fall_multiple=self.multiple)
+            return t._replace(
+                parent_cold_share=self.share, parent_cold_for=self.span, parent_fall_multiple=self.multiple
+            )
         return t._replace(cold_share=self.share, cold_for=self.span, fall_multiple=self.multiple)
 
     def allowed(self, at):
         """Work that the settings allow in the window that ends then; what lies before the start counts as at it."""
+
         def able(when):
             return self.weight * (self.share + (1 - self.share) * min(1, max(0, when - BORN) / self.span))
+
         since = max(at - self.fall, BORN)
         return self.multiple * (able(at) + able(since)) / 2 * self.fall
 
@@ -65,9 +82,17 @@
     for _ in range(dice.randint(1, 3)):
         budget = dice.randrange(100, 800) * MS
         kinds.append((budget, int(budget * dice.uniform(0.1, 0.9)), dice.randint(1, 5)))
-    return Plan(routers, tuple(range(routers) if parent else users), parent, dice.uniform(0.08, 0.15 if parent else 0.49),
-                dice.randrange(5, 20) * SECOND, dice.uniform(2, 2.5), dice.randrange(1_000, 1_500) * MS,
-                dice.uniform(20, 60) if parent else dice.uniform(3, 16), tuple(kinds))
+    return Plan(
+        routers,
+        tuple(range(routers) if parent else users),
+        parent,
+        dice.uniform(0.08, 0.15 if parent else 0.49),
+        dice.randrange(5, 20) * SECOND,
+        dice.uniform(2, 2.5),
+        dice.randrange(1_000, 1_500) * MS,
+        dice.uniform(20, 60) if parent else dice.uniform(3, 16),
+        tuple(kinds),
+    )
 
 
 class Router:
@@ -82,8 +107,15 @@
         """Its Control, begun where it is new."""
         if self.control is None:
             self.control = self.of(self.number, self.plan.terms(self.number))
-            cold = i.Cache("x0", "hub" if self.plan.parent else "edge", 0, self.plan.weight, BORN, i.READY,
-                           "parent" if self.plan.parent else "box")
+            cold = i.Cache(
+                "x0",
+                "hub" if self.plan.parent else "edge",
+                0,
+                self.plan.weight,
+                BORN,
+                i.READY,
+                "parent" if self.plan.parent else "box",
+            )
             self.control.decide(now, [i.CacheList(i.REMEMBERED, (cold,))])
             if self.restarted < 0:  # a life that ran before has learned what its requests take
                 self.control.times.mean_work[:] = [float(work) for _, work, _ in self.plan.kinds]
@@ -114,8 +146,16 @@
 def play(plan, demand, trouble, dice, of=Control):
     """Every send to the cold cache while it is cold: (when, work)."""
     step = dice.randrange(10, 15) * MS * (1 if len(plan.users) < 50 else 3)
-    fleet = [Router(plan, number, BORN + dice.randrange(LATE if trouble == "late lists" else 1), dice.lognormvariate(0, 1), of)
-             for number in plan.users]
+    fleet = [
+        Router(
+            plan,
+            number,
+            BORN + dice.randrange(LATE if trouble == "late lists" else 1),
+            dice.lognormvariate(0, 1),
+            of,
+        )
+        for number in plan.users
+    ]
     total = sum(r.pace for r in fleet)
     for r in fleet:  # several times what the cache may get, some routers several times the mean
         r.pace *= 2 * plan.multiple * plan.weight / plan.mean / total * step
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -31,7 +31,9 @@
 
 
 def pytest_report_header(config):
-    return [f"known red: {red.test}: {red.cause} ({red.issue})" for red in config.known_red] or "known red: none"
+    return [
+        f"known red: {red.test}: {red.cause} ({red.issue})" for red in config.known_red
+    ] or "known red: none"
 
 
 def pytest_terminal_summary(terminalreporter, config):
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -32,7 +32,7 @@
 ATTEMPT = 3.2  # seconds: the deadline of a first attempt of the tests' settings is over
 RESET = struct.pack("ii", 1, 0)  # of SO_LINGER: a close resets
 CALL = "c" * 16  # the trace of the call that crosses something
-FILLER = message(90, b"interrupt", interrupted=10 ** 6)  # owed nothing: no such call was made
+FILLER = message(90, b"interrupt", interrupted=10**6)  # owed nothing: no such call was made
 EVENTS = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n"
 FIRST = pytest.mark.parametrize("first", [CACHES, CLIENTS], ids=["caches first", "clients first"])
 
@@ -46,9 +46,17 @@
 
     def poll(self, timeout, most):
         known = self.reactor._selectables
-        events = [(fd, event) for fd, event in self.epoll.poll(timeout, max(1, most)) if not self._held(known[fd])]
+        events = [
+            (fd, event) for fd, event in self.epoll.poll(timeout, max(1, most)) if not self._held(known[fd])
+        ]
         first = self.reactor.first
-        return sorted(events, key=lambda event: (first.index(type(known[event[0]])) if type(known[event[0]]) in first else 9, event[0]))
+        return sorted(
+            events,
+            key=lambda event: (
+                first.index(type(known[event[0]])) if type(known[event[0]]) in first else 9,
+                event[0],
+            ),
+        )
 
     def _held(self, one):
         return isinstance(one, Outgoing) and not one.connected and one.addr[1] in self.reactor.held_ports
@@ -123,7 +131,9 @@
         self.read()
         poll = select.poll()
         poll.register(self.socket, select.POLLIN)
-        return self.end == "fin" and not any(event & (select.POLLHUP | select.POLLERR) for _, event in poll.poll(0))
+        return self.end == "fin" and not any(
+            event & (select.POLLHUP | select.POLLERR) for _, event in poll.poll(0)
+        )
 
 
 class StandIn:
@@ -163,14 +173,21 @@
         sorts = {"c0": "box", "p0": "parent", "o0": "origin"}
         fleet = [endpoint(name, cache.port, sorts[name]) for name, cache in self.caches.items()]
         path = tmp_path / "config.json"
-        path.write_text(json.dumps(configuration(members(1, *fleet, whole=True), listen=f"{LOCAL}:1",
-                                                 feed=f"{LOCAL}:{self.feed.port}")))
+        path.write_text(
+            json.dumps(
+                configuration(
+                    members(1, *fleet, whole=True), listen=f"{LOCAL}:1", feed=f"{LOCAL}:{self.feed.port}"
+                )
+            )
+        )
         start = read_start({"EDGE_CONFIG": str(path)})
         told = tuple(kind._replace(**(kinds or {}).get(kind.name, {})) for kind in start.terms.kinds)
         self.start = start._replace(terms=start.terms._replace(kinds=told, **(terms or {})), **sections)
         self.counters = Counters([kind.name for kind in self.start.terms.kinds])
         self.log = Log(self.reactor.seconds, self.out)
-        self.router = Router(self.start, self.reactor, self.log, self.counters, lambda: BEGAN + self.reactor.now)
+        self.router = Router(
+            self.start, self.reactor, self.log, self.counters, lambda: BEGAN + self.reactor.now
+        )
         self.port = Listener(0, self.router.front, 64, LOCAL, self.reactor)
         self.port.startListening()
         self.listens = self.port.getHost().port
@@ -214,7 +231,9 @@
             assert not within or self.reactor.now < end, "it took too long"
             self.reactor.now = min(end, self.reactor.now + 0.01)
             self.turn()
-            select.select([self.reactor._poller.epoll], [], [], 0.002)  # back at once where something is ready
+            select.select(
+                [self.reactor._poller.epoll], [], [], 0.002
+            )  # back at once where something is ready
         raise AssertionError("it never came to this")
 
     def pause(self, seconds):
@@ -292,8 +311,12 @@
         """The connections on which a request came that is not answered."""
         for cache in self.caches.values():
             cache.look()
-        return [peer for cache in self.caches.values() for peer in cache.peers
-                if peer.end is None and peer.socket.fileno() >= 0 and peer.got.count(b"\r\n\r\n") > peer.answered]
+        return [
+            peer
+            for cache in self.caches.values()
+            for peer in cache.peers
+            if peer.end is None and peer.socket.fileno() >= 0 and peer.got.count(b"\r\n\r\n") > peer.answered
+        ]
 
     def answer(self, body, *fields, status=200):
         self.until(self.asking)
@@ -323,6 +346,7 @@
 
     def followed(self, feed, known, within=0.0):
         """The connection at the feed after so many others, which has asked for its events; within so much time."""
+
         def asked():
             feed.look()
             return len(feed.peers) > known and b"\r\n\r\n" in feed.peers[known].got
--- a/tests/crowd_mistakes.py
+++ b/tests/crowd_mistakes.py
@@ -22,6 +22,7 @@
     connection, name = front.connections.get(call[0]), b"execute"
     satisfied(front, call, pieces, length)
     from hookrouter.front import calls
+
     connection.write(calls.satisfied(name, call[1], pieces, length))
 
 
@@ -35,8 +36,14 @@
 
 
 def passes_over_drains(router, event):
-    without_coldness(router, event._replace(caches=tuple(
-        row._replace(phase=i.READY) if row.phase == i.DRAINING else row for row in event.caches)))
+    without_coldness(
+        router,
+        event._replace(
+            caches=tuple(
+                row._replace(phase=i.READY) if row.phase == i.DRAINING else row for row in event.caches
+            )
+        ),
+    )
 
 
 def sends_again(caches, name, errand, *how):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,37 +15,102 @@
 
 
 def kind(name, effect=i.IDEMPOTENT, **more):
-    row = dict(name=name, latency_budget=5_000, budget_stretch=2.0, deadline=4 * SECOND, utility=1.0, late_share=0.1,
-               effect=effect, dropped_at=i.EVERYWHERE, remembered=0, fresh=0, grace=0, stale_share=0.7,
-               in_parts=False, write=False)
+    row = dict(
+        name=name,
+        latency_budget=5_000,
+        budget_stretch=2.0,
+        deadline=4 * SECOND,
+        utility=1.0,
+        late_share=0.1,
+        effect=effect,
+        dropped_at=i.EVERYWHERE,
+        remembered=0,
+        fresh=0,
+        grace=0,
+        stale_share=0.7,
+        in_parts=False,
+        write=False,
+    )
     return i.ObjectKind(**{**row, **more})
 
 
-KINDS = (kind("clip", in_parts=True), kind("page", fresh=8 * SECOND),
-         kind("hold", i.DEDUPLICATED, remembered=2 * SECOND, write=True),
-         kind("cell-hold", i.DEDUPLICATED, remembered=2 * SECOND, dropped_at=i.SAME_CELL),
-         kind("order", i.SIDE_EFFECTING))
+KINDS = (
+    kind("clip", in_parts=True),
+    kind("page", fresh=8 * SECOND),
+    kind("hold", i.DEDUPLICATED, remembered=2 * SECOND, write=True),
+    kind("cell-hold", i.DEDUPLICATED, remembered=2 * SECOND, dropped_at=i.SAME_CELL),
+    kind("order", i.SIDE_EFFECTING),
+)
 
 
 def terms(**more):
-    top = i.Topology(number=0, routers=2, zone="edge", zones=("hub", "edge"), hubs=(0, 0), crews=(0, 2),
-                     links=(0, 0), parent_sort="parent", origin_sort="origin", siblings=i.OWN_LOCATION, flow=5000.0)
-    row = dict(topology=top, kinds=KINDS, must_subscribe=False, most_sends=6, second_copies=False, may_cancel=True, may_probe=True,
-               may_whisper=False, pass_by=True, joins=True, longest_stay_away=5_000, connect_for=400 * MS, idle_for=15 * SECOND, most_held=1000, advice=True, report_fields=(),
-               reports="none", notes="hit", drain_grace=500 * MS, purge_grace=500 * MS, purge_done=6 * SECOND,
-               cold_share=0.2, cold_for=15 * SECOND, fall_multiple=2.5, fall_for=SECOND, parent_cold_share=0.1,
-               parent_cold_for=20 * SECOND, parent_fall_multiple=2.0, origin_fall_multiple=0.0, origin_fall_for=0,
-               tick=20)
+    top = i.Topology(
+        number=0,
+        routers=2,
+        zone="edge",
+        zones=("hub", "edge"),
+        hubs=(0, 0),
+        crews=(0, 2),
+        links=(0, 0),
+        parent_sort="parent",
+        origin_sort="origin",
+        siblings=i.OWN_LOCATION,
+        flow=5000.0,
+    )
+    row = dict(
+        topology=top,
+        kinds=KINDS,
+        must_subscribe=False,
+        most_sends=6,
+        second_copies=False,
+        may_cancel=True,
+        may_probe=True,
+        may_whisper=False,
+        pass_by=True,
+        joins=True,
+        longest_stay_away=5_000,
+        connect_for=400 * MS,
+        idle_for=15 * SECOND,
+        most_held=1000,
+        advice=True,
+        report_fields=(),
+        reports="none",
+        notes="hit",
+        drain_grace=500 * MS,
+        purge_grace=500 * MS,
+        purge_done=6 * SECOND,
+        cold_share=0.2,
+        cold_for=15 * SECOND,
+        fall_multiple=2.5,
+        fall_for=SECOND,
+        parent_cold_share=0.1,
+        parent_cold_for=20 * SECOND,
+        parent_fall_multiple=2.0,
+        origin_fall_multiple=0.0,
+        origin_fall_for=0,
+        tick=20,
+    )
     return i.Terms(**{**row, **more})
 
 
 def cache(name, phase=i.READY, born=0, sort="box"):
-    return i.Cache(id=name, zone="edge" if sort == "box" else "hub", cell=int(name[-1]) % 2 if sort == "box" else 9,
-                   weight=8.0 if sort == "box" else 30.0, born=born, phase=phase, sort=sort)
+    return i.Cache(
+        id=name,
+        zone="edge" if sort == "box" else "hub",
+        cell=int(name[-1]) % 2 if sort == "box" else 9,
+        weight=8.0 if sort == "box" else 30.0,
+        born=born,
+        phase=phase,
+        sort=sort,
+    )
 
 
-FLEET = (*(cache(f"c{n}") for n in range(4)), cache("p0", sort="parent"), cache("p1", sort="parent"),
-         cache("o0", sort="origin"))
+FLEET = (
+    *(cache(f"c{n}") for n in range(4)),
+    cache("p0", sort="parent"),
+    cache("p1", sort="parent"),
+    cache("o0", sort="origin"),
+)
 
 
 def router(fleet=FLEET, seed=1, **more):
@@ -55,13 +120,30 @@
 
 
 def lookup(number, kind="clip", due=1_000_000 + 4 * SECOND, key=None, part=0, group=1, size=0):
-    return i.Lookup(id=number, kind=kind, object=key or f"k{number}", part=part, group=group, size=size, due=due,
-                    repeat=False)
+    return i.Lookup(
+        id=number,
+        kind=kind,
+        object=key or f"k{number}",
+        part=part,
+        group=group,
+        size=size,
+        due=due,
+        repeat=False,
+    )
 
 
 def ended(send, end, number=0, settled=None, note=0, took=100, copy=None):
-    return i.SendEnd(id=send.id, send=number, end=end, note=note, took=took, cache=send.cache, report=None, copy=copy,
-                     settled=end == i.SATISFIED if settled is None else settled)
+    return i.SendEnd(
+        id=send.id,
+        send=number,
+        end=end,
+        note=note,
+        took=took,
+        cache=send.cache,
+        report=None,
+        copy=copy,
+        settled=end == i.SATISFIED if settled is None else settled,
+    )
 
 
 def sends(effects):
@@ -104,12 +186,19 @@
             again, held["answered"] = held["answered"], True
             if again:
                 return "answered twice"
-            return "nacked what may have run" if isinstance(effect, i.Nack) and self.risky_nack(held) else None
+            return (
+                "nacked what may have run" if isinstance(effect, i.Nack) and self.risky_nack(held) else None
+            )
         if not isinstance(effect, (i.Ask, i.Obtain)):
             return None
         held = self.lookups[effect.id]
-        broken = (self.answer(now, held) or self.repeat(now, held, effect) or self.drain(now, effect)
-                  or self.purge(now, held, effect) or self.warm(now, held, effect))
+        broken = (
+            self.answer(now, held)
+            or self.repeat(now, held, effect)
+            or self.drain(now, effect)
+            or self.purge(now, held, effect)
+            or self.warm(now, held, effect)
+        )
         held["sends"].append({"at": now, "cache": effect.cache, "end": None})
         return broken
 
@@ -137,7 +226,10 @@
             for s in self.doubts(held):
                 if now > s["at"] + k.remembered:
                     return "repeated after the memory"
-                if k.dropped_at == i.SAME_CELL and self.caches[s["cache"]].cell != self.caches[effect.cache].cell:
+                if (
+                    k.dropped_at == i.SAME_CELL
+                    and self.caches[s["cache"]].cell != self.caches[effect.cache].cell
+                ):
                     return "repeated outside the group"
         return None
 
@@ -167,8 +259,10 @@
             c = self.caches[name]
             parent = c.sort == t.topology.parent_sort
             share, span, multiple, routers = (
-                (t.parent_cold_share, t.parent_cold_for, t.parent_fall_multiple, t.topology.routers) if parent
-                else (t.cold_share, t.cold_for, t.fall_multiple, t.topology.crews[1]))
+                (t.parent_cold_share, t.parent_cold_for, t.parent_fall_multiple, t.topology.routers)
+                if parent
+                else (t.cold_share, t.cold_for, t.fall_multiple, t.topology.crews[1])
+            )
             if not c.born or now >= c.born + span or c.sort == t.topology.origin_sort:
                 continue
             self.cold.append((now, name, held["lookup"].size / t.topology.flow * SECOND))
@@ -286,11 +380,22 @@
 def message(seqid, name=b"execute", kind=thrift.CALL, body=b"", interrupted=None, **fields):
     """One framed message as a client writes it."""
     if name == b"execute":
-        given = {"service": "clip", "ref": f"{seqid:016x}", "allow": "1500", "lookup": "7f3a9c21e0b4d655", "part": "3",
-                 "group": "17", "room": "412.5", **fields}
-        struct = (thrift.field(thrift.MAP, 1)
-                  + thrift.fields_of({k: v for k, v in given.items() if v is not None})
-                  + thrift.field(thrift.STRING, 2) + thrift.string(body))
+        given = {
+            "service": "clip",
+            "ref": f"{seqid:016x}",
+            "allow": "1500",
+            "lookup": "7f3a9c21e0b4d655",
+            "part": "3",
+            "group": "17",
+            "room": "412.5",
+            **fields,
+        }
+        struct = (
+            thrift.field(thrift.MAP, 1)
+            + thrift.fields_of({k: v for k, v in given.items() if v is not None})
+            + thrift.field(thrift.STRING, 2)
+            + thrift.string(body)
+        )
     elif name == b"interrupt":
         struct, kind = thrift.field(thrift.I32, 1) + thrift.INT_AT.pack(interrupted), thrift.ONEWAY
     else:
@@ -301,7 +406,7 @@
 def answers(data):
     """What a router wrote: sequence number -> (kind of message, struct)."""
     seen = {}
-    for frame in thrift.Frames(10 ** 7).feed(data):
+    for frame in thrift.Frames(10**7).feed(data):
         read = thrift.Message(frame)
         assert read.seqid not in seen
         seen[read.seqid] = (read.kind, read.arguments())
@@ -310,30 +415,88 @@
 
 def settings():
     """The settings in the words of the wire: one location with two object kinds."""
+
     def row(name, **more):
-        return {"name": name, "aim": 600.0, "aimStretch": 1.5, "deadline": 4000.0, "worth": 1.0, "lateWorth": 0.1,
-                "group": "all", "idempotency": "free", "memorySpan": 0.0, **more}
+        return {
+            "name": name,
+            "aim": 600.0,
+            "aimStretch": 1.5,
+            "deadline": 4000.0,
+            "worth": 1.0,
+            "lateWorth": 0.1,
+            "group": "all",
+            "idempotency": "free",
+            "memorySpan": 0.0,
+            **more,
+        }
+
     return {
-        "myNumber": 0, "balancers": 2, "az": "edge", "zones": ["hub", "edge"], "tick": 2.0, "discovery": "pushed",
+        "myNumber": 0,
+        "balancers": 2,
+        "az": "edge",
+        "zones": ["hub", "edge"],
+        "tick": 2.0,
+        "discovery": "pushed",
         "machineTypes": ["box", "parent", "origin"],
         "classes": [row("clip"), row("hold", idempotency="guarded", memorySpan=2000.0)],
-        "extra": {"upperKind": 1, "masterKind": 2, "hubByZone": [0, 0], "crewByZone": [0, 2], "feedKbPerS": [0.0, 0.0],
-                  "peersFill": "location", "oneFlowKbPerS": 5000.0, "mayPassBy": True, "joins": True, "purgeGrace": 500.0,
-                  "clearedWithin": 6000.0, "noteLevel": "hit", "parentFloor": 0.1, "parentCold": 20000.0,
-                  "parentFallMultiple": 2.0, "originFallMultiple": 0.0, "originFall": 0.0, "freshFor": [8000.0, 0.0],
-                  "classGrace": [0.0, 0.0], "classStaleWorth": [0.7, 0.7], "classParts": [True, False],
-                  "passOn": [False, True]},
-        "limits": {"maxAttempts": 6, "mayDuplicate": False, "mayCancel": True, "probing": True, "peers": False,
-                   "maxRetryAfter": 500.0, "retryAfter": True, "connectTimeout": 400.0, "idleClose": 15000.0,
-                   "mostHeld": 1000},
+        "extra": {
+            "upperKind": 1,
+            "masterKind": 2,
+            "hubByZone": [0, 0],
+            "crewByZone": [0, 2],
+            "feedKbPerS": [0.0, 0.0],
+            "peersFill": "location",
+            "oneFlowKbPerS": 5000.0,
+            "mayPassBy": True,
+            "joins": True,
+            "purgeGrace": 500.0,
+            "clearedWithin": 6000.0,
+            "noteLevel": "hit",
+            "parentFloor": 0.1,
+            "parentCold": 20000.0,
+            "parentFallMultiple": 2.0,
+            "originFallMultiple": 0.0,
+            "originFall": 0.0,
+            "freshFor": [8000.0, 0.0],
+            "classGrace": [0.0, 0.0],
+            "classStaleWorth": [0.7, 0.7],
+            "classParts": [True, False],
+            "passOn": [False, True],
+        },
+        "limits": {
+            "maxAttempts": 6,
+            "mayDuplicate": False,
+            "mayCancel": True,
+            "probing": True,
+            "peers": False,
+            "maxRetryAfter": 500.0,
+            "retryAfter": True,
+            "connectTimeout": 400.0,
+            "idleClose": 15000.0,
+            "mostHeld": 1000,
+        },
         "report": {"how": "on_probe", "fields": ["inflight", "util"]},
-        "invariants": {"drainGrace": 500.0, "coldFrom": 0.2, "warmWithin": 15000.0, "fallMultiple": 2.5, "fall": 1000.0},
+        "invariants": {
+            "drainGrace": 500.0,
+            "coldFrom": 0.2,
+            "warmWithin": 15000.0,
+            "fallMultiple": 2.5,
+            "fall": 1000.0,
+        },
     }
 
 
 def endpoint(name, port, sort="box", status="active", since=0):
-    return {"name": name, "address": f"127.0.0.1:{port}", "zone": "edge" if sort == "box" else "hub", "type": sort,
-            "group": 0, "status": status, "weight": 8, "since_ms": since}
+    return {
+        "name": name,
+        "address": f"127.0.0.1:{port}",
+        "zone": "edge" if sort == "box" else "hub",
+        "type": sort,
+        "group": 0,
+        "status": status,
+        "weight": 8,
+        "since_ms": since,
+    }
 
 
 def members(n, *endpoints, whole=False):
@@ -341,6 +504,14 @@
 
 
 def configuration(*events, listen="127.0.0.1:7001", feed="127.0.0.1:9092"):
-    return {"name": "n1", "listen": listen, "seed": "8c1f", "feed": feed, "settings": settings(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "flow_bytes_per_s": 310000,
-            "link_bytes_per_s": 1240000, "known": {"n": len(events), "events": list(events)}}
+    return {
+        "name": "n1",
+        "listen": listen,
+        "seed": "8c1f",
+        "feed": feed,
+        "settings": settings(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "flow_bytes_per_s": 310000,
+        "link_bytes_per_s": 1240000,
+        "known": {"n": len(events), "events": list(events)},
+    }
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -35,7 +35,9 @@
         file, _, name = red.test.partition("::")
         source = Path(root) / file
         function = re.escape(name.partition("[")[0])
-        if not (source.is_file() and re.search(rf"^def {function}\(", source.read_text(encoding="utf-8"), re.M)):
+        if not (
+            source.is_file() and re.search(rf"^def {function}\(", source.read_text(encoding="utf-8"), re.M)
+        ):
             raise Wrong(f"{NAME}: there is no test {red.test}; take its line off")
     return reds
 
--- a/tests/owners_mistakes.py
+++ b/tests/owners_mistakes.py
@@ -92,5 +92,15 @@
         return 2 * len(set(names) & set(self.voters)) >= len(self.voters) - 1
 
 
-MISTAKES = (VoteNotOnDisk, AckBeforeDisk, OlderTermCommitted, ForgotAndVotes, NoWaitForFormerLeases,
-            RenewalUnconfirmed, GrantInFlightTold, OwnConfirmationForgotten, TwoVotesInATerm, MinorityDecides)
+MISTAKES = (
+    VoteNotOnDisk,
+    AckBeforeDisk,
+    OlderTermCommitted,
+    ForgotAndVotes,
+    NoWaitForFormerLeases,
+    RenewalUnconfirmed,
+    GrantInFlightTold,
+    OwnConfirmationForgotten,
+    TwoVotesInATerm,
+    MinorityDecides,
+)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -21,7 +21,9 @@
                 one, _, head = head.partition(b"\r\n\r\n")
                 target = one.split(b" ")[1]
                 if not target.endswith(b"/9"):
-                    self.request.sendall(answer(200, target * (7_000 if target.endswith(b"/7") else 1), *self.told()))
+                    self.request.sendall(
+                        answer(200, target * (7_000 if target.endswith(b"/7") else 1), *self.told())
+                    )
 
     def told(self):
         """Further fields: none, so its copies are as old as can be."""
@@ -67,8 +69,12 @@
 
 
 def serving(path):
-    process = subprocess.Popen([sys.executable, "-m", "hookrouter", "serve"], stderr=subprocess.PIPE, text=True,
-                               env={**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n1"})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "hookrouter", "serve"],
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n1"},
+    )
     said = process.stderr.readline()
     assert "serving: n1 on 127.0.0.1:" in said
     return process, int(said.rsplit(":", 1)[1])
--- a/tests/replicas_mistakes.py
+++ b/tests/replicas_mistakes.py
@@ -13,6 +13,7 @@
 
 def with_duties(made):
     """A keeper whose duties are of that class."""
+
     class Made(Keeper):
         def _load(self, stored):
             super()._load(stored)
@@ -22,6 +23,7 @@
             super()._on_install(sender, install)
             if not isinstance(self.duties, made):
                 self.duties = made(self.snapshot[4])
+
     return Made
 
 
--- a/tests/scenes.py
+++ b/tests/scenes.py
@@ -10,7 +10,12 @@
 from hookrouter.node.service import Service
 from hookrouter.node.start import read_start
 
-FLEET = (endpoint("c0", 7100), endpoint("c1", 7101), endpoint("p0", 7102, "parent"), endpoint("o0", 7103, "origin"))
+FLEET = (
+    endpoint("c0", 7100),
+    endpoint("c1", 7101),
+    endpoint("p0", 7102, "parent"),
+    endpoint("o0", 7103, "origin"),
+)
 BEGAN = 1_700_000_000.0
 
 
@@ -34,10 +39,14 @@
 class Scene:
     def __init__(self, tmp_path, *more, **sections):
         self.net, self.out = Net(), Out()
-        self.start = started(tmp_path, configuration(members(1, *FLEET, whole=True), *more))._replace(**sections)
+        self.start = started(tmp_path, configuration(members(1, *FLEET, whole=True), *more))._replace(
+            **sections
+        )
         self.counters = Counters([kind.name for kind in self.start.terms.kinds])
         self.log = Log(self.net.seconds, self.out)
-        self.router = Router(self.start, self.net, self.log, self.counters, lambda: BEGAN + self.net.seconds())
+        self.router = Router(
+            self.start, self.net, self.log, self.counters, lambda: BEGAN + self.net.seconds()
+        )
 
     def client(self):
         return Wire(self.net).join(self.router.front.buildProtocol(None))
--- a/tests/sharing_mistakes.py
+++ b/tests/sharing_mistakes.py
@@ -24,8 +24,10 @@
 
 class NeverAgesBoard(Board):
     def blocks(self, now, name, after=-1):
-        return [w.Block(b.teller, b.life, b.number, 0, b.count, b.whole, b.loads)
-                for b in super().blocks(now, name, after)]
+        return [
+            w.Block(b.teller, b.life, b.number, 0, b.count, b.whole, b.loads)
+            for b in super().blocks(now, name, after)
+        ]
 
     def forget(self, now, living=None):
         return {}
@@ -106,5 +108,13 @@
         return Adopted({row.cache: row.strikes for learnt in told for row in learnt.caches}, {}, {}, {})
 
 
-MISTAKES = (AddsTwice, NewsNeverAges, FormerLifeWins, LastHeardWins, NoBound, StepAtTheEnd, CountsItself,
-            ToldSetsAside)
+MISTAKES = (
+    AddsTwice,
+    NewsNeverAges,
+    FormerLifeWins,
+    LastHeardWins,
+    NoBound,
+    StepAtTheEnd,
+    CountsItself,
+    ToldSetsAside,
+)
--- a/tests/spread_mistakes.py
+++ b/tests/spread_mistakes.py
@@ -58,7 +58,9 @@
         unit = row.lent.get(cede.number)
         if cede.life == self.life and unit is not None and unit.unit == cede.unit:
             self.asked += 1
-            more = row.lent[self.asked] = Unit(LENT, HELD, unit.until + self.terms.lease, cede.unit, cede.after)
+            more = row.lent[self.asked] = Unit(
+                LENT, HELD, unit.until + self.terms.lease, cede.unit, cede.after
+            )
             more.purse = self.terms.lump
         return []
 
@@ -85,7 +87,9 @@
         if cede.number not in row.lent or row.lent[cede.number].state != shares.ASKED:
             self.asked += 1
             row.lent[cede.number] = Unit(LENT, shares.ASKED, self.asked and row.own.until + (1 << 40))
-        return super()._cede(row, shares.Cede(cede.cache, cede.born, self.life, cede.number, cede.unit, cede.after))
+        return super()._cede(
+            row, shares.Cede(cede.cache, cede.born, self.life, cede.number, cede.unit, cede.after)
+        )
 
 
 class NewsNeverAge(Busy):
@@ -157,7 +161,22 @@
 
 
 MISTAKES = (
-    LapsedStillSpent, CountedTwice, TellsBeforeItReduces, LeaseWithoutDrift, LeaseFromHearing, DoubledCedeAddsTwice,
-    FormerLifeForgotten, OpenTurnSpentByBoth, OldCedeTaken, NewsNeverAge, LiarUnbounded, FollowsAtOnce, OldNewsHold,
-    OwnCountedTwice, IdleNeverTried, FoundByAllAtOnce, HeldOffByALiar, DoubtedIsFresh,
+    LapsedStillSpent,
+    CountedTwice,
+    TellsBeforeItReduces,
+    LeaseWithoutDrift,
+    LeaseFromHearing,
+    DoubledCedeAddsTwice,
+    FormerLifeForgotten,
+    OpenTurnSpentByBoth,
+    OldCedeTaken,
+    NewsNeverAge,
+    LiarUnbounded,
+    FollowsAtOnce,
+    OldNewsHold,
+    OwnCountedTwice,
+    IdleNeverTried,
+    FoundByAllAtOnce,
+    HeldOffByALiar,
+    DoubtedIsFresh,
 )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -70,8 +70,10 @@
         read_text("f.ini", "[admission]\n")
     with pytest.raises(Refused, match="share: 5 % is out of range"):
         read_text("f.ini", "[admission]\nshare = 5 %\n")
-    code = ("import sys, hookrouter.desk.desk, hookrouter.desk.relay, hookrouter.desk.web, "
-            "hookrouter.node.service, hookrouter.feed.purges, hookrouter.node.purging; "
-            "print([name for name in sys.modules if 'admission' in name or 'feed.paced' in name])")
+    code = (
+        "import sys, hookrouter.desk.desk, hookrouter.desk.relay, hookrouter.desk.web, "
+        "hookrouter.node.service, hookrouter.feed.purges, hookrouter.node.purging; "
+        "print([name for name in sys.modules if 'admission' in name or 'feed.paced' in name])"
+    )
     out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert out.stdout == "[]\n"
--- a/tests/test_admission_network.py
+++ b/tests/test_admission_network.py
@@ -43,10 +43,18 @@
         fleet = [endpoint("c0", cache.port), endpoint("o0", cache.port, "origin")]
         for n in range(6):
             path = tmp_path / f"n{n}.json"
-            path.write_text(json.dumps(configuration(members(1, *fleet, whole=True),
-                                                     listen=f"127.0.0.1:{free_port()}")))
-            storm.start("hookrouter", "serve", "--site", storm.sites["direct" if n < 3 else "below"],
-                        said="serving", EDGE_CONFIG=str(path), EDGE_NAME=f"n{n}")
+            path.write_text(
+                json.dumps(configuration(members(1, *fleet, whole=True), listen=f"127.0.0.1:{free_port()}"))
+            )
+            storm.start(
+                "hookrouter",
+                "serve",
+                "--site",
+                storm.sites["direct" if n < 3 else "below"],
+                said="serving",
+                EDGE_CONFIG=str(path),
+                EDGE_NAME=f"n{n}",
+            )
         storm.fill(4_000)
         history = storm.followers(60, forget=0.5, rude=0.1)
         storm.all_up(history, 60, 60)
@@ -75,8 +83,10 @@
         assert storm.late(history) == []
         with open(history, "a", encoding="utf-8") as file:  # and one that is seeded is found
             now = int(time.time() * 1_000)
-            file.writelines(json.dumps([at, "f999", may, 0, True]) + "\n"
-                            for at, may in ((now - 9_000, True), (now, False)))
+            file.writelines(
+                json.dumps([at, "f999", may, 0, True]) + "\n"
+                for at, may in ((now - 9_000, True), (now, False))
+            )
         assert [row[:2] for row in storm.late(history)] == [("f999", 0)]
         facts = storm.status()["admission"]
         assert facts["state"] == "open" and facts["counts"]["admitted"] >= 60
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -15,16 +15,25 @@
 
 
 class Scene:
-    def __init__(self, most=8, room=10 ** 6, **more):
-        self.net, self.noted, self.room, self.ended = Net(), Noted(), Room(room, lambda: self.noted.count("room_filled")), []
+    def __init__(self, most=8, room=10**6, **more):
+        self.net, self.noted, self.room, self.ended = (
+            Net(),
+            Noted(),
+            Room(room, lambda: self.noted.count("room_filled")),
+            [],
+        )
         self.deadlines = Deadlines(self.net)
-        self.caches = Caches(self.net, self.deadlines, self.room, most, terms(**more), self.noted.log, self.noted.count)
+        self.caches = Caches(
+            self.net, self.deadlines, self.room, most, terms(**more), self.noted.log, self.noted.count
+        )
         self.soon = Rules(None, terms(**more)).soon / SECOND  # what the module lets a first attempt wait
         for n in range(3):
             self.caches.learn(f"c{n}", ("127.0.0.1", 7000 + n), 0)
 
     def send(self, name="c0", errand=PLAIN, leave=None, wanted=lambda: True):
-        send = self.caches.send(name, errand, errand.wait / SECOND, self.soon if leave is None else leave, wanted)
+        send = self.caches.send(
+            name, errand, errand.wait / SECOND, self.soon if leave is None else leave, wanted
+        )
         send.deferred.addCallback(self.ended.append)
         return send
 
@@ -41,20 +50,51 @@
 
 def test_a_send_carries_every_field_in_the_form_of_the_page():
     s = Scene()
-    s.send(errand=Errand("a kind", "9b1f", "7f3a", 3, "5c0f", "4be0", b"\r\nbody", 9009, "s-1", 2, 7, True, True, True, True))
+    s.send(
+        errand=Errand(
+            "a kind",
+            "9b1f",
+            "7f3a",
+            3,
+            "5c0f",
+            "4be0",
+            b"\r\nbody",
+            9009,
+            "s-1",
+            2,
+            7,
+            True,
+            True,
+            True,
+            True,
+        )
+    )
     assert s.up().take() == (
         b"GET /fetch/a%20kind/7f3a/3 HTTP/1.1\r\nHost: 127.0.0.1:7000\r\nX-Trace: 9b1f\r\nX-Patience: 900\r\n"
         b"X-Op-Key: 5c0f\r\nX-Origin-Pick: s-1\r\nX-Priority: 2\r\nX-Stale-Limit: 1\r\nX-Do: join+held+nocopy+renew\r\n"
-        b"X-Seen: 4be0\r\nContent-Length: 6\r\n\r\n\r\nbody")
+        b"X-Seen: 4be0\r\nContent-Length: 6\r\n\r\n\r\nbody"
+    )
     s.send("c1")
-    assert s.up().take() == (b"GET /fetch/clip/7f3a/3 HTTP/1.1\r\nHost: 127.0.0.1:7001\r\nX-Trace: 9b1f\r\n"
-                             b"X-Patience: 900\r\n\r\n")
-
-
-@pytest.mark.parametrize("said, end", [
-    (answer(200, b"body"), i.SATISFIED), (answer(304, b"", b"X-Rev: 4be0"), i.SATISFIED), (answer(404), i.MISSING),
-    (answer(503, b"", b"X-Declined: 1"), i.FULL), (answer(503), i.ERRED), (answer(500), i.ERRED),
-    (answer(504, b"", b"X-Declined: 1"), i.VOID), (answer(504), i.ERRED), (answer(400), i.ERRED)])
+    assert s.up().take() == (
+        b"GET /fetch/clip/7f3a/3 HTTP/1.1\r\nHost: 127.0.0.1:7001\r\nX-Trace: 9b1f\r\n"
+        b"X-Patience: 900\r\n\r\n"
+    )
+
+
+@pytest.mark.parametrize(
+    "said, end",
+    [
+        (answer(200, b"body"), i.SATISFIED),
+        (answer(304, b"", b"X-Rev: 4be0"), i.SATISFIED),
+        (answer(404), i.MISSING),
+        (answer(503, b"", b"X-Declined: 1"), i.FULL),
+        (answer(503), i.ERRED),
+        (answer(500), i.ERRED),
+        (answer(504, b"", b"X-Declined: 1"), i.VOID),
+        (answer(504), i.ERRED),
+        (answer(400), i.ERRED),
+    ],
+)
 def test_each_answer_ends_as_what_it_is(said, end):
     s = Scene()
     s.send(errand=PLAIN._replace(seen="4be0"))
@@ -63,13 +103,24 @@
         wire.come(bytes([byte]))
     assert s.ends() == [end] and wire.open
     ended = s.ended[0]
-    assert ended.unchanged == (b" 304 " in said) and b"".join(ended.pieces) == (b"body" if b" 200 " in said else b"")
+    assert ended.unchanged == (b" 304 " in said) and b"".join(ended.pieces) == (
+        b"body" if b" 200 " in said else b""
+    )
     assert ended.length == len(b"".join(ended.pieces)) and s.room.held == 0
 
 
-@pytest.mark.parametrize("said", [
-    b"garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n", answer(304), b"HTTP/1.1 200 OK\r\nContent-Length: 240001\r\n\r\n", b"x" * 20_000,
-    b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n"])
+@pytest.mark.parametrize(
+    "said",
+    [
+        b"garbage\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        answer(304),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 240001\r\n\r\n",
+        b"x" * 20_000,
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+    ],
+)
 def test_what_cannot_be_read_is_a_broken_send_and_the_connection_goes(said):
     s = Scene()
     s.send()
@@ -269,7 +320,11 @@
     s.send("c2", PLAIN._replace(wait=100 * MS))
     s.send("c0", PLAIN._replace(wait=700 * MS))
     s.net.pump([0.1, 0.1])
-    assert s.ends() == [i.SATISFIED, i.VOID, i.UNREACHED]  # the third had no place, the second was not up in time
+    assert s.ends() == [
+        i.SATISFIED,
+        i.VOID,
+        i.UNREACHED,
+    ]  # the third had no place, the second was not up in time
     assert s.net.ways[-1].port == 7000 and len(s.net.ways) == 3
     s.up().come(answer(404))
     s.caches.forget("c0")
@@ -291,7 +346,11 @@
 
 def test_idle_connections_go_when_their_address_or_name_passes_to_another():
     s = Scene()
-    for change in (("c9", ("127.0.0.1", 7000), 0), ("c1", ("127.0.0.1", 7009), 0), ("c2", ("127.0.0.1", 7002), 5)):
+    for change in (
+        ("c9", ("127.0.0.1", 7000), 0),
+        ("c1", ("127.0.0.1", 7009), 0),
+        ("c2", ("127.0.0.1", 7002), 5),
+    ):
         name = change[0] if change[0] != "c9" else "c0"
         s.send(name)
         wire = s.up()
@@ -354,7 +413,7 @@
         elif what == 3 and wires:
             wire = dice.choice(wires)
             said = dice.choice((answer(200, b"x" * 50), answer(404), answer(500, b"no"), b"junk\r\n\r\n"))
-            wire.come(said[:dice.choice((10, 60, len(said)))])
+            wire.come(said[: dice.choice((10, 60, len(said)))])
         elif what == 4 and wires:
             dice.choice(wires).abortConnection()
         elif what == 5 and sent:
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -11,10 +11,22 @@
 from hookrouter.control.cold import Cold
 
 # Among the worst of the twenty to forty seeds tried by place: the bound is near, or was broken before it was kept.
-SEEDS = {"20": (3, 25), "30": (3, 26), "200": (5, 16, 26), "25 of 200, every eighth": (5, 8, 15),
-         "25 of 200, in a row": (7, 11), "25 of 200, by chance": (14, 20)}
-SCHEDULES = (("late lists", "hungry"), ("late lists", "uneven"), ("restarts", "hungry"), ("restarts", "in bursts"),
-             ("seven in ten killed", "in bursts"), ("gone", "uneven"))
+SEEDS = {
+    "20": (3, 25),
+    "30": (3, 26),
+    "200": (5, 16, 26),
+    "25 of 200, every eighth": (5, 8, 15),
+    "25 of 200, in a row": (7, 11),
+    "25 of 200, by chance": (14, 20),
+}
+SCHEDULES = (
+    ("late lists", "hungry"),
+    ("late lists", "uneven"),
+    ("restarts", "hungry"),
+    ("restarts", "in bursts"),
+    ("seven in ten killed", "in bursts"),
+    ("gone", "uneven"),
+)
 CACHES = [(place, False) for place in PLACES] + [(place, True) for place in ("20", "30", "200")]
 LEAST = 0.25  # of all that the settings allow, half of the pace: turns lapse, and what is left of a lump may not do
 
@@ -27,8 +39,10 @@
 
 
 def told(what, seen):
-    print(f"{what}: worst at {seen.share:.2f} of the allowance for chance, {seen.above:+.1f} requests above N of "
-          f"{seen.n:.1f}, {seen.at:.2f} s after the start")
+    print(
+        f"{what}: worst at {seen.share:.2f} of the allowance for chance, {seen.above:+.1f} requests above N of "
+        f"{seen.n:.1f}, {seen.at:.2f} s after the start"
+    )
 
 
 @pytest.mark.parametrize("trouble, demand", SCHEDULES)
@@ -50,6 +64,7 @@
 
 # ---- mistakes seeded on purpose
 
+
 class TurnTakenAgain(Cold):
     def start(self, n, born, known=False):
         """A new life forgets that the turn open now may be spent."""
@@ -68,12 +83,16 @@
         return super()._terms(share, span, multiple, self.top.crew)
 
 
-@pytest.mark.parametrize("mistake, place, parent, schedule, seed", [
-    (TurnTakenAgain, "200", False, ("restarts", "in bursts"), 16),
-    (TurnTakenAgain, "200", True, ("restarts", "in bursts"), 26),
-    (PurseFilledAtEachLook, "20", False, ("late lists", "hungry"), 3),
-    (CountedByLocation, "30", True, ("late lists", "hungry"), 3),
-    (CountedByLocation, "200", True, ("late lists", "hungry"), 16)])
+@pytest.mark.parametrize(
+    "mistake, place, parent, schedule, seed",
+    [
+        (TurnTakenAgain, "200", False, ("restarts", "in bursts"), 16),
+        (TurnTakenAgain, "200", True, ("restarts", "in bursts"), 26),
+        (PurseFilledAtEachLook, "20", False, ("late lists", "hungry"), 3),
+        (CountedByLocation, "30", True, ("late lists", "hungry"), 3),
+        (CountedByLocation, "200", True, ("late lists", "hungry"), 16),
+    ],
+)
 def test_each_seeded_mistake_is_found(mistake, place, parent, schedule, seed):
     class Mistaken(Control):
         def __init__(self, *stated):
@@ -89,7 +108,11 @@
 
 KIND = KINDS[0]._replace(latency_budget=300 * MS)
 WORK = 240 * MS  # the mean of a lookup's own sending time
-ENDS = (*(i.SATISFIED,) * 12, *(i.MISSING,) * 7, i.FULL)  # at cold ones; what is refused more often closes all windows
+ENDS = (
+    *(i.SATISFIED,) * 12,
+    *(i.MISSING,) * 7,
+    i.FULL,
+)  # at cold ones; what is refused more often closes all windows
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -100,8 +123,11 @@
     t = terms(kinds=(KIND,), cold_for=span, parent_cold_for=span, cold_share=0.3, parent_cold_share=0.15)
     top = t.topology._replace(routers=routers, crews=(0, routers))
     fleet = [Control(n, t._replace(topology=top._replace(number=n))) for n in range(routers)]
-    caches = (cache("c0", born=BORN)._replace(weight=3.0),  # all of it comes here, or by the parent
-              cache("p0", born=BORN, sort="parent")._replace(weight=10.0), cache("o0", sort="origin"))
+    caches = (
+        cache("c0", born=BORN)._replace(weight=3.0),  # all of it comes here, or by the parent
+        cache("p0", born=BORN, sort="parent")._replace(weight=10.0),
+        cache("o0", sort="origin"),
+    )
     up = [BORN + dice.randrange(LATE) for _ in fleet]
     pace = [dice.lognormvariate(0, 1) for _ in fleet]
     weights, listed, weighed, ends, number, tries = {}, set(), {"c0": [], "p0": []}, [], 0, 0
@@ -128,8 +154,20 @@
                 end = ended(send, word, turn, took=int(weights[send.id]) if word == i.SATISFIED else 20 * MS)
                 ends.append((now + end.took, r, tuple(end)))
     for name, share, multiple, weight in (("c0", 0.3, 2.5, 3.0), ("p0", 0.15, 2.0, 10.0)):
-        plan = Plan(routers, tuple(range(routers)), name == "p0", share, span, multiple, t.fall_for, weight,
-                    ((KIND.latency_budget, WORK, 1),))
+        plan = Plan(
+            routers,
+            tuple(range(routers)),
+            name == "p0",
+            share,
+            span,
+            multiple,
+            t.fall_for,
+            weight,
+            ((KIND.latency_budget, WORK, 1),),
+        )
         seen = worst(plan, weighed[name])
-        told(f"lookups of {routers} routers, seed {seed}, {name}, {len(weighed[name])} sends, {tries} of all further ones", seen)
+        told(
+            f"lookups of {routers} routers, seed {seed}, {name}, {len(weighed[name])} sends, {tries} of all further ones",
+            seen,
+        )
         assert seen.share <= 1 and len(weighed[name]) > 20 and tries > 0
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -39,11 +39,18 @@
     control = router()
     for n in control.parents[:1]:
         control.health.set_aside(n)
-    assert sends(control.decide(1_000_000, [lookup(1)]))[0].source == control.ids[control.parents[1]]  # the other one
+    assert (
+        sends(control.decide(1_000_000, [lookup(1)]))[0].source == control.ids[control.parents[1]]
+    )  # the other one
     control.health.set_aside(control.parents[1])
-    assert {send.source for n in range(2, 8) for send in sends(control.decide(1_000_100, [lookup(n)]))} == {"o0"}
+    assert {send.source for n in range(2, 8) for send in sends(control.decide(1_000_100, [lookup(n)]))} == {
+        "o0"
+    }
     now = max(control.health.rest_until[n] for n in control.parents)
-    assert sends(control.decide(now, [lookup(9, due=now + 4 * SECOND)]))[0].source in ("p0", "p1")  # one look, no more
+    assert sends(control.decide(now, [lookup(9, due=now + 4 * SECOND)]))[0].source in (
+        "p0",
+        "p1",
+    )  # one look, no more
     later = sends(control.decide(now, [lookup(n, due=now + 4 * SECOND) for n in range(10, 20)]))
     assert [send.source for send in later].count("o0") >= 8
 
@@ -90,9 +97,19 @@
 
 def test_absurd_but_legal_inputs_raise_nothing():
     control = router([cache("c0", born=9 * NOW), *FLEET[1:]])
-    events = [lookup(1, due=0), lookup(2, "no such kind"), i.Purged(10 * NOW, 1, None), i.Alarm(99), i.ClientGone(77),
-              i.CacheList(i.WHOLE, ()), i.CacheList(i.UNANSWERED, ()), lookup(3), i.Begun(5, 0),
-              i.ProbeEnd(i.LATE, "c0", 5, None), i.Whisper(1, b"")]
+    events = [
+        lookup(1, due=0),
+        lookup(2, "no such kind"),
+        i.Purged(10 * NOW, 1, None),
+        i.Alarm(99),
+        i.ClientGone(77),
+        i.CacheList(i.WHOLE, ()),
+        i.CacheList(i.UNANSWERED, ()),
+        lookup(3),
+        i.Begun(5, 0),
+        i.ProbeEnd(i.LATE, "c0", 5, None),
+        i.Whisper(1, b""),
+    ]
     answered = [e.id for e in control.decide(NOW, events) if isinstance(e, (i.Nack, i.Fail))]
     assert answered == [1, 2, 3]
 
@@ -178,7 +195,9 @@
 
 def crowded(routers, crew, **more):
     """A router of a large fleet: its share of a cache or parent is under one send."""
-    control = router(topology=terms().topology._replace(routers=routers, crews=(0, crew), number=routers - 1), **more)
+    control = router(
+        topology=terms().topology._replace(routers=routers, crews=(0, crew), number=routers - 1), **more
+    )
     control.now = NOW
     return control
 
@@ -246,13 +265,20 @@
     control = router(fleet, topology=top, kinds=odd)
     reborn = [c._replace(born=NOW) for c in fleet]
     answered = set()
-    for step, news in enumerate((i.CacheList(i.CHANGES, tuple(reborn)), i.CacheList(i.WHOLE, ()),
-                                 i.CacheList(i.WHOLE, tuple(fleet)))):
+    for step, news in enumerate(
+        (i.CacheList(i.CHANGES, tuple(reborn)), i.CacheList(i.WHOLE, ()), i.CacheList(i.WHOLE, tuple(fleet)))
+    ):
         now = NOW + step * 100
-        effects = control.decide(now, [news, *(lookup(9 * step + n, k.name, size=5) for n, k in enumerate(odd))])
+        effects = control.decide(
+            now, [news, *(lookup(9 * step + n, k.name, size=5) for n, k in enumerate(odd))]
+        )
         for _ in range(9):
             answered |= {e.id for e in effects if isinstance(e, (i.Nack, i.Fail))}
-            effects = [e for send in sends(effects) for e in control.decide(now, [ended(send, i.FULL, e_number(send, control))])]
+            effects = [
+                e
+                for send in sends(effects)
+                for e in control.decide(now, [ended(send, i.FULL, e_number(send, control))])
+            ]
     assert answered == {9 * step + n for step in range(3) for n in range(len(odd))}
 
 
@@ -266,7 +292,9 @@
     control.now, control.heard[n], control.windows.room[n] = NOW, NOW + 1, 9.0
     control.learning.ended(sent_to(control, n), late)
     assert control.windows.room[n] == 9.0
-    control.learning.ended(sent_to(control, n), late._replace(end=i.SATISFIED, took=3 * SECOND))  # a crowd: others are late too
+    control.learning.ended(
+        sent_to(control, n), late._replace(end=i.SATISFIED, took=3 * SECOND)
+    )  # a crowd: others are late too
     control.learning.ended(sent_to(control, n), late)
     assert control.windows.room[n] < 5.0
 
@@ -274,7 +302,6 @@
 # ---- copies of the router's own
 
 
-
 def test_a_cache_that_loses_answers_shuts_no_window_of_its_sources_and_teaches_no_times():
     """Seen on sockets: a quarter of the answers of three caches never came, hits too, and all fills were rationed."""
     control = router(notes="none")
@@ -282,17 +309,24 @@
     control.heard[c0], control.windows.room[p0] = 2_000_000, 10.0
     lost = lambda via: control.learning.ended(  # noqa: E731
         Sent(c0, p0 if via else c0, p0 if via else None, 0, 100, 1_000_000, True, True),
-        i.SendEnd(1, 0, i.LATE, 0, False, 9_000, "c0", None))
+        i.SendEnd(1, 0, i.LATE, 0, False, 9_000, "c0", None),
+    )
     lost(True)
     assert control.windows.room[p0] == 5.0 and control.health.strikes[p0] == 1  # it may be the source
     for _ in range(2):
         lost(False)
     room, strikes, average = control.windows.room[p0], control.health.strikes[p0], control.times.average[0]
     lost(True)
-    assert (control.windows.room[p0], control.health.strikes[p0], control.times.average[0]) == (room, strikes, average)
+    assert (control.windows.room[p0], control.health.strikes[p0], control.times.average[0]) == (
+        room,
+        strikes,
+        average,
+    )
     for _ in range(60):  # what needs no source comes again
-        control.learning.ended(Sent(c0, c0, None, 0, 100, 1_000_000, True, True),
-                       i.SendEnd(1, 0, i.MISSING, 0, False, 9, "c0", None))
+        control.learning.ended(
+            Sent(c0, c0, None, 0, 100, 1_000_000, True, True),
+            i.SendEnd(1, 0, i.MISSING, 0, False, 9, "c0", None),
+        )
     lost(True)
     assert control.windows.room[p0] < room
 
@@ -310,6 +344,7 @@
 
 # ---- crowds: a burst of many routers, each of which sees little
 
+
 def test_a_crowd_is_seen_when_budgets_are_over_not_when_its_sends_end():
     control = router([cache("c0"), FLEET[4], FLEET[-1]], notes="none", topology=MANY)
     out = [sends(control.decide(NOW, [lookup(n, size=5)]))[0] for n in range(1, 7)]
@@ -330,7 +365,9 @@
     second = sends(control.decide(NOW + 9_000, [lookup(1, size=5, due=NOW + 5 * SECOND)]))[0]
     control.heard[0] = NOW + 9_001
     control.decide(NOW + 9_500, [])
-    assert second and control.windows.gate == 1.0 and not control.sent[1, 0].missed and not control.budgets[1:]
+    assert (
+        second and control.windows.gate == 1.0 and not control.sent[1, 0].missed and not control.budgets[1:]
+    )
 
 
 def test_a_gate_opens_by_time_once_it_is_quiet_whatever_this_router_sends():
@@ -365,7 +402,9 @@
     assert isinstance(control.decide(NOW, [lookup(1)])[-1], i.Nack)
     for n in first[:2]:
         control.health.set_aside(n)  # sick, not busy: the next two stand in
-    assert sends(control.decide(NOW + 1, [lookup(2, key="k1")]))[0].cache in {control.ids[n] for n in first[2:]}
+    assert sends(control.decide(NOW + 1, [lookup(2, key="k1")]))[0].cache in {
+        control.ids[n] for n in first[2:]
+    }
 
 
 def test_large_lookups_are_given_up_before_small_ones():
--- a/tests/test_crossings_caches.py
+++ b/tests/test_crossings_caches.py
@@ -9,6 +9,7 @@
 
 # ---- a repeat of a keyed class leaves in its window or never
 
+
 def broken_at(m, seconds):
     """A keyed call whose attempt was broken that long after it left."""
     client = m.client()
@@ -18,7 +19,9 @@
     return client
 
 
-@pytest.mark.parametrize("after, paused, written", [(0.02, False, True), (0.2, False, False), (0.2, True, False)])
+@pytest.mark.parametrize(
+    "after, paused, written", [(0.02, False, True), (0.2, False, False), (0.2, True, False)]
+)
 def test_a_repeat_whose_dial_comes_up_past_its_window_is_never_written(tmp_path, after, paused, written):
     with Machine(tmp_path, kinds=KEYED) as m:
         client = broken_at(m, 0.6)
@@ -54,6 +57,7 @@
 
 # ---- answers of caches
 
+
 @pytest.mark.parametrize("end", ["fin", "reset"])
 @pytest.mark.parametrize("cut", [7, 20, -1, -30])
 def test_an_answer_cut_short_goes_to_nobody_and_the_further_ones_does(tmp_path, end, cut):
@@ -135,7 +139,9 @@
             client.send(message(10, ref="d" * 16))
         assert m.answer(b"new") is not peer
         m.until(client.answers)
-        assert {number: client.body(number) for number in client.answers()} == {8 if over == "deadline" else 10: b"new"}
+        assert {number: client.body(number) for number in client.answers()} == {
+            8 if over == "deadline" else 10: b"new"
+        }
 
 
 @FIRST
@@ -171,8 +177,11 @@
         client.send(message(8, ref=CALL, allow="4000"))
         m.until(m.asking)
         port = m.caches["c0"].port
-        rows = ([endpoint("c0", port, status="left"), endpoint("c9", port)] if status.startswith("another")
-                else [endpoint("c0", port, status=status)])
+        rows = (
+            [endpoint("c0", port, status="left"), endpoint("c9", port)]
+            if status.startswith("another")
+            else [endpoint("c0", port, status=status)]
+        )
         feed.send(event(members(2, *rows)))
         m.turns()
         client.send(message(9, ref="d" * 16))
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -12,6 +12,7 @@
 
 # ---- a client that has gone: no attempt begins once the router could have read it
 
+
 @FIRST
 @pytest.mark.parametrize("how", ENDS)
 @pytest.mark.parametrize("reads", ["one", "two"])
@@ -33,7 +34,9 @@
 @BEHIND
 @pytest.mark.parametrize("how", ENDS)
 @pytest.mark.parametrize("over", ["late", "not up", "second copy"])
-def test_what_is_over_before_the_clients_end_is_read_begins_no_further_attempt(tmp_path, first, how, behind, over):
+def test_what_is_over_before_the_clients_end_is_read_begins_no_further_attempt(
+    tmp_path, first, how, behind, over
+):
     with Machine(tmp_path, {"second_copies": over == "second copy"}) as m:
         client, before = attempt_out(m, over)
         m.reactor.first = first
@@ -100,7 +103,9 @@
 @BEHIND
 @pytest.mark.parametrize("how", ENDS)
 @pytest.mark.parametrize("freed", ["answered", "closed", "reset"])
-def test_a_connection_that_gets_free_before_the_clients_end_is_read_gets_no_request(tmp_path, how, behind, freed):
+def test_a_connection_that_gets_free_before_the_clients_end_is_read_gets_no_request(
+    tmp_path, how, behind, freed
+):
     m, client = waiting_for_a_descriptor(tmp_path)
     with m:
         m.ends(client, how, behind=behind)
@@ -114,7 +119,9 @@
 
 @pytest.mark.parametrize("how", ENDS)
 @pytest.mark.parametrize("waits", ["dial", "descriptor"])
-def test_an_attempt_that_waits_is_withdrawn_with_its_client_also_where_none_may_be_cancelled(tmp_path, how, waits):
+def test_an_attempt_that_waits_is_withdrawn_with_its_client_also_where_none_may_be_cancelled(
+    tmp_path, how, waits
+):
     if waits == "descriptor":
         m, client = waiting_for_a_descriptor(tmp_path, may_cancel=False)
     else:
--- a/tests/test_crossings_linger.py
+++ b/tests/test_crossings_linger.py
@@ -9,7 +9,6 @@
 WHYS = pytest.mark.parametrize("why", ["idle", "short", "the end"])
 
 
-
 def resting_client(tmp_path, why):
     """A machine and a resting client; where descriptors are to run short others hold all but one."""
     m = Machine(tmp_path, **({"sockets": sockets_for(caches=4)} if why == "short" else {}))
@@ -46,8 +45,13 @@
     return [connection.transport.client for connection in machine.router.front.connections.held()]
 
 
-CROSSING = {"call": message(2, ref=CALL), "half a call": message(2, ref=CALL)[:50], "check": message(2, b"check"),
-            "interrupt": message(2, b"interrupt", interrupted=1), "garbage": b"\xff" * 300}
+CROSSING = {
+    "call": message(2, ref=CALL),
+    "half a call": message(2, ref=CALL)[:50],
+    "check": message(2, b"check"),
+    "interrupt": message(2, b"interrupt", interrupted=1),
+    "garbage": b"\xff" * 300,
+}
 
 
 @WHYS
--- a/tests/test_crossings_table.py
+++ b/tests/test_crossings_table.py
@@ -8,8 +8,18 @@
 
 import pytest
 
-COLUMNS = ("client's request", "client's interrupt", "client's FIN", "client's reset", "cache's byte", "cache's end",
-           "cache's reset", "list change", "signal", "deadline")
+COLUMNS = (
+    "client's request",
+    "client's interrupt",
+    "client's FIN",
+    "client's reset",
+    "cache's byte",
+    "cache's end",
+    "cache's reset",
+    "list change",
+    "signal",
+    "deadline",
+)
 
 LIE_UNREAD = "test_a_call_and_its_end_that_both_lie_unread_begin_no_attempt"
 OVER = "test_what_is_over_before_the_clients_end_is_read_begins_no_further_attempt"
@@ -44,32 +54,90 @@
 
 TABLE = {  # in the order of the columns
     "client connection": (
-        CROSS, CROSS, (BOTH_END, NOT_READING), (BOTH_END, MANY), NO_CACHE, NO_CACHE, NO_CACHE,
+        CROSS,
+        CROSS,
+        (BOTH_END, NOT_READING),
+        (BOTH_END, MANY),
+        NO_CACHE,
+        NO_CACHE,
+        NO_CACHE,
         "Cannot: a list names caches, and no connection of a client belongs to one.",
-        (CROSS, WHOLE), (LINGERS, "test_an_end_that_waits_for_its_client_to_read_has_a_deadline")),
+        (CROSS, WHOLE),
+        (LINGERS, "test_an_end_that_waits_for_its_client_to_read_has_a_deadline"),
+    ),
     "call": (
         "test_the_id_of_an_open_lookup_is_refused_and_the_first_goes_on",
-        (LIE_UNREAD, NOT_READING, "test_no_answer_after_an_interrupt"), (LIE_UNREAD, NOT_READING, MANY),
-        (LIE_UNREAD, MANY), ONE_MOMENT, ONE_MOMENT, ONE_MOMENT, LIST, THE_END,
-        "test_a_silent_fleet_gets_every_lookup_its_answer_in_time"),
+        (LIE_UNREAD, NOT_READING, "test_no_answer_after_an_interrupt"),
+        (LIE_UNREAD, NOT_READING, MANY),
+        (LIE_UNREAD, MANY),
+        ONE_MOMENT,
+        ONE_MOMENT,
+        ONE_MOMENT,
+        LIST,
+        THE_END,
+        "test_a_silent_fleet_gets_every_lookup_its_answer_in_time",
+    ),
     "attempt": (
-        GIVEN_UP, (OVER, DIAL, FREE, WITHDRAWN), (OVER, DIAL, FREE, WITHDRAWN), (OVER, DIAL, FREE, WITHDRAWN),
-        GIVEN_UP, CUT, CUT, LIST, THE_END, (LATE_DIAL, LATE_FREE, ENDLESS)),
+        GIVEN_UP,
+        (OVER, DIAL, FREE, WITHDRAWN),
+        (OVER, DIAL, FREE, WITHDRAWN),
+        (OVER, DIAL, FREE, WITHDRAWN),
+        GIVEN_UP,
+        CUT,
+        CUT,
+        LIST,
+        THE_END,
+        (LATE_DIAL, LATE_FREE, ENDLESS),
+    ),
     "upstream connection": (
-        IDLE, FREE, FREE, FREE, (TWO, IDLE), IDLE, (IDLE, FREE), LIST, THE_END,
-        "test_a_connection_is_used_again_one_request_at_a_time_until_idle_too_long"),
+        IDLE,
+        FREE,
+        FREE,
+        FREE,
+        (TWO, IDLE),
+        IDLE,
+        (IDLE, FREE),
+        LIST,
+        THE_END,
+        "test_a_connection_is_used_again_one_request_at_a_time_until_idle_too_long",
+    ),
     "watch": (
-        RETURNS, NO_CLIENT, NO_CLIENT, NO_CLIENT, OLD_WATCH, (OLD_WATCH, HALF_EVENT), HALF_EVENT, HALF_EVENT, MOVED,
-        (OLD_WATCH, HALF_EVENT, "test_a_watch_that_falls_silent_is_followed_anew_before_its_news_count_as_told")),
+        RETURNS,
+        NO_CLIENT,
+        NO_CLIENT,
+        NO_CLIENT,
+        OLD_WATCH,
+        (OLD_WATCH, HALF_EVENT),
+        HALF_EVENT,
+        HALF_EVENT,
+        MOVED,
+        (
+            OLD_WATCH,
+            HALF_EVENT,
+            "test_a_watch_that_falls_silent_is_followed_anew_before_its_news_count_as_told",
+        ),
+    ),
     "process": (
-        (WAKES, THE_END), GOES, (GOES, WAKES), GOES, THE_END, THE_END, THE_END, THE_END, (WAKES, THE_END),
-        ("test_at_the_end_a_client_that_reads_nothing_is_cut_off_in_time", LINGERS)),
+        (WAKES, THE_END),
+        GOES,
+        (GOES, WAKES),
+        GOES,
+        THE_END,
+        THE_END,
+        THE_END,
+        THE_END,
+        (WAKES, THE_END),
+        ("test_at_the_end_a_client_that_reads_nothing_is_cut_off_in_time", LINGERS),
+    ),
 }
 
 
 def defined():
-    return {name for path in Path(__file__).parent.glob("test_*.py")
-            for name in re.findall(r"^def (test_\w+)\(", path.read_text(), re.MULTILINE)}
+    return {
+        name
+        for path in Path(__file__).parent.glob("test_*.py")
+        for name in re.findall(r"^def (test_\w+)\(", path.read_text(), re.MULTILINE)
+    }
 
 
 @pytest.mark.parametrize("row", TABLE)
@@ -82,8 +150,18 @@
 
 
 def test_every_test_of_a_crossing_has_its_cell():
-    told = {one for cells in TABLE.values() for cell in cells for one in ((cell,) if isinstance(cell, str) else cell)}
-    here = {name for path in Path(__file__).parent.glob("test_crossings_[clw]*.py")
-            for name in re.findall(r"^def (test_\w+)\(", path.read_text(), re.MULTILINE)}
-    assert here - told == {"test_what_is_over_begins_a_further_attempt_where_the_client_waits",  # shows that OVER shows something
-                           "test_connections_that_linger_hold_no_more_descriptors_than_clients_may"}  # nothing crosses
+    told = {
+        one
+        for cells in TABLE.values()
+        for cell in cells
+        for one in ((cell,) if isinstance(cell, str) else cell)
+    }
+    here = {
+        name
+        for path in Path(__file__).parent.glob("test_crossings_[clw]*.py")
+        for name in re.findall(r"^def (test_\w+)\(", path.read_text(), re.MULTILINE)
+    }
+    assert here - told == {
+        "test_what_is_over_begins_a_further_attempt_where_the_client_waits",  # shows that OVER shows something
+        "test_connections_that_linger_hold_no_more_descriptors_than_clients_may",
+    }  # nothing crosses
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -14,6 +14,7 @@
 
 # ---- the watch
 
+
 def stream_of(m):
     return m.router.feed.stream
 
@@ -103,13 +104,27 @@
 
 # ---- the end of the process
 
-@pytest.mark.parametrize("case", ["half a frame", "a dial is out", "twice", "with a reload", "a watch is down", "a list",
-                                  "a cache's end", "a cache's reset"])
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        "half a frame",
+        "a dial is out",
+        "twice",
+        "with a reload",
+        "a watch is down",
+        "a list",
+        "a cache's end",
+        "a cache's reset",
+    ],
+)
 def test_what_the_end_crosses_is_answered_and_the_process_ends_once(tmp_path, case):
     with Machine(tmp_path) as m:
         client, call, feed = m.client(), message(8, ref=CALL, allow="3000"), m.follow()
         service = m.service(lambda: m.start._replace(known=[]))
-        m.reactor.held_ports = {cache.port for cache in m.caches.values()} if case == "a dial is out" else set()
+        m.reactor.held_ports = (
+            {cache.port for cache in m.caches.values()} if case == "a dial is out" else set()
+        )
         client.send(call[:50] if case == "half a frame" else call)
         if case == "a watch is down":
             m.feed.close()
@@ -164,8 +179,15 @@
     with Standing(Large) as cache, Standing(FeedStandIn) as feed:
         fleet = [endpoint("c0", cache.port), endpoint("o0", cache.port, "origin")]
         path = tmp_path / "config.json"
-        path.write_text(json.dumps(configuration(members(1, *fleet, whole=True), listen=f"{LOCAL}:{free_port()}",
-                                                 feed=f"{LOCAL}:{feed.port}")))
+        path.write_text(
+            json.dumps(
+                configuration(
+                    members(1, *fleet, whole=True),
+                    listen=f"{LOCAL}:{free_port()}",
+                    feed=f"{LOCAL}:{feed.port}",
+                )
+            )
+        )
         process, port = serving(path)
         try:
             held = [socket.create_connection((LOCAL, port), 5) for _ in range(4)]
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -46,10 +46,19 @@
 
 def test_each_mistake_made_on_purpose_is_found(tmp_path):
     names = list(MISTAKES)
-    with Crowd(tmp_path, len(names), 4, zones=1, weight=1, cold_ms=60_000, program=lambda name: (
-            "tests.crowd_mistakes", names[int(name[1:])])) as crowd:
+    with Crowd(
+        tmp_path,
+        len(names),
+        4,
+        zones=1,
+        weight=1,
+        cold_ms=60_000,
+        program=lambda name: ("tests.crowd_mistakes", names[int(name[1:])]),
+    ) as crowd:
         assert crowd.ready()
-        crowd.load.start(6, 120, names=400, retry=0.0, kinds={"clip": 0.8, "order": 0.2}, late=2.0, allow=(1_000, 1_500))
+        crowd.load.start(
+            6, 120, names=400, retry=0.0, kinds={"clip": 0.8, "order": 0.2}, late=2.0, allow=(1_000, 1_500)
+        )
         time.sleep(1)
         crowd.caches.restart("c0")
         crowd.caches.drain("c1")
@@ -72,22 +81,40 @@
     """(status, X-Result) of one lookup at a cache."""
     head = "".join(f"{field}\r\n" for field in fields)
     with socket.create_connection(("127.0.0.1", port), 5) as connection:
-        connection.sendall(f"GET /fetch/clip/{objects.name(1)}/0 HTTP/1.1\r\nX-Trace: 0001aa\r\n{head}\r\n".encode())
+        connection.sendall(
+            f"GET /fetch/clip/{objects.name(1)}/0 HTTP/1.1\r\nX-Trace: 0001aa\r\n{head}\r\n".encode()
+        )
         data = connection.recv(65_536).decode("latin-1")
     return int(data.split(" ")[1]), data.partition("X-Result: ")[2].partition("\r\n")[0]
 
 
 def test_a_cache_keeps_copies_refuses_late_numbers_and_drops_what_is_purged(tmp_path):
     ports = Ports()
-    rows = [{"name": name, "zone": "z0", "type": sort, "group": 0, "weight": 8, "since_ms": 0, "room": 10_000,
-             "port": ports.take()} for name, sort in (("c0", "box"), ("o0", "origin"))]
-    world = Remote("world", {"caches": rows, "doors": {}, "terms": {**TIMES, "origin": "o0"}, "idle": 5,
-                             "inline": False}, tmp_path)
+    rows = [
+        {
+            "name": name,
+            "zone": "z0",
+            "type": sort,
+            "group": 0,
+            "weight": 8,
+            "since_ms": 0,
+            "room": 10_000,
+            "port": ports.take(),
+        }
+        for name, sort in (("c0", "box"), ("o0", "origin"))
+    ]
+    world = Remote(
+        "world",
+        {"caches": rows, "doors": {}, "terms": {**TIMES, "origin": "o0"}, "idle": 5, "inline": False},
+        tmp_path,
+    )
     try:
         port = rows[0]["port"]
         assert asked(port) == (404, "")
         assert asked(port, "X-Origin-Pick: o0") == (200, "filled") and asked(port) == (200, "hit")
-        assert asked(port, "X-Fence: warm/c0 7") == (200, "hit") and asked(port, "X-Fence: warm/c0 6")[0] == 409
+        assert (
+            asked(port, "X-Fence: warm/c0 7") == (200, "hit") and asked(port, "X-Fence: warm/c0 6")[0] == 409
+        )
         assert asked(port, "X-Fence: warm/c1 6") == (200, "hit")
         world.call("purge", key=objects.name(1))
         assert waited(lambda: asked(port)[0] == 404)
@@ -106,8 +133,10 @@
 
 def test_the_relay_cuts_one_way_holds_doubles_and_loses(tmp_path):
     ports = Ports()
-    rows = {name: {"zone": zone, "real": ports.take(), "shown": ports.take()}
-            for name, zone in (("a", "z0"), ("b", "z1"))}
+    rows = {
+        name: {"zone": zone, "real": ports.take(), "shown": ports.take()}
+        for name, zone in (("a", "z0"), ("b", "z1"))
+    }
     relay = Remote("relay", {"members": rows, "streams": [], "seed": 1}, tmp_path)
     ends = {}
     try:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -42,15 +42,29 @@
 def test_run_is_one_process_that_opens_only_its_listener_its_caches_and_its_feed(tmp_path):
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     words = deploy["run"].split()
-    assert words[0] == "exec" and words[2:4] == ["-m", "hookrouter"] and not set("&|;$()`<>") & set(deploy["run"])
+    assert (
+        words[0] == "exec"
+        and words[2:4] == ["-m", "hookrouter"]
+        and not set("&|;$()`<>") & set(deploy["run"])
+    )
     with Standing(Cache) as cache, Standing(FeedStandIn) as feed:
         port, out = free_port(), tmp_path / "seen.json"
         fleet = [endpoint("c0", cache.port), endpoint("o0", cache.port, "origin")]
         path = tmp_path / "config.json"
-        path.write_text(json.dumps(configuration(members(1, *fleet, whole=True), listen=f"127.0.0.1:{port}",
-                                                 feed=f"127.0.0.1:{feed.port}")))
-        process = subprocess.Popen([sys.executable, "-c", WATCHED, str(out), *words[4:]], stderr=subprocess.PIPE,
-                                   text=True, cwd=ROOT, env={**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n1"})
+        path.write_text(
+            json.dumps(
+                configuration(
+                    members(1, *fleet, whole=True), listen=f"127.0.0.1:{port}", feed=f"127.0.0.1:{feed.port}"
+                )
+            )
+        )
+        process = subprocess.Popen(
+            [sys.executable, "-c", WATCHED, str(out), *words[4:]],
+            stderr=subprocess.PIPE,
+            text=True,
+            cwd=ROOT,
+            env={**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n1"},
+        )
         try:
             assert "serving: n1 on 127.0.0.1:" in process.stderr.readline()
             with socket.create_connection(("127.0.0.1", port), 5) as connection:
@@ -59,8 +73,10 @@
                 process.send_signal(signal.SIGHUP)
                 process.send_signal(signal.SIGUSR1)
                 ask(connection, message(4), 1)
-                below = [Path(f"/proc/{process.pid}/task/{task}/children").read_text()
-                         for task in os.listdir(f"/proc/{process.pid}/task")]
+                below = [
+                    Path(f"/proc/{process.pid}/task/{task}/children").read_text()
+                    for task in os.listdir(f"/proc/{process.pid}/task")
+                ]
                 assert not any(map(str.strip, below))
             process.send_signal(signal.SIGTERM)
             said = process.communicate(timeout=15)[1]
@@ -69,7 +85,10 @@
             process.kill()
             process.wait()
     seen, files = json.loads(out.read_text())
-    opened = {name: [args for event, args in seen if event == f"socket.{name}"] for name in ("__new__", "bind", "connect")}
+    opened = {
+        name: [args for event, args in seen if event == f"socket.{name}"]
+        for name in ("__new__", "bind", "connect")
+    }
     assert {tuple(kind) for kind in opened["__new__"]} == {(socket.AF_INET, socket.SOCK_STREAM)}
     assert opened["bind"] == [["127.0.0.1", port]]
     assert {tuple(to) for to in opened["connect"]} == {("127.0.0.1", cache.port), ("127.0.0.1", feed.port)}
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -23,9 +23,15 @@
 def test_the_page_lists_every_code_with_its_exit_and_advice():
     rows = re.findall(r"^\| `([a-z-]+)` \| [^|]+ \| (\d) \| (.+) \|$", PAGE.read_text(), re.M)
     assert {code: (int(end), advice) for code, end, advice in rows} == {
-        code: (kind.exit, kind.advice) for code, kind in errors.every().items()}
-    assert len(rows) == len(errors.every()) and all(re.fullmatch("[a-z]+(-[a-z]+)*", code) for code, *_ in rows)
-    assert all(kind.__doc__ and "\n" not in kind.advice and len(kind.advice) < 140 for kind in errors.every().values())
+        code: (kind.exit, kind.advice) for code, kind in errors.every().items()
+    }
+    assert len(rows) == len(errors.every()) and all(
+        re.fullmatch("[a-z]+(-[a-z]+)*", code) for code, *_ in rows
+    )
+    assert all(
+        kind.__doc__ and "\n" not in kind.advice and len(kind.advice) < 140
+        for kind in errors.every().values()
+    )
 
 
 def test_the_old_names_are_the_new_kinds_and_the_same_errors_as_before():
@@ -36,11 +42,25 @@
     from hookrouter.parsers import http1, sse, thrift
     from hookrouter.purges import wire
     from hookrouter.trace import Unreadable
-    was_value_errors = (Malformed, events.Malformed, http1.Malformed, sse.Malformed, thrift.Malformed, wire.Malformed,
-                        member_wire.Malformed, Unreadable, site.Wrong)
+
+    was_value_errors = (
+        Malformed,
+        events.Malformed,
+        http1.Malformed,
+        sse.Malformed,
+        thrift.Malformed,
+        wire.Malformed,
+        member_wire.Malformed,
+        Unreadable,
+        site.Wrong,
+    )
     assert all(issubclass(kind, ValueError) and issubclass(kind, errors.Trouble) for kind in was_value_errors)
     assert len({thrift.Malformed, http1.Malformed, sse.Malformed, wire.Malformed, Malformed}) == 5
-    assert issubclass(Damaged, Unusable) and issubclass(asker.Lost, errors.Trouble) and site.Refused(["a:1: b"]).lines == ["a:1: b"]
+    assert (
+        issubclass(Damaged, Unusable)
+        and issubclass(asker.Lost, errors.Trouble)
+        and site.Refused(["a:1: b"]).lines == ["a:1: b"]
+    )
     assert not issubclass(Unusable, ValueError) and str(Malformed("x")) == "x"
 
 
@@ -59,8 +79,11 @@
         self.taken = f"127.0.0.1:{self.socket.getsockname()[1]}"
         with socket.create_server(("127.0.0.1", 0)) as ended:
             self.dead = f"127.0.0.1:{ended.getsockname()[1]}"
-        (folder / "ok.json").write_text(json.dumps(configuration(
-            members(1, endpoint("c0", 7100), endpoint("o0", 7101, "origin"), whole=True))))
+        (folder / "ok.json").write_text(
+            json.dumps(
+                configuration(members(1, endpoint("c0", 7100), endpoint("o0", 7101, "origin"), whole=True))
+            )
+        )
         other = sqlite3.connect(folder / "other.db")
         other.execute("CREATE TABLE mine (n)")
         other.close()
@@ -74,7 +97,8 @@
         (self.folder / name).write_text(
             f"[purges]\ndesk = {self.dead}\nsecret = secret\n[desk]\nlisten = {self.taken}\nstore = {store}\n"
             f"[fleet]\nname = k1\nlisten = {self.taken}\nsecret = secret\nstore = {'k2.db' if store == 'ok.db' else store}\n"
-            f"keepers = k1 {self.taken}, k2 {self.dead}, k3 10.0.0.9:9300\n")
+            f"keepers = k1 {self.taken}, k2 {self.dead}, k3 10.0.0.9:9300\n"
+        )
 
 
 @pytest.fixture(scope="module")
@@ -84,28 +108,52 @@
     made.socket.close()
 
 
-@pytest.mark.parametrize("code, words", [
-    ("platform-value", "check"), ("platform-value", "serve EDGE_CONFIG=none"), ("platform-value", "check EDGE_CONFIG=folder"),
-    ("platform-value", "check EDGE_CONFIG=bin"), ("platform-value", "serve EDGE_CONFIG=empty"),
-    ("platform-value", "check EDGE_CONFIG=ok.json EDGE_LISTEN=x"), ("platform-value", "check EDGE_CONFIG=ok.json --site ok.db.ini"),
-    ("site-file", "check --site none EDGE_CONFIG=ok.json"), ("site-file", "serve --site bin EDGE_CONFIG=ok.json"),
-    ("site-file", "purges list --site wrong.ini"), ("site-unnamed", "fleet status"), ("site-section", "fleet status --site empty"),
-    ("site-section", "purges serve --site log.ini"),
-    ("store-unusable", "purges serve --site folder.ini"), ("store-damaged", "purges serve --site bin.ini"),
-    ("store-foreign", "purges serve --site other.db.ini"), ("store-unusable", "purges serve --site no-where.db.ini"),
-    ("store-unusable", "fleet serve --site folder.ini"), ("store-damaged", "fleet serve --site bin.ini"),
-    ("store-foreign", "fleet serve --site ok.db.ini"), ("store-damaged", "fleet verify --site bin.ini"),
-    ("listen-refused", "purges serve --site ok.db.ini"),
-    ("store-unusable", "purges verify --store folder"), ("command-file", "purges verify --store none"),
-    ("store-damaged", "purges verify --store bin"), ("desk-away", "purges list --site ok.db.ini"),
-    ("command-use", "purges submit --site ok.db.ini"), ("command-file", "purges submit --site ok.db.ini --from-file none"),
-    ("command-file", "purges submit --site ok.db.ini --from-file folder"),
-    ("command-input", "purges submit --site ok.db.ini --from-file bin"),
-    ("command-input", "purges submit --site ok.db.ini --from-file lines"),
-    ("command-use", "purges status --site ok.db.ini --at x"), ("command-use", "fleet replace --site ok.db.ini"),
-    ("command-use", "fleet drill k9 --fault kill --site ok.db.ini"), ("command-use", "fleet drill k2 --fault cut --site ok.db.ini"),
-    ("trace-empty", "trace show folder"), ("trace-torn", "trace account bin"), ("trace-empty", "trace account empty")])
-def test_every_fault_of_what_a_command_is_given_is_one_line_that_says_what_to_do(place, capsys, monkeypatch, code, words):
+@pytest.mark.parametrize(
+    "code, words",
+    [
+        ("platform-value", "check"),
+        ("platform-value", "serve EDGE_CONFIG=none"),
+        ("platform-value", "check EDGE_CONFIG=folder"),
+        ("platform-value", "check EDGE_CONFIG=bin"),
+        ("platform-value", "serve EDGE_CONFIG=empty"),
+        ("platform-value", "check EDGE_CONFIG=ok.json EDGE_LISTEN=x"),
+        ("platform-value", "check EDGE_CONFIG=ok.json --site ok.db.ini"),
+        ("site-file", "check --site none EDGE_CONFIG=ok.json"),
+        ("site-file", "serve --site bin EDGE_CONFIG=ok.json"),
+        ("site-file", "purges list --site wrong.ini"),
+        ("site-unnamed", "fleet status"),
+        ("site-section", "fleet status --site empty"),
+        ("site-section", "purges serve --site log.ini"),
+        ("store-unusable", "purges serve --site folder.ini"),
+        ("store-damaged", "purges serve --site bin.ini"),
+        ("store-foreign", "purges serve --site other.db.ini"),
+        ("store-unusable", "purges serve --site no-where.db.ini"),
+        ("store-unusable", "fleet serve --site folder.ini"),
+        ("store-damaged", "fleet serve --site bin.ini"),
+        ("store-foreign", "fleet serve --site ok.db.ini"),
+        ("store-damaged", "fleet verify --site bin.ini"),
+        ("listen-refused", "purges serve --site ok.db.ini"),
+        ("store-unusable", "purges verify --store folder"),
+        ("command-file", "purges verify --store none"),
+        ("store-damaged", "purges verify --store bin"),
+        ("desk-away", "purges list --site ok.db.ini"),
+        ("command-use", "purges submit --site ok.db.ini"),
+        ("command-file", "purges submit --site ok.db.ini --from-file none"),
+        ("command-file", "purges submit --site ok.db.ini --from-file folder"),
+        ("command-input", "purges submit --site ok.db.ini --from-file bin"),
+        ("command-input", "purges submit --site ok.db.ini --from-file lines"),
+        ("command-use", "purges status --site ok.db.ini --at x"),
+        ("command-use", "fleet replace --site ok.db.ini"),
+        ("command-use", "fleet drill k9 --fault kill --site ok.db.ini"),
+        ("command-use", "fleet drill k2 --fault cut --site ok.db.ini"),
+        ("trace-empty", "trace show folder"),
+        ("trace-torn", "trace account bin"),
+        ("trace-empty", "trace account empty"),
+    ],
+)
+def test_every_fault_of_what_a_command_is_given_is_one_line_that_says_what_to_do(
+    place, capsys, monkeypatch, code, words
+):
     monkeypatch.chdir(place.folder)
     monkeypatch.setattr(purges, "PAUSE", 0)
     for name in ("EDGE_CONFIG", "EDGE_LISTEN", "HOOKROUTER_SITE"):
@@ -115,14 +163,24 @@
         monkeypatch.setenv(*word.split("="))
         given.remove(word)
     exit, said = main(given), capsys.readouterr().err
-    assert exit == (1 if code == "trace-torn" or given[:2] == ["trace", "account"] else errors.every()[code].exit)
-    assert f"; do: {errors.every()[code].advice} ({code})\n" in said.replace("\ndo: ", "; do: ") and "Traceback" not in said
+    assert exit == (
+        1 if code == "trace-torn" or given[:2] == ["trace", "account"] else errors.every()[code].exit
+    )
+    assert (
+        f"; do: {errors.every()[code].advice} ({code})\n" in said.replace("\ndo: ", "; do: ")
+        and "Traceback" not in said
+    )
 
 
 def test_what_no_kind_names_is_one_line_too(capsys, monkeypatch):
     from hookrouter import command
-    monkeypatch.setattr(command.commands, "main", lambda *_, **__: (_ for _ in ()).throw(OSError(28, "No space left", "x")))
-    assert main(["check"]) == 1 and "No space left" in (said := capsys.readouterr().err) and "(system)" in said
+
+    monkeypatch.setattr(
+        command.commands, "main", lambda *_, **__: (_ for _ in ()).throw(OSError(28, "No space left", "x"))
+    )
+    assert (
+        main(["check"]) == 1 and "No space left" in (said := capsys.readouterr().err) and "(system)" in said
+    )
 
 
 def test_a_store_that_another_process_holds_says_so(tmp_path, capsys):
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -24,7 +24,9 @@
 class Scene:
     def __init__(self, last=3):
         self.net, self.noted, self.seen = Net(), Noted(), []
-        self.feed = Feed(self.net, Deadlines(self.net), self, ("127.0.0.1", 9092), last, self.noted.log, self.noted.count)
+        self.feed = Feed(
+            self.net, Deadlines(self.net), self, ("127.0.0.1", 9092), last, self.noted.log, self.noted.count
+        )
         self.feed.start()
 
     def listed(self, event):
@@ -46,7 +48,10 @@
     listed, by_key, by_group = s.seen
     assert listed.caches == (i.Cache("s-1", "edge", 0, 8, 17645760000000, i.DRAINING, "box"),)
     assert listed.addresses == (("127.0.0.1", 7001),) and not listed.whole
-    assert (by_key.object, by_key.made) == ("7f3a", 17645760001230) and (by_group.object, by_group.group) == (None, 17)
+    assert (by_key.object, by_key.made) == ("7f3a", 17645760001230) and (by_group.object, by_group.group) == (
+        None,
+        17,
+    )
 
 
 def test_a_new_connection_goes_on_where_the_last_one_ended():
@@ -86,7 +91,9 @@
     assert s.net.ways[-2].over and not s.net.ways[-1].over
 
 
-@pytest.mark.parametrize("garbage", [b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", b"junk\r\n\r\n", b"x" * 20_000])
+@pytest.mark.parametrize(
+    "garbage", [b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", b"junk\r\n\r\n", b"x" * 20_000]
+)
 def test_what_is_no_stream_of_events_leads_to_a_new_connection(garbage):
     s = Scene()
     s.net.ways[0].up().come(garbage)
@@ -94,11 +101,21 @@
     assert len(s.net.ways) == 2 and s.noted.lines
 
 
-@pytest.mark.parametrize("data", [
-    b"{", b"[]", b"[" * 100_000, b'{"n":4}', b'{"n":"4","purge":{"at":1,"group":1}}', b'{"n":4,"purge":{"group":1}}',
-    b'{"n":4,"members":{"snapshot":true,"endpoints":[7]}}', b"\xff\xfe",
-    json.dumps(members(4, {**endpoint("a", 1), "address": "nowhere"})).encode(),
-    json.dumps(members(4, {**endpoint("a", 1), "status": "odd"})).encode()])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"{",
+        b"[]",
+        b"[" * 100_000,
+        b'{"n":4}',
+        b'{"n":"4","purge":{"at":1,"group":1}}',
+        b'{"n":4,"purge":{"group":1}}',
+        b'{"n":4,"members":{"snapshot":true,"endpoints":[7]}}',
+        b"\xff\xfe",
+        json.dumps(members(4, {**endpoint("a", 1), "address": "nowhere"})).encode(),
+        json.dumps(members(4, {**endpoint("a", 1), "status": "odd"})).encode(),
+    ],
+)
 def test_an_event_that_cannot_be_read_is_passed_over_without_losing_the_place(data):
     s = Scene()
     wire = s.net.ways[0].up()
@@ -145,7 +162,9 @@
 
 
 def test_the_known_events_come_with_their_last_number():
-    last, events = read_known({"n": 2, "events": [members(1, endpoint("a", 7001), whole=True), purge(2, key="ab")]})
+    last, events = read_known(
+        {"n": 2, "events": [members(1, endpoint("a", 7001), whole=True), purge(2, key="ab")]}
+    )
     assert last == 2 and [event.n for event in events] == [1, 2] and events[0].whole
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -86,7 +86,9 @@
     rig.kill(name)
     for path in rig.folder.glob(f"{name}.db*"):
         shutil.copy(path, rig.folder / f"copy-{path.name}")
-    commit = max(row["commit"] for row in rig.status()["keepers"].values())  # who leads may be asked anew just now
+    commit = max(
+        row["commit"] for row in rig.status()["keepers"].values()
+    )  # who leads may be asked anew just now
     rig.start(name)
     assert rig.wait(lambda: rig.status()["keepers"].get(name, {}).get("commit", 0) > commit)
     rig.kill(name)
@@ -96,8 +98,10 @@
         shutil.copy(path, rig.folder / path.name[5:])
     rig.start(name)
     assert rig.wait(lambda: "set itself aside" in rig.log(name))
-    assert rig.wait(lambda: name in rig.status()["keepers"].get(rig.status()["leader"], {}).get("voters", ())
-                    and "learns anew" in rig.log(name))
+    assert rig.wait(
+        lambda: name in rig.status()["keepers"].get(rig.status()["leader"], {}).get("voters", ())
+        and "learns anew" in rig.log(name)
+    )
     assert goes_on(rig)
 
 
@@ -105,17 +109,31 @@
     noise = random.Random(1)
     for n in range(40):
         with socket.create_connection(("127.0.0.1", rig.ports["k0"])) as s:
-            s.sendall((struct.pack(">I", 1 << 31), struct.pack(">I", 16) + noise.randbytes(16)
-                       + struct.pack(">I", 80) + noise.randbytes(80), noise.randbytes(300), b"")[n % 4])
-    ran = subprocess.run([sys.executable, "-m", "hookrouter", "fleet", "serve", "--site",
-                          str(rig.folder / "k0.ini")], capture_output=True, text=True, timeout=20)
+            s.sendall(
+                (
+                    struct.pack(">I", 1 << 31),
+                    struct.pack(">I", 16) + noise.randbytes(16) + struct.pack(">I", 80) + noise.randbytes(80),
+                    noise.randbytes(300),
+                    b"",
+                )[n % 4]
+            )
+    ran = subprocess.run(
+        [sys.executable, "-m", "hookrouter", "fleet", "serve", "--site", str(rig.folder / "k0.ini")],
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
     assert ran.returncode == 1 and "another process holds it" in ran.stderr
     other = rig.folder / "other.ini"
     (rig.folder / "other").write_text("another secret of another fleet")
     (rig.folder / "other").chmod(0o600)
     other.write_text((rig.folder / "people.ini").read_text().replace("secret = secret", "secret = other"))
-    ran = subprocess.run([sys.executable, "-m", "hookrouter", "fleet", "status", "--site", str(other)],
-                         capture_output=True, text=True, timeout=20)
+    ran = subprocess.run(
+        [sys.executable, "-m", "hookrouter", "fleet", "status", "--site", str(other)],
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
     assert ran.returncode == 1 and "no leader" in ran.stdout
     assert goes_on(rig)
 
@@ -187,9 +205,11 @@
         try:
             for name in made.names:
                 ports[name] = free_port()
-                stated = configuration(members(1, endpoint("c0", cache.port), endpoint("o0", cache.port, "origin"),
-                                               whole=True), listen=f"127.0.0.1:{ports[name]}",
-                                       feed=f"127.0.0.1:{feed.port}")
+                stated = configuration(
+                    members(1, endpoint("c0", cache.port), endpoint("o0", cache.port, "origin"), whole=True),
+                    listen=f"127.0.0.1:{ports[name]}",
+                    feed=f"127.0.0.1:{feed.port}",
+                )
                 stated["settings"]["limits"]["peers"], stated["name"] = True, name
                 made.configs[name] = tmp_path / f"{name}.json"
                 made.configs[name].write_text(json.dumps(stated))
@@ -221,7 +241,9 @@
                     for name in others:
                         made.pause(name)
                 for _ in range(4):
-                    for name in ([owner] if fault != "kill" else []) + (others if fault != "majority" else []):
+                    for name in ([owner] if fault != "kill" else []) + (
+                        others if fault != "majority" else []
+                    ):
                         lookups(name)
                 if fault == "kill":
                     made.start(owner)
@@ -246,6 +268,7 @@
 
 # ---- the store
 
+
 def stored(tmp_path, name="a", count=6):
     """A store with some entries, as a keeper made it."""
     log = KeeperLog(tmp_path / "a.db", name)
@@ -269,13 +292,17 @@
         KeeperLog(tmp_path / "a.db", "b")
 
 
-@pytest.mark.parametrize("statement, doubt", (
-    ("UPDATE entries SET body = zeroblob(length(body)) WHERE n = 3", "entry 3"),
-    ("DELETE FROM entries WHERE n = 2", "entry 2"),
-    ("UPDATE facts SET value = zeroblob(length(value)) WHERE name = 'meta'", "vote and term"),
-))
+@pytest.mark.parametrize(
+    "statement, doubt",
+    (
+        ("UPDATE entries SET body = zeroblob(length(body)) WHERE n = 3", "entry 3"),
+        ("DELETE FROM entries WHERE n = 2", "entry 2"),
+        ("UPDATE facts SET value = zeroblob(length(value)) WHERE name = 'meta'", "vote and term"),
+    ),
+)
 def test_damage_is_told_from_what_was_never_written_and_a_damaged_keeper_neither_votes_nor_counts(
-        tmp_path, statement, doubt):
+    tmp_path, statement, doubt
+):
     stored(tmp_path).close()
     file = sqlite3.connect(tmp_path / "a.db")
     file.execute(statement)
@@ -296,7 +323,21 @@
     log = stored(tmp_path)
     log.file.execute("PRAGMA max_page_count = 1")
     with pytest.raises(sqlite3.Error):
-        log.write(w.Persist(2, 9, None, 2, 0, None, (), 6,
-                            tuple(w.Entry(9, w.COMMAND, ["x" * 4_000]) for _ in range(50)), None, 0, 0))
+        log.write(
+            w.Persist(
+                2,
+                9,
+                None,
+                2,
+                0,
+                None,
+                (),
+                6,
+                tuple(w.Entry(9, w.COMMAND, ["x" * 4_000]) for _ in range(50)),
+                None,
+                0,
+                0,
+            )
+        )
     assert log.load().term == 1 and len(log.load().entries) == 6
     log.close()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -39,8 +39,15 @@
 
 class Scene:
     def __init__(self, most=4, room=10_000, half=100_000):
-        self.net, self.desk, self.noted, self.room = Net(), Desk(), Noted(), Room(room, lambda: self.noted.count("room_filled"))
-        self.front = Front(self.desk, Deadlines(self.net), self.room, most, half, 15.0, self.noted.log, self.noted.count)
+        self.net, self.desk, self.noted, self.room = (
+            Net(),
+            Desk(),
+            Noted(),
+            Room(room, lambda: self.noted.count("room_filled")),
+        )
+        self.front = Front(
+            self.desk, Deadlines(self.net), self.room, most, half, 15.0, self.noted.log, self.noted.count
+        )
         self.front.port = Port()
 
     def client(self):
@@ -53,7 +60,12 @@
     wire.come(message(1, dup="1", replay="5c0f", have="4be0") + message(2, body=b"\x00\r\n"))
     wire.come(message(3) + message(4))
     (first, asked), (second, other) = s.desk.calls[:2]
-    assert asked.trace == f"{1:016x}" and (asked.kind, asked.allow, asked.part, asked.group) == ("clip", 15_000, 3, 17)
+    assert asked.trace == f"{1:016x}" and (asked.kind, asked.allow, asked.part, asked.group) == (
+        "clip",
+        15_000,
+        3,
+        17,
+    )
     assert (asked.repeat, asked.key, asked.seen, asked.size) == (True, "5c0f", "4be0", 412.5)
     assert (other.repeat, other.key, other.seen, other.body) == (False, None, None, b"\x00\r\n")
     s.front.satisfied(second, (b"ab", b"\x00c"), 4)
@@ -63,8 +75,11 @@
     for call, _ in s.desk.calls:
         s.front.failed(call)  # answered already: goes nowhere
     assert answers(wire.take()) == {
-        2: (thrift.REPLY, {0: {1: b"ab\x00c", 2: {}, 3: True}}), 3: (thrift.REPLY, {1: {1: {b"cooldown": b"250"}}}),
-        1: (thrift.REPLY, {0: {1: b"", 2: {b"same": b"1"}, 3: True}}), 4: (thrift.REPLY, {2: {1: {}}})}
+        2: (thrift.REPLY, {0: {1: b"ab\x00c", 2: {}, 3: True}}),
+        3: (thrift.REPLY, {1: {1: {b"cooldown": b"250"}}}),
+        1: (thrift.REPLY, {0: {1: b"", 2: {b"same": b"1"}, 3: True}}),
+        4: (thrift.REPLY, {2: {1: {}}}),
+    }
     assert s.room.held == 0
 
 
@@ -89,10 +104,34 @@
 def test_bad_calls_get_their_failure_and_the_others_go_on():
     s = Scene()
     wire = s.client()
-    for n, fields in enumerate(({"ref": None}, {"allow": "soon"}, {"allow": "-1"}, {"allow": "nan"}, {"lookup": "../x"},
-                                {"part": "x"}, {"part": "1.5"}, {"part": "03"}, {"part": "+3"},
-                                {"part": "1_0"}, {"group": "256"}, {"room": "4e2"}, {"room": " 4"}, {"room": "inf"}, {"allow": "0"}, {"allow": "1.5.0"},
-                                {"allow": "9" * 12}, {"lookup": "7f3a"}, {"ref": "7f3a" * 5}, {"replay": "ab" * 40}, {"have": "a\r\nX-Do: held"}, {"service": None}, {"ref": "\u00e9"}), 1):
+    for n, fields in enumerate(
+        (
+            {"ref": None},
+            {"allow": "soon"},
+            {"allow": "-1"},
+            {"allow": "nan"},
+            {"lookup": "../x"},
+            {"part": "x"},
+            {"part": "1.5"},
+            {"part": "03"},
+            {"part": "+3"},
+            {"part": "1_0"},
+            {"group": "256"},
+            {"room": "4e2"},
+            {"room": " 4"},
+            {"room": "inf"},
+            {"allow": "0"},
+            {"allow": "1.5.0"},
+            {"allow": "9" * 12},
+            {"lookup": "7f3a"},
+            {"ref": "7f3a" * 5},
+            {"replay": "ab" * 40},
+            {"have": "a\r\nX-Do: held"},
+            {"service": None},
+            {"ref": "\u00e9"},
+        ),
+        1,
+    ):
         wire.come(message(n, **fields))
         assert answers(wire.take())[n][1].keys() == {2}
     wire.come(message(40, b"destroy"))
@@ -107,18 +146,31 @@
     assert len(s.desk.calls) == 1
 
 
-@pytest.mark.parametrize("said", [
-    message(2) + message(2), message(2) + message(1), message(2) + message(2, b"check"),  # one number twice
-    b"".join(message(n) for n in range(2, 35)),  # more open than allowed
-    b"".join(message(n) + message(0, b"interrupt", interrupted=n) for n in range(2, 12)),  # withdrawn as they are made
-    message(2) + thrift_call(3, b"execute", thrift.ONEWAY), message(2) + thrift_call(3, b"interrupt", thrift.CALL)])
+@pytest.mark.parametrize(
+    "said",
+    [
+        message(2) + message(2),
+        message(2) + message(1),
+        message(2) + message(2, b"check"),  # one number twice
+        b"".join(message(n) for n in range(2, 35)),  # more open than allowed
+        b"".join(
+            message(n) + message(0, b"interrupt", interrupted=n) for n in range(2, 12)
+        ),  # withdrawn as they are made
+        message(2) + thrift_call(3, b"execute", thrift.ONEWAY),
+        message(2) + thrift_call(3, b"interrupt", thrift.CALL),
+    ],
+)
 def test_a_client_that_breaks_the_protocol_is_ended_and_nothing_of_it_is_taken(said):
     s = Scene()
     wire = s.client()
     wire.come(message(1))
     wire.come(said)
     s.net.advance(0)
-    assert not wire.open and [call[1] for call, _ in s.desk.calls] in ([1], [1, 2]) and s.desk.gone == [c for c, _ in s.desk.calls]
+    assert (
+        not wire.open
+        and [call[1] for call, _ in s.desk.calls] in ([1], [1, 2])
+        and s.desk.gone == [c for c, _ in s.desk.calls]
+    )
     assert wire.take() == b"" and s.room.held == 0
 
 
@@ -132,7 +184,11 @@
 def test_an_interrupt_of_no_call_so_far_whatever_its_type_takes_none_away():
     s = Scene()
     wire = s.client()
-    by_map = b"".join(thrift.message(thrift.ONEWAY, b"interrupt", 0, thrift.field(thrift.MAP, 1) + thrift.fields_of({}), b"\x00"))
+    by_map = b"".join(
+        thrift.message(
+            thrift.ONEWAY, b"interrupt", 0, thrift.field(thrift.MAP, 1) + thrift.fields_of({}), b"\x00"
+        )
+    )
     wire.come(by_map + message(0, b"interrupt", interrupted=1) + message(1))
     assert [call[1] for call, _ in s.desk.calls] == [1] and wire.open
 
@@ -143,7 +199,7 @@
     half.come(message(1) + message(2)[:-1])
     good.come(message(1))
     for n in range(19):
-        drip.come(message(1)[n:n + 1])
+        drip.come(message(1)[n : n + 1])
         s.net.advance(0.1)
     assert silent.open and half.open and drip.open
     s.net.pump([0.1, 0.1, 0])
@@ -193,7 +249,11 @@
         free = staticmethod(lambda: 3)
 
     listener = Listener(0, Factory(), reactor=Net())
-    listener.socket = type("Socket", (), {"accept": lambda self: seen.append(1) or (_ for _ in ()).throw(BlockingIOError(11, ""))})()
+    listener.socket = type(
+        "Socket",
+        (),
+        {"accept": lambda self: seen.append(1) or (_ for _ in ()).throw(BlockingIOError(11, ""))},
+    )()
     seen = []
     listener.doRead()
     assert listener.numberAccepts <= 3 and len(seen) == 1
@@ -263,7 +323,10 @@
     wire = s.client()
     wire.come(b"".join(message(n) for n in range(1, 6)))
     again = wire.writeSequence
-    wire.writeSequence = lambda pieces: (again(pieces), wire.producer.pauseProducing())  # as each fills the buffer
+    wire.writeSequence = lambda pieces: (
+        again(pieces),
+        wire.producer.pauseProducing(),
+    )  # as each fills the buffer
     for call, _ in s.desk.calls:
         s.front.satisfied(call, (b"x" * 300,), 300)
         s.net.advance(9)
@@ -305,7 +368,12 @@
         wire.protocol.end()
         wire.protocol.writeConnectionLost()
     s.net.advance(0)
-    assert [wire.open for wire in wires] == [False, False, True, True]  # a quarter of the descriptors, no more
+    assert [wire.open for wire in wires] == [
+        False,
+        False,
+        True,
+        True,
+    ]  # a quarter of the descriptors, no more
     s.net.pump([0.49, 0.02, 0])
     assert not any(wire.open for wire in wires)
     s.net.pump([0.1, 0])  # the look at who is idle ends with the last connection
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -8,7 +8,9 @@
 
 def listed(tmp_path, text):
     (tmp_path / "tests").mkdir()
-    (tmp_path / "tests" / "test_it.py").write_text("def test_one():\n    pass\n\n\ndef test_two(n):\n    pass\n")
+    (tmp_path / "tests" / "test_it.py").write_text(
+        "def test_one():\n    pass\n\n\ndef test_two(n):\n    pass\n"
+    )
     (tmp_path / known_red.NAME).write_text(text)
     return known_red.read(tmp_path)
 
@@ -20,13 +22,23 @@
 def test_a_line_names_its_test_with_all_or_some_of_its_parameters(tmp_path):
     one, two = listed(tmp_path, LINE + "\ntests/test_it.py::test_two[a] | of a alone | 41\n")
     assert one.matches("tests/test_it.py::test_one") and one.matches("tests/test_it.py::test_one[x]")
-    assert not one.matches("tests/test_it.py::test_one_more") and not two.matches("tests/test_it.py::test_two[b]")
+    assert not one.matches("tests/test_it.py::test_one_more") and not two.matches(
+        "tests/test_it.py::test_two[b]"
+    )
     assert two.matches("tests/test_it.py::test_two[a]") and one.cause == "the cause" and one.issue == "41"
 
 
-@pytest.mark.parametrize("text", [
-    LINE * 4, "tests/test_it.py::test_none | a cause | 41\n", "tests/test_no.py::test_one | a cause | 41\n",
-    "tests/test_it.py::test_one | a cause\n", "tests/test_it.py::test_one |  | 41\n", "tests/test_it.py | a cause | 41\n"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        LINE * 4,
+        "tests/test_it.py::test_none | a cause | 41\n",
+        "tests/test_no.py::test_one | a cause | 41\n",
+        "tests/test_it.py::test_one | a cause\n",
+        "tests/test_it.py::test_one |  | 41\n",
+        "tests/test_it.py | a cause | 41\n",
+    ],
+)
 def test_a_fourth_line_one_of_no_test_and_one_without_cause_or_issue_are_refused(tmp_path, text):
     with pytest.raises(known_red.Wrong):
         listed(tmp_path, text)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -15,6 +15,7 @@
 
 def fed(engine, spans, arrive):
     """Calls arrive(n) for each, one after the other, so that the heap holds the next one only."""
+
     def come(n):
         arrive(n)
         if n + 1 < len(spans):
@@ -40,8 +41,11 @@
 def test_stays_on_a_shared_link_are_those_of_processor_sharing_whatever_the_sizes(shape):
     engine, count, mean = Engine(), 120_000, 500.0
     dice = np.random.default_rng(5)
-    sizes = {"exponential": lambda: dice.exponential(mean, count), "even": lambda: np.full(count, mean),
-             "two sizes": lambda: dice.choice([mean * 0.1, mean * 4.6], count, p=[0.8, 0.2])}[shape]()
+    sizes = {
+        "exponential": lambda: dice.exponential(mean, count),
+        "even": lambda: np.full(count, mean),
+        "two sizes": lambda: dice.choice([mean * 0.1, mean * 4.6], count, p=[0.8, 0.2]),
+    }[shape]()
     link = Link(engine, rate=1.0)
     rate = 0.7 / mean
     fed(engine, arrivals(11, rate, count), lambda n: link.carry(float(sizes[n]), lambda: None))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -50,12 +50,14 @@
         if not s.net.ways[-1].over:
             s.up().come(answer(503, b"", b"X-Declined: 1"))
     s.net.advance(2)
-    (kind, struct), = answers(wire.take()).values()
+    ((kind, struct),) = answers(wire.take()).values()
     assert kind == thrift.REPLY and struct.keys() == {1} and int(struct[1][1].get(b"cooldown", b"0")) <= 500
     assert s.adds_up()["connections_held"] <= 2
 
 
-@pytest.mark.parametrize("allow, within", [("1500", 1.6), ("99999999", 4.1)])  # at most the kind's own deadline
+@pytest.mark.parametrize(
+    "allow, within", [("1500", 1.6), ("99999999", 4.1)]
+)  # at most the kind's own deadline
 def test_a_silent_fleet_gets_every_lookup_its_answer_in_time(tmp_path, allow, within):
     s = Scene(tmp_path)
     wire = s.client()
@@ -79,7 +81,9 @@
     wire.abortConnection()
     s.net.pump([0, 0.5])
     held = s.adds_up()
-    assert wire.take() == b"" and held["lookups_held"] == held["connections_held"] == held["clients_held"] == 0
+    assert (
+        wire.take() == b"" and held["lookups_held"] == held["connections_held"] == held["clients_held"] == 0
+    )
 
 
 @pytest.mark.parametrize("end", ["interrupt", "end"])
@@ -196,7 +200,11 @@
     wire.come(message(1))
     number = next(iter(s.router.control.held))
     s.router.control.decide = lambda now, inputs: [
-        i.Nack(number, 0), i.Fail(number), i.Ask(number, "c0", 100), i.Cancel(number, 0)]
+        i.Nack(number, 0),
+        i.Fail(number),
+        i.Ask(number, "c0", 100),
+        i.Cancel(number, 0),
+    ]
     s.router.tell(i.Alarm(0))
     assert list(answers(wire.take())[1][1]) == [1] and len(s.net.ways) == 1
     assert s.counters.values["sends"] == 1 and s.adds_up()["lookups_held"] == 0
@@ -204,8 +212,11 @@
 
 def test_purges_and_lists_reach_the_module_with_their_true_age(tmp_path):
     made = int(BEGAN * 1000) - 400
-    s = Scene(tmp_path, {"n": 2, "purge": {"key": "7f3a9c21e0b4d655", "at": made}},
-              members(3, endpoint("c0", 7100, status="left"), endpoint("c1", 7101, status="leaving")))
+    s = Scene(
+        tmp_path,
+        {"n": 2, "purge": {"key": "7f3a9c21e0b4d655", "at": made}},
+        members(3, endpoint("c0", 7100, status="left"), endpoint("c1", 7101, status="leaving")),
+    )
     wire = s.client()
     wire.come(message(1))
     assert s.net.ways[-1].port in (7102, 7103)  # no cache is left: past them
@@ -243,27 +254,45 @@
     s.net.pump([0.1] * 36 + [0.04])
     assert not stopped
     s.net.pump([0.02] * 8)
-    assert stopped and 3.65 <= stopped[0] < 3.8 and not wire.open  # before SIGKILL at 3.7 s, though deadlines are 4 s
+    assert (
+        stopped and 3.65 <= stopped[0] < 3.8 and not wire.open
+    )  # before SIGKILL at 3.7 s, though deadlines are 4 s
 
 
 def test_a_reload_is_all_or_nothing_and_the_numbers_go_on(tmp_path):
     s = Scene(tmp_path)
     path = tmp_path / "config.json"
-    service = Service(s.router, s.start, s.net, s.log, s.counters, lambda: read_start({"EDGE_CONFIG": str(path)}))
+    service = Service(
+        s.router, s.start, s.net, s.log, s.counters, lambda: read_start({"EDGE_CONFIG": str(path)})
+    )
     s.router.feed.start()
     s.up()
     late = members(2, endpoint("c0", 7100, status="left"))
-    for wrong, named in (("{", "EDGE_CONFIG"), (json.dumps({**configuration(), "feed": "nowhere"}), "config.feed"),
-                         (json.dumps({**configuration(), "known": {"n": 1, "events": [7]}}), "event")):
+    for wrong, named in (
+        ("{", "EDGE_CONFIG"),
+        (json.dumps({**configuration(), "feed": "nowhere"}), "config.feed"),
+        (json.dumps({**configuration(), "known": {"n": 1, "events": [7]}}), "event"),
+    ):
         path.write_text(wrong)
         service.reload()
-        assert f"reload refused, all stays as it was: {named}" in s.out.text or named in s.out.text.splitlines()[-1]
+        assert (
+            f"reload refused, all stays as it was: {named}" in s.out.text
+            or named in s.out.text.splitlines()[-1]
+        )
         assert s.router.feed.port == 9092 and s.net.ways[-1].wire.open
-    path.write_text(json.dumps({**configuration(members(1, *FLEET, whole=True), late, feed="127.0.0.1:9093"), "seed": "other"}))
+    path.write_text(
+        json.dumps(
+            {**configuration(members(1, *FLEET, whole=True), late, feed="127.0.0.1:9093"), "seed": "other"}
+        )
+    )
     service.reload()
     s.net.pump([0, 0.05])
     assert "reloaded: follows 127.0.0.1:9093; stays as it was until a restart: seed" in s.out.text
-    assert s.net.ways[-1].port == 9093 and b"Last-Event-ID: 2\r\n" in s.up().take() and "c0" not in s.router.caches.places
+    assert (
+        s.net.ways[-1].port == 9093
+        and b"Last-Event-ID: 2\r\n" in s.up().take()
+        and "c0" not in s.router.caches.places
+    )
     assert (s.counters.values["reloads"], s.counters.values["reloads_refused"]) == (1, 3)
 
 
@@ -272,7 +301,11 @@
     wire, other = s.client(), s.client()
     wire.come(message(1))
     other.come(message(1, lookup="0" * 16))
-    assert answers(other.take())[1][1].keys() == {2} and wire.take() == b"" and s.counters.values["ids_used_twice"] == 1
+    assert (
+        answers(other.take())[1][1].keys() == {2}
+        and wire.take() == b""
+        and s.counters.values["ids_used_twice"] == 1
+    )
     s.up().come(answer(200, b"x"))
     assert answers(wire.take())[1][1][0][1] == b"x" and not s.router.traces
     other.come(message(2, ref=f"{1:016x}"))
@@ -292,10 +325,14 @@
     wire.come(message(3) + message(4, have="4be0c192"))
     got = answers(wire.take())
     assert got[3][1][0][1] == b"body" and got[4][1][0] == {1: b"", 2: {b"same": b"1"}, 3: True}
-    assert s.counters.values["sends"] == sent and s.counters.values["copies_given"] == 2 and not s.router.brought
+    assert (
+        s.counters.values["sends"] == sent and s.counters.values["copies_given"] == 2 and not s.router.brought
+    )
     wire.come(message(5, part="4"))
     assert s.counters.values["sends"] == sent + 1 and s.adds_up()["copy_bytes_held"] == 4
-    s.router.purged(parse_event(json.dumps({"n": 9, "purge": {"group": 17, "at": int((BEGAN + 59.5) * 1000)}})))
+    s.router.purged(
+        parse_event(json.dumps({"n": 9, "purge": {"group": 17, "at": int((BEGAN + 59.5) * 1000)}}))
+    )
     assert not s.router.copies and s.adds_up()["copy_bytes_held"] == 0
 
 
--- a/tests/test_node_floods.py
+++ b/tests/test_node_floods.py
@@ -32,9 +32,15 @@
         assert not wire.open
     s.net.advance(0.2)
     held, values = s.adds_up(), s.counters.values
-    assert (values["calls_malformed"], values["calls_of_unknown_kind"], values["clients_malformed"]) == (600, 300, 300)
+    assert (values["calls_malformed"], values["calls_of_unknown_kind"], values["clients_malformed"]) == (
+        600,
+        300,
+        300,
+    )
     assert len(s.out.text.splitlines()) <= 15 and len(s.log.kinds) == 3
-    assert held["clients_held"] == held["body_bytes_held"] == held["lookups_held"] == held["deadlines_held"] == 0
+    assert (
+        held["clients_held"] == held["body_bytes_held"] == held["lookups_held"] == held["deadlines_held"] == 0
+    )
 
 
 def test_a_log_that_nobody_reads_stops_nothing():
@@ -57,28 +63,49 @@
         caches = [way.wire for way in s.net.ways if way.wire is not None and way.wire.open]
         if what == 0 and step < 1200:
             sent[n, step] = s.net.seconds()
-            wires[n].come(message(step, service=dice.choice(("clip", "clip", "hold")), replay="5c0f",
-                                  lookup=f"{dice.randrange(20):016x}", allow=str(dice.randrange(100, 4000))))
+            wires[n].come(
+                message(
+                    step,
+                    service=dice.choice(("clip", "clip", "hold")),
+                    replay="5c0f",
+                    lookup=f"{dice.randrange(20):016x}",
+                    allow=str(dice.randrange(100, 4000)),
+                )
+            )
         elif what == 1 and open_ways:
             way = dice.choice(open_ways)
             dice.choice((way.up, way.up, way.up, way.refuse))()
         elif what in (2, 3) and caches:
-            said = dice.choice((answer(200, b"x"), answer(200, b"x"), answer(404), answer(503, b"", b"X-Declined: 1"),
-                                answer(500), b"junk\r\n\r\n"))
+            said = dice.choice(
+                (
+                    answer(200, b"x"),
+                    answer(200, b"x"),
+                    answer(404),
+                    answer(503, b"", b"X-Declined: 1"),
+                    answer(500),
+                    b"junk\r\n\r\n",
+                )
+            )
             dice.choice(caches).come(said)
         elif what == 4 and caches and dice.random() < 0.3:
             dice.choice(caches).abortConnection()
         elif what == 5 and sent and dice.random() < 0.2:
             m, seqid = dice.choice(list(sent))
-            wires[m].come(message(10 ** 6 + step, b"interrupt", interrupted=seqid))
+            wires[m].come(message(10**6 + step, b"interrupt", interrupted=seqid))
             left.add((m, seqid))
         else:
             s.net.advance(dice.choice((0, 0.005, 0.05)))
         # What the module believes to be out is what is out, and its counts by cache are made of just that.
-        control, out = s.router.control, {(lk.number, n) for lk in s.router.lookups.held() for n in lk.running}
+        control, out = (
+            s.router.control,
+            {(lk.number, n) for lk in s.router.lookups.held() for n in lk.running},
+        )
         assert set(control.sent) == out and sum(control.out) == sum(
-            1 + (sent.via not in (None, sent.target)) for sent in control.sent.values())
-        assert len(out) == len([c for c in s.router.caches.connections.held() if c.send]) + len(s.router.caches.waiting)
+            1 + (sent.via not in (None, sent.target)) for sent in control.sent.values()
+        )
+        assert len(out) == len([c for c in s.router.caches.connections.held() if c.send]) + len(
+            s.router.caches.waiting
+        )
         for m, wire in enumerate(wires):
             for seqid, (_, struct) in answers(wire.take()).items():
                 assert (m, seqid) not in got and s.net.seconds() - sent[m, seqid] <= 4.06
@@ -89,6 +116,16 @@
     assert set(sent) - left <= set(got) <= set(sent)
     s.net.pump([16, 0, 0, 16, 0])
     held = s.adds_up()
-    assert held["lookups_held"] == held["connections_held"] == held["body_bytes_held"] == held["clients_held"] == 0
-    assert all(out == 0 for out in s.router.control.out) and not s.router.control.sent and len(s.router.lookups) == 0
+    assert (
+        held["lookups_held"]
+        == held["connections_held"]
+        == held["body_bytes_held"]
+        == held["clients_held"]
+        == 0
+    )
+    assert (
+        all(out == 0 for out in s.router.control.out)
+        and not s.router.control.sent
+        and len(s.router.lookups) == 0
+    )
     assert s.counters.values["decisions_failed"] == 0
--- a/tests/test_node_start.py
+++ b/tests/test_node_start.py
@@ -13,10 +13,19 @@
 from hookrouter.terms import Malformed
 
 
-@pytest.mark.parametrize("change, named", [
-    ({"feed": "nowhere"}, "config.feed"), ({"limits": {}}, "config.limits.sockets"), ({"settings": {}}, "conf.extra"),
-    ({"known": {"n": 1}}, "known.events"), ({"seed": None}, "config.seed"), ({"listen": "127.0.0.1:x"}, "EDGE_LISTEN"),
-    ({"known": {"n": 1, "events": [{"n": 1}]}}, "event"), ({"limits": {"sockets": 3, "memory_mb": 1}}, "sockets")])
+@pytest.mark.parametrize(
+    "change, named",
+    [
+        ({"feed": "nowhere"}, "config.feed"),
+        ({"limits": {}}, "config.limits.sockets"),
+        ({"settings": {}}, "conf.extra"),
+        ({"known": {"n": 1}}, "known.events"),
+        ({"seed": None}, "config.seed"),
+        ({"listen": "127.0.0.1:x"}, "EDGE_LISTEN"),
+        ({"known": {"n": 1, "events": [{"n": 1}]}}, "event"),
+        ({"limits": {"sockets": 3, "memory_mb": 1}}, "sockets"),
+    ],
+)
 def test_a_configuration_that_cannot_be_used_names_the_key(tmp_path, change, named):
     with pytest.raises(Malformed, match=named):
         started(tmp_path, {**configuration(), **change})
@@ -28,7 +37,7 @@
 def test_whatever_stands_in_the_file_only_the_one_error_comes_out(seed):
     """A reload reads it under load: anything else would go uncaught there."""
     dice = Random(seed)
-    odd = (None, -1, 0, 1e300, 10 ** 400, "", "x", "\x00", [], {}, True, [[]], {"n": "x"}, float("nan"), 2 ** 63)
+    odd = (None, -1, 0, 1e300, 10**400, "", "x", "\x00", [], {}, True, [[]], {"n": "x"}, float("nan"), 2**63)
 
     def spoil(value):
         keys = list(value) if isinstance(value, dict) else list(range(len(value)))
@@ -39,13 +48,19 @@
             value[key] = json.loads(json.dumps(dice.choice(odd)))
 
     for _ in range(300):
-        stated = json.loads(json.dumps(configuration(members(1, *FLEET, whole=True), {"n": 2, "purge": {"key": "ab", "at": 5}})))
+        stated = json.loads(
+            json.dumps(
+                configuration(members(1, *FLEET, whole=True), {"n": 2, "purge": {"key": "ab", "at": 5}})
+            )
+        )
         for _ in range(dice.randrange(1, 4)):
             spoil(stated)
         text = json.dumps(stated)
-        text = text[:dice.randrange(len(text))] if dice.random() < 0.1 else text
+        text = text[: dice.randrange(len(text))] if dice.random() < 0.1 else text
         try:
-            read_start({"EDGE_CONFIG": "x"}, lambda *_, text=text, **__: io.StringIO(text))  # 300 files cost a disk 20 s
+            read_start(
+                {"EDGE_CONFIG": "x"}, lambda *_, text=text, **__: io.StringIO(text)
+            )  # 300 files cost a disk 20 s
         except Malformed:
             pass
 
--- a/tests/test_own_copies.py
+++ b/tests/test_own_copies.py
@@ -28,7 +28,9 @@
     assert i.Keep(1, 0) in keeping(control, key="k")
     again = asked(control, 1_010_000, key="k")
     assert given(again) and not sends(again) and not control.held
-    assert sends(asked(control, 1_010_000, 98, key="k", part=1)) and sends(asked(control, 1_010_000, 97, kind="page", key="k"))
+    assert sends(asked(control, 1_010_000, 98, key="k", part=1)) and sends(
+        asked(control, 1_010_000, 97, kind="page", key="k")
+    )
     plain = router()  # as before the simulator: nothing to keep it in
     assert keeping(plain, key="k") == [] and sends(asked(plain, 1_010_000, key="k"))
 
@@ -48,7 +50,9 @@
     first = sends(asked(control, 1_000_200, 50, key="k", part=1, group=7))[0]
     assert i.Drop("clip", "k", 0) in control.decide(1_000_300, [purge])
     assert sends(asked(control, 1_000_400, key="k", group=7)) and control.copies.kept.bytes == 0
-    assert control.decide(1_000_500, [ended(first, i.SATISFIED, copy=(1_000_199, 5_000))])[:1] != [i.Keep(50, 0)]
+    assert control.decide(1_000_500, [ended(first, i.SATISFIED, copy=(1_000_199, 5_000))])[:1] != [
+        i.Keep(50, 0)
+    ]
     assert not control.copies.kept.copies
     assert i.Keep(1, 0) in keeping(control, 1_000_600, made=1_000_350, key="k", group=7)
 
@@ -60,8 +64,14 @@
     assert control.copies.kept.bytes == 100_000
     assert given(asked(control, 1_010_000, key="k0"))
     dropped = keeping(control, key="k20")
-    assert i.Drop("clip", "k1", 0) in dropped and ("clip", "k0", 0) in control.copies.kept.copies and control.copies.kept.bytes == 100_000
-    assert not any(isinstance(e, i.Keep) for e in keeping(control, key="huge", size=7_000))  # it would cost too many
+    assert (
+        i.Drop("clip", "k1", 0) in dropped
+        and ("clip", "k0", 0) in control.copies.kept.copies
+        and control.copies.kept.bytes == 100_000
+    )
+    assert not any(
+        isinstance(e, i.Keep) for e in keeping(control, key="huge", size=7_000)
+    )  # it would cost too many
 
 
 def test_what_the_routers_own_link_would_bring_late_goes_to_a_cache():
@@ -70,7 +80,9 @@
     effects = control.decide(1_010_000, [lookup(n, due=1_050_000, key="k") for n in range(100, 120)])
     gave = sum(isinstance(e, i.Give) for e in effects)
     assert 2 <= gave <= 8 and sends(effects)  # 500 each on a link of two; half of the budget is 3,500
-    assert not given(asked(control, 1_010_001, 130, key="k")) and given(asked(control, 1_020_000, 131, key="k"))
+    assert not given(asked(control, 1_010_001, 130, key="k")) and given(
+        asked(control, 1_020_000, 131, key="k")
+    )
 
 
 def test_a_copy_that_came_while_the_first_send_runs_is_given_in_place_of_a_second():
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -17,8 +17,10 @@
     return [what for _, what in world.breaks if not what.startswith("after the faults")]
 
 
-@pytest.mark.parametrize("seeds", (range(1, 9), range(44, 48), range(210, 214), range(252, 256), range(1563, 1567),
-                                   range(3162, 3165)))
+@pytest.mark.parametrize(
+    "seeds",
+    (range(1, 9), range(44, 48), range(210, 214), range(252, 256), range(1563, 1567), range(3162, 3165)),
+)
 def test_schedules_of_kills_pauses_cuts_full_disks_and_stores_put_back_break_nothing(seeds):
     """Ranges hold the seeds that once broke something: 44, 212, 254, 1564 and 3163."""
     for seed in seeds:
@@ -43,9 +45,18 @@
     assert max(spans) <= 15_000, spans
 
 
-@pytest.mark.parametrize("name", ("NoWaitForFormerLeases", "MinorityDecides", "AckBeforeDisk",
-                                  "OwnConfirmationForgotten", "RenewalUnconfirmed", "GrantInFlightTold",
-                                  "OlderTermCommitted"))
+@pytest.mark.parametrize(
+    "name",
+    (
+        "NoWaitForFormerLeases",
+        "MinorityDecides",
+        "AckBeforeDisk",
+        "OwnConfirmationForgotten",
+        "RenewalUnconfirmed",
+        "GrantInFlightTold",
+        "OlderTermCommitted",
+    ),
+)
 def test_schedules_find_a_seeded_mistake(name):
     assert found(name, 1)
 
@@ -69,6 +80,7 @@
 
 # ---- pieces
 
+
 def keeper(name="a", **stored):
     core = Keeper(Terms(name, 1, NAMES), Stored(**stored), 1_000_000, 1)
     core.take(1_000_000, w.Begin())
@@ -84,7 +96,8 @@
     persist = [e for e in effects if isinstance(e, w.Persist)]
     assert len(persist) == 1 and persist[0].voted == "b" and not any(isinstance(e, w.Send) for e in effects)
     assert core.take(1_000_002, w.Wrote(persist[0].token, True)) == [
-        w.Send("b", w.Vote(1, False, True, 2 - 1, 1))]
+        w.Send("b", w.Vote(1, False, True, 2 - 1, 1))
+    ]
 
 
 def test_a_batch_that_failed_is_not_believed_and_nothing_that_waited_for_it_goes_out():
