--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -10,8 +10,16 @@
 
 
 def call(seqid=1, name=b"execute", body=b"\x00\xff", kind=thrift.CALL):
-    return b"".join(thrift.message(kind, name, seqid, thrift.field(thrift.MAP, 1) + thrift.fields_of(FIELDS),
-                                   thrift.field(thrift.STRING, 2) + thrift.string(body), b"\x00"))
+    return b"".join(
+        thrift.message(
+            kind,
+            name,
+            seqid,
+            thrift.field(thrift.MAP, 1) + thrift.fields_of(FIELDS),
+            thrift.field(thrift.STRING, 2) + thrift.string(body),
+            b"\x00",
+        )
+    )
 
 
 def pieces_of(dice, data):
@@ -19,7 +27,7 @@
     at = 0
     while at < len(data):
         size = dice.choice((1, 2, 3, 7, 50, 1000))
-        yield data[at:at + size]
+        yield data[at : at + size]
         at += size
 
 
@@ -28,12 +36,13 @@
     data = bytearray(data)
     for _ in range(dice.randrange(1, 6)):
         at = dice.randrange(len(data))
-        data[at:at + dice.randrange(3)] = bytes(dice.randrange(256) for _ in range(dice.randrange(3)))
+        data[at : at + dice.randrange(3)] = bytes(dice.randrange(256) for _ in range(dice.randrange(3)))
     return bytes(data)
 
 
 # ---- thrift
 
+
 def read_calls(pieces, longest=65_536):
     frames, seen = thrift.Frames(longest), []
     for piece in pieces:
@@ -45,7 +54,9 @@
 
 def test_calls_are_the_same_in_any_split():
     dice = Random(1)
-    sent = b"".join(call(n, body=bytes(dice.randrange(256) for _ in range(dice.randrange(3000)))) for n in range(1, 9))
+    sent = b"".join(
+        call(n, body=bytes(dice.randrange(256) for _ in range(dice.randrange(3000)))) for n in range(1, 9)
+    )
     whole = read_calls([sent])
     assert [row[2] for row in whole] == list(range(1, 9))
     assert whole[0][3][1] == {k.encode(): v.encode() for k, v in FIELDS.items()}
@@ -55,10 +66,24 @@
 
 def test_every_kind_of_value_is_read_or_passed_over():
     inner = thrift.field(thrift.I32, 1) + b"\x00\x00\x00\x07" + b"\x00"
-    struct = (thrift.field(thrift.BOOL, 1) + b"\x01" + thrift.field(thrift.I64, 2) + b"\xff" * 8
-              + thrift.field(thrift.LIST, 3) + b"\x08\x00\x00\x00\x01" + b"\x00\x00\x00\x05"
-              + thrift.field(thrift.STRUCT, 4) + inner + thrift.field(thrift.DOUBLE, 5) + b"\x3f\xf0" + b"\x00" * 6
-              + thrift.field(thrift.SET, 6) + b"\x0b\x00\x00\x00\x01" + thrift.string(b"x") + b"\x00")
+    struct = (
+        thrift.field(thrift.BOOL, 1)
+        + b"\x01"
+        + thrift.field(thrift.I64, 2)
+        + b"\xff" * 8
+        + thrift.field(thrift.LIST, 3)
+        + b"\x08\x00\x00\x00\x01"
+        + b"\x00\x00\x00\x05"
+        + thrift.field(thrift.STRUCT, 4)
+        + inner
+        + thrift.field(thrift.DOUBLE, 5)
+        + b"\x3f\xf0"
+        + b"\x00" * 6
+        + thrift.field(thrift.SET, 6)
+        + b"\x0b\x00\x00\x00\x01"
+        + thrift.string(b"x")
+        + b"\x00"
+    )
     sent = b"".join(thrift.message(thrift.CALL, b"m", 5, struct))
     assert read_calls([sent])[0][3] == {1: True, 2: -1, 3: [5], 4: {1: 7}, 5: 1.0, 6: [b"x"]}
 
@@ -75,9 +100,14 @@
             pass
 
 
-@pytest.mark.parametrize("frame", [
-    b"\x00\x00\x00\x00", b"\xff\xff\xff\xff", b"\x00\x01\x00\x01",  # no length, a negative one, one too long
-])
+@pytest.mark.parametrize(
+    "frame",
+    [
+        b"\x00\x00\x00\x00",
+        b"\xff\xff\xff\xff",
+        b"\x00\x01\x00\x01",  # no length, a negative one, one too long
+    ],
+)
 def test_a_frame_of_bad_length_is_malformed_before_it_is_there(frame):
     with pytest.raises(thrift.Malformed):
         thrift.Frames(65_536).feed(frame)
@@ -88,35 +118,49 @@
     wide = thrift.field(thrift.LIST, 1) + b"\x02\x7f\xff\xff\xff" + b"\x00"
     for struct in (deep, wide):
         with pytest.raises(thrift.Malformed):
-            read_calls([b"".join(thrift.message(thrift.CALL, b"m", 1, struct))], 10 ** 6)
+            read_calls([b"".join(thrift.message(thrift.CALL, b"m", 1, struct))], 10**6)
     with pytest.raises(thrift.Malformed):  # not strict: the old protocol without a version
         thrift.Message(b"\x00\x00\x00\x05check\x01\x00\x00\x00\x01\x00")
 
 
 # ---- http
 
-ANSWERS = (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Rev: ab\r\n\r\nhello"
-           b"HTTP/1.1 304 Not Modified\r\nContent-Length: 0\r\n\r\n"
-           b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nx-declined:1\r\ncontent-length: 0\r\n\r\n"
-           b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\nwiki\r\n1\r\n!\r\n0\r\nT: 1\r\n\r\n"
-           b"HTTP/1.1 404\r\nContent-Length: 2\r\nConnection: close\r\n\r\nno")
+ANSWERS = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Rev: ab\r\n\r\nhello"
+    b"HTTP/1.1 304 Not Modified\r\nContent-Length: 0\r\n\r\n"
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nx-declined:1\r\ncontent-length: 0\r\n\r\n"
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\nwiki\r\n1\r\n!\r\n0\r\nT: 1\r\n\r\n"
+    b"HTTP/1.1 404\r\nContent-Length: 2\r\nConnection: close\r\n\r\nno"
+)
 
 
 def read_answers(pieces, longest=1000, until_close=False):
     seen = []
-    answers = http1.Answers(lambda a: seen.append([a.status, a.keep, b"", False]),
-                            lambda piece: seen[-1].__setitem__(2, seen[-1][2] + piece),
-                            lambda: seen[-1].__setitem__(3, True), longest, until_close)
+    answers = http1.Answers(
+        lambda a: seen.append([a.status, a.keep, b"", False]),
+        lambda piece: seen[-1].__setitem__(2, seen[-1][2] + piece),
+        lambda: seen[-1].__setitem__(3, True),
+        longest,
+        until_close,
+    )
     for piece in pieces:
         answers.feed(piece)
     return seen
 
 
 def test_answers_are_the_same_in_any_split():
-    dice, whole = Random(3), [[200, True, b"hello", True], [304, True, b"", True], [503, True, b"", True],
-                              [200, True, b"wiki!", True], [404, False, b"no", True]]
+    dice, whole = (
+        Random(3),
+        [
+            [200, True, b"hello", True],
+            [304, True, b"", True],
+            [503, True, b"", True],
+            [200, True, b"wiki!", True],
+            [404, False, b"no", True],
+        ],
+    )
     assert read_answers([ANSWERS]) == whole
-    assert read_answers([ANSWERS[n:n + 1] for n in range(len(ANSWERS))]) == whole
+    assert read_answers([ANSWERS[n : n + 1] for n in range(len(ANSWERS))]) == whole
     for _ in range(100):
         assert read_answers(pieces_of(dice, ANSWERS)) == whole
 
@@ -130,15 +174,24 @@
             pass
 
 
-@pytest.mark.parametrize("head", [
-    b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 400 + b"\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", b"HTTP/1.1 999 No\r\n\r\n",
-    b"HTTP/2 200\r\n\r\n", b"SSH-2.0-x\r\n\r\n", b"HTTP/1.1 200 OK\r\n: x\r\n\r\n", b"x" * 20_000,
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfff\r\n" + b"x" * 4096,
-])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 400 + b"\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        b"HTTP/1.1 999 No\r\n\r\n",
+        b"HTTP/2 200\r\n\r\n",
+        b"SSH-2.0-x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n: x\r\n\r\n",
+        b"x" * 20_000,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfff\r\n" + b"x" * 4096,
+    ],
+)
 def test_what_is_no_usable_answer_is_malformed(head):
     with pytest.raises(http1.Malformed):
         read_answers([head])
@@ -153,7 +206,9 @@
 
 
 def test_a_body_may_last_until_the_connection_ends_where_that_is_allowed():
-    assert read_answers([b"HTTP/1.1 200 OK\r\n\r\nabc", b"def"], until_close=True) == [[200, True, b"abcdef", False]]
+    assert read_answers([b"HTTP/1.1 200 OK\r\n\r\nabc", b"def"], until_close=True) == [
+        [200, True, b"abcdef", False]
+    ]
 
 
 def test_a_request_is_written_in_pieces_without_touching_its_body():
@@ -164,7 +219,9 @@
 
 # ---- server-sent events
 
-STREAM = b": hello\n\nid: 1\ndata: {\"a\":1}\n\r\nid:2\r\ndata: x\r\ndata:y\r\n\r\ndata: z\revent: w\r\rid: 9\n\n"
+STREAM = (
+    b': hello\n\nid: 1\ndata: {"a":1}\n\r\nid:2\r\ndata: x\r\ndata:y\r\n\r\ndata: z\revent: w\r\rid: 9\n\n'
+)
 
 
 def test_events_are_the_same_in_any_split():
--- a/tests/test_purge_follower.py
+++ b/tests/test_purge_follower.py
@@ -38,11 +38,18 @@
 class Following:
     def __init__(self, folder):
         self.net, self.desk, self.counted, self.lines = Net(), Desk(), [], []
-        self.feed = PurgeFeed(self.net, Deadlines(self.net), self.desk, (("127.0.0.1", 9100),),
-                              site(folder)["purges"], "r1",
-                              lambda *line, **more: self.lines.append(line), self.counted.append,
-                              wall=lambda: BEGAN + self.net.seconds(),
-                              steady=lambda: int(self.net.seconds() * SECOND))
+        self.feed = PurgeFeed(
+            self.net,
+            Deadlines(self.net),
+            self.desk,
+            (("127.0.0.1", 9100),),
+            site(folder)["purges"],
+            "r1",
+            lambda *line, **more: self.lines.append(line),
+            self.counted.append,
+            wall=lambda: BEGAN + self.net.seconds(),
+            steady=lambda: int(self.net.seconds() * SECOND),
+        )
         self.feed.start()
 
     def stream(self):
@@ -69,8 +76,11 @@
     s = Following(tmp_path)
     line = s.stream()
     assert b"X-Position: 0.0" in line.asked and b"Bearer 0123456789abcdef" in line.asked
-    data = event("purges", 5, purges=purges(1, 2)) + event("purges", 5, purges=purges(2, 3)) + event("beat",
-                                                                                                     5, n=3)
+    data = (
+        event("purges", 5, purges=purges(1, 2))
+        + event("purges", 5, purges=purges(2, 3))
+        + event("beat", 5, n=3)
+    )
     for byte in b"%x\r\n%s\r\n" % (len(data), data):
         line.come(bytes((byte,)))
     assert s.desk.applied == [1, 2, 3]
@@ -86,19 +96,27 @@
     line = s.stream()
     s.send(line, event("purges", 6, purges=purges(4, epoch=6)))
     assert s.desk.applied == [1, 2, 3, 4] and s.desk.snapshots == []
-    s.send(line, event("begin", 6) + event("purges", 6, purges=purges(1, 9)) + event("end", 6, n=9, of=6,
-                                                                                     count=2))
+    s.send(
+        line,
+        event("begin", 6) + event("purges", 6, purges=purges(1, 9)) + event("end", 6, n=9, of=6, count=2),
+    )
     assert s.desk.snapshots == [(2, (6, 9))]
     s.send(line, event("beat", 5, n=3))  # a former life
     s.net.advance(0)
     assert not line.open
 
 
-@pytest.mark.parametrize("data", [
-    b"data: {}\n\n", b"data: {\"t\": \"purges\", \"epoch\": \"x\"}\n\n", b"data: \xff\n\n",
-                                  b"data: " + b"[" * 90_000 + b"\n\n",
-    b"data: {\"t\": \"purges\", \"epoch\": 5, \"purges\": [[1]]}\n\n",
-                                  b"data: {\"t\": \"burst\", \"epoch\": 5}\n\n"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"data: {}\n\n",
+        b'data: {"t": "purges", "epoch": "x"}\n\n',
+        b"data: \xff\n\n",
+        b"data: " + b"[" * 90_000 + b"\n\n",
+        b'data: {"t": "purges", "epoch": 5, "purges": [[1]]}\n\n',
+        b'data: {"t": "burst", "epoch": 5}\n\n',
+    ],
+)
 def test_what_cannot_be_read_ends_that_connection_and_changes_nothing(tmp_path, data):
     s = Following(tmp_path)
     line = s.stream()
@@ -146,6 +164,7 @@
 
 # ---- a stream of the desk whose follower reads slowly
 
+
 class Request:
     def __init__(self):
         self.written, self.channel, self.aborted = [], self, False
--- a/tests/test_purge_network.py
+++ b/tests/test_purge_network.py
@@ -15,8 +15,12 @@
 from hookrouter.purges import Purge
 from hookrouter.purges import words as w
 
-FLEET = (endpoint("c0", 7100), endpoint("c1", 7101), endpoint("p0", 7102, "parent"), endpoint("o0", 7103,
-                                                                                              "origin"))
+FLEET = (
+    endpoint("c0", 7100),
+    endpoint("c1", 7101),
+    endpoint("p0", 7102, "parent"),
+    endpoint("o0", 7103, "origin"),
+)
 
 
 class Scene:
@@ -26,8 +30,14 @@
         path.write_text(json.dumps(configuration(members(1, *FLEET, whole=True))))
         start = read_start({"EDGE_CONFIG": str(path)}, sections=site(folder, skew=skew, more=more))
         self.counters = Counters([kind.name for kind in start.terms.kinds])
-        self.router = Router(start, self.net, Log(self.net.seconds, self.out), self.counters, self.wall,
-                             lambda: int(self.net.seconds() * SECOND))
+        self.router = Router(
+            start,
+            self.net,
+            Log(self.net.seconds, self.out),
+            self.counters,
+            self.wall,
+            lambda: int(self.net.seconds() * SECOND),
+        )
         self.net.advance(1)
         self.purging, self.clients, self.n = self.router.purges, [], 0
 
@@ -51,7 +61,9 @@
 
     def cache(self):
         """The connection of the send that is out, and the age it asks for in milliseconds."""
-        lines = [way.wire or (way.up() if not way.over else None) for way in self.net.ways if way.port != 9100]
+        lines = [
+            way.wire or (way.up() if not way.over else None) for way in self.net.ways if way.port != 9100
+        ]
         line = next(line for line in lines if line is not None and line.open and line.value())
         head = line.take()
         age = [part for part in head.split(b"\r\n") if part.startswith(b"X-Stale-Limit")]
@@ -63,8 +75,11 @@
 
     def ends(self):
         words = {0: "satisfied", 1: "nacked", 2: "failed"}
-        return {number: words[next(iter(struct))] for number, wire in enumerate(self.clients, 1)
-                for _, struct in answers(wire.value()).values()}
+        return {
+            number: words[next(iter(struct))]
+            for number, wire in enumerate(self.clients, 1)
+            for _, struct in answers(wire.value()).values()
+        }
 
 
 def test_a_purge_told_while_a_fill_is_out_binds_its_answer_once_its_grace_is_over(tmp_path):
@@ -135,7 +150,7 @@
 def test_a_snapshot_is_taken_in_by_slices_and_answered_for_only_as_a_whole(tmp_path):
     s = Scene(tmp_path)
     s.lease(60 * SECOND)
-    ticks = iter(range(10 ** 6))
+    ticks = iter(range(10**6))
     s.purging.watch = lambda: next(ticks) / 1_000  # a millisecond a purge
     s.purging.whole([Purge(1, n, int(s.wall() * SECOND), w.OBJECT, f"o{n}") for n in range(1, 22)], (1, 21))
     assert 0 < len(s.router.guard.index) < 21 and s.purging.place(21) == (-1, -1)
@@ -162,8 +177,9 @@
     s.ask()
     line, _ = s.cache()
     left = line.protocol.place.name
-    s.router.listed(parse_event(json.dumps(members(2, endpoint(left, 7100 + int(left[1]),
-                                                               status="leaving")))))
+    s.router.listed(
+        parse_event(json.dumps(members(2, endpoint(left, 7100 + int(left[1]), status="leaving"))))
+    )
     s.purge()
     s.net.advance(0.6)
     s.comes(line, 2.0)
--- a/tests/test_purge_processes.py
+++ b/tests/test_purge_processes.py
@@ -29,9 +29,12 @@
         return str(self.folder / name)
 
     def start(self, *words, said, **environment):
-        process = subprocess.Popen([sys.executable, "-m", "hookrouter", *words], stderr=subprocess.PIPE,
-                                   text=True,
-                                   env={**os.environ, **environment})
+        process = subprocess.Popen(
+            [sys.executable, "-m", "hookrouter", *words],
+            stderr=subprocess.PIPE,
+            text=True,
+            env={**os.environ, **environment},
+        )
         self.all.append(process)
         assert said in process.stderr.readline()
         return process
@@ -40,9 +43,12 @@
         return self.start("purges", "serve", "--site", str(self.folder / "desk.ini"), said="serving purges")
 
     def call(self, *words, code=0):
-        out = subprocess.run([sys.executable, "-m", "hookrouter", "purges", *words, "--site",
-                              str(self.folder / "desk.ini")],
-                             capture_output=True, text=True, timeout=30)
+        out = subprocess.run(
+            [sys.executable, "-m", "hookrouter", "purges", *words, "--site", str(self.folder / "desk.ini")],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
         assert out.returncode == code and "Traceback" not in out.stderr, out.stderr
         return out.stdout if code == 0 else out.stderr
 
@@ -77,16 +83,18 @@
     with Standing(Cache) as cache, Run(tmp_path) as run:
         desk = run.desk()
         relay_port = free_port()
-        relay_site = run.site(f"[relay]\nname = depot\nlisten = 127.0.0.1:{relay_port}\nstore = names\n",
-                              "relay.ini")
+        relay_site = run.site(
+            f"[relay]\nname = depot\nlisten = 127.0.0.1:{relay_port}\nstore = names\n", "relay.ini"
+        )
         below = run.site("", "below.ini", above=relay_port)
         relay = run.start("purges", "relay", "--site", relay_site, said="serving purges")
         fleet = [endpoint("c0", cache.port), endpoint("o0", cache.port, "origin")]
         one, _ = router_of(run, fleet, "n1", below)
         two, port = router_of(run, fleet, "n2", str(tmp_path / "desk.ini"))
         assert [row["name"] for row in run.members(2)] == ["depot", "n2"]
-        told = json.loads(run.call("submit", "--tag", "sheet", "--group", "3", "--wait", "--json", "--key",
-                                   "k1"))
+        told = json.loads(
+            run.call("submit", "--tag", "sheet", "--group", "3", "--wait", "--json", "--key", "k1")
+        )
         assert told["in_effect_ms"] and len(told["numbers"]) == 2 and not told["repeated"]
 
         relay.kill()  # with its router told; the next purge waits for the lease, not for ever
@@ -110,6 +118,7 @@
         two.send_signal(signal.SIGCONT)
         run.members(2)
         import socket
+
         with socket.create_connection(("127.0.0.1", port), 5) as connection:
             connection.settimeout(10)
             # The stand-in tells no time: its copies are as old as can be.
@@ -172,20 +181,27 @@
         assert "no purge of that number" in run.call("status", "1.999", code=2)
         assert "glob *" in run.call("list")
         connection = http.client.HTTPConnection("127.0.0.1", run.port, timeout=5)
-        for path, fields, status in (("/v1/status", {}, 401), ("/v1/feed",
-                                                               {"Authorization": "Bearer nonsense"}, 401),
-                                     ("/v1/feed", {"Authorization": "Bearer 0123456789abcdef"}, 400)):
+        for path, fields, status in (
+            ("/v1/status", {}, 401),
+            ("/v1/feed", {"Authorization": "Bearer nonsense"}, 401),
+            ("/v1/feed", {"Authorization": "Bearer 0123456789abcdef"}, 400),
+        ):
             connection.request("GET", path, headers=fields)
             got = connection.getresponse()
             assert got.status == status and json.loads(got.read())["error"]
-        for body in (b"{", b"[]", b'{"key": "a", "purges": [{"sort": "tag", "what": "x", "more": 1}]}',
-                     b'{"key": 5}'):
+        for body in (
+            b"{",
+            b"[]",
+            b'{"key": "a", "purges": [{"sort": "tag", "what": "x", "more": 1}]}',
+            b'{"key": 5}',
+        ):
             connection.request("POST", "/v1/purges", body, {"Authorization": "Bearer 0123456789abcdef"})
             got = connection.getresponse()
             assert got.status == 400 and json.loads(got.read())["error"]
         with pytest.raises((OSError, http.client.HTTPException)):
-            connection.request("POST", "/v1/purges", b"x" * 2_000_000,
-                               {"Authorization": "Bearer 0123456789abcdef"})
+            connection.request(
+                "POST", "/v1/purges", b"x" * 2_000_000, {"Authorization": "Bearer 0123456789abcdef"}
+            )
             connection.getresponse()
         desk.send_signal(signal.SIGTERM)
         said = desk.communicate(timeout=10)[1]
@@ -195,28 +211,38 @@
 
 def limited():
     import resource
+
     resource.setrlimit(resource.RLIMIT_FSIZE, (300_000, 300_000))
 
 
 def test_a_full_disk_refuses_at_once_loses_nothing_acknowledged_and_is_got_over(tmp_path):
     with Run(tmp_path) as run:
-        process = subprocess.Popen([sys.executable, "-m", "hookrouter", "purges", "serve", "--site",
-                                    str(tmp_path / "desk.ini")], stderr=subprocess.PIPE, text=True,
-                                   preexec_fn=limited)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "hookrouter", "purges", "serve", "--site", str(tmp_path / "desk.ini")],
+            stderr=subprocess.PIPE,
+            text=True,
+            preexec_fn=limited,
+        )
         run.all.append(process)
         assert "serving purges" in process.stderr.readline()
         connection = http.client.HTTPConnection("127.0.0.1", run.port, timeout=5)
         acknowledged = []
         for n in range(200):
             rows = [{"sort": "object", "what": f"{n}-{k}" + "x" * 100} for k in range(100)]
-            connection.request("POST", "/v1/purges", json.dumps({"key": f"k{n}", "purges": rows}),
-                               {"Authorization": "Bearer 0123456789abcdef"})
+            connection.request(
+                "POST",
+                "/v1/purges",
+                json.dumps({"key": f"k{n}", "purges": rows}),
+                {"Authorization": "Bearer 0123456789abcdef"},
+            )
             got = connection.getresponse()
             body = json.loads(got.read())
             if got.status != 200:
                 break
             acknowledged += [row["number"] for row in body["purges"]]
-        assert got.status == 503 and got.headers["Retry-After"] == "1" and "cannot be written" in body["error"]
+        assert (
+            got.status == 503 and got.headers["Retry-After"] == "1" and "cannot be written" in body["error"]
+        )
         assert len(acknowledged) >= 200
         assert "store cannot be written" in process.stderr.readline()
         process.kill()
@@ -225,8 +251,12 @@
         assert json.loads(run.call("submit", "--tag", "a", "--wait", "--json"))["in_effect_ms"]
         connection = http.client.HTTPConnection("127.0.0.1", run.port, timeout=5)
         rows = [{"sort": "object", "what": "0-" + f"{k}" + "x" * 100} for k in range(100)]
-        connection.request("POST", "/v1/purges", json.dumps({"key": "k0", "purges": rows}),
-                           {"Authorization": "Bearer 0123456789abcdef"})
+        connection.request(
+            "POST",
+            "/v1/purges",
+            json.dumps({"key": "k0", "purges": rows}),
+            {"Authorization": "Bearer 0123456789abcdef"},
+        )
         again = json.loads(connection.getresponse().read())
         assert again["repeated"] and [row["number"] for row in again["purges"]] == acknowledged[:100]
 
--- a/tests/test_purge_store.py
+++ b/tests/test_purge_store.py
@@ -1,5 +1,4 @@
-"""The store of purges: killed, filled, torn, restored; and the operator's file with everything wrong in it.
-"""
+"""The store of purges: killed, filled, torn, restored; and the operator's file with everything wrong in it."""
 
 import os
 import sqlite3
@@ -32,8 +31,12 @@
     filled(path).close()
     log = PurgeLog(path)
     loaded = log.load()
-    assert (loaded.epoch, loaded.floor, loaded.rows, loaded.members) == (1, 0, batch(1, 3_000), [("r1", 5),
-                                                                                                 ("r2", 6)])
+    assert (loaded.epoch, loaded.floor, loaded.rows, loaded.members) == (
+        1,
+        0,
+        batch(1, 3_000),
+        [("r1", 5), ("r2", 6)],
+    )
     assert [log.begin(0), log.begin(7), log.begin(5)] == [2, 7, 8]
     log.fold(2_999)
     log.append(batch(3_001, 3_002, 8))
@@ -41,8 +44,11 @@
     log.close()
     log = PurgeLog(path, must_exist=True)
     loaded = log.load()
-    assert (loaded.floor, [p.n for p, _ in loaded.rows], loaded.members) == (2_999, [3_000, 3_001, 3_002],
-                                                                             [("r2", 6)])
+    assert (loaded.floor, [p.n for p, _ in loaded.rows], loaded.members) == (
+        2_999,
+        [3_000, 3_001, 3_002],
+        [("r2", 6)],
+    )
     log.close()
 
 
@@ -75,8 +81,9 @@
 def test_a_kill_at_any_statement_leaves_the_store_whole_and_keeps_what_was_said(tmp_path, statements):
     path = tmp_path / "s.db"
     filled(path).close()
-    out = subprocess.run([sys.executable, "-c", KILLED, path, str(statements)], capture_output=True,
-                         text=True)
+    out = subprocess.run(
+        [sys.executable, "-c", KILLED, path, str(statements)], capture_output=True, text=True
+    )
     assert out.returncode == -9, out.stderr
     said = [int(line) for line in out.stdout.split()]
     log = PurgeLog(path, must_exist=True)
@@ -101,15 +108,22 @@
     log.close()
 
 
-@pytest.mark.parametrize("wrong, n, said", [
-    ("UPDATE purges SET what = 'o9' WHERE n = 70", 70, "is not as it was written"),
-    ("UPDATE purges SET made = made + 1 WHERE n = 100", 100, "is not as it was written"),
-    ("DELETE FROM purges WHERE n = 41", 41, "is missing, 42 follows"),
-    ("DELETE FROM purges WHERE n <= 10", 1, "is missing, 11 follows"),
-    ("UPDATE purges SET seal = (SELECT seal FROM purges WHERE n = 5) WHERE n = 6", 6,
-     "is not as it was written"),
-    ("UPDATE purges SET epoch = -1 WHERE n = 3", 3, "is not as it was written"),
-    ("DELETE FROM facts WHERE name = 'floor seal'", None, "floor seal is missing")])
+@pytest.mark.parametrize(
+    "wrong, n, said",
+    [
+        ("UPDATE purges SET what = 'o9' WHERE n = 70", 70, "is not as it was written"),
+        ("UPDATE purges SET made = made + 1 WHERE n = 100", 100, "is not as it was written"),
+        ("DELETE FROM purges WHERE n = 41", 41, "is missing, 42 follows"),
+        ("DELETE FROM purges WHERE n <= 10", 1, "is missing, 11 follows"),
+        (
+            "UPDATE purges SET seal = (SELECT seal FROM purges WHERE n = 5) WHERE n = 6",
+            6,
+            "is not as it was written",
+        ),
+        ("UPDATE purges SET epoch = -1 WHERE n = 3", 3, "is not as it was written"),
+        ("DELETE FROM facts WHERE name = 'floor seal'", None, "floor seal is missing"),
+    ],
+)
 def test_damage_is_found_and_named(tmp_path, wrong, n, said):
     path = tmp_path / "s.db"
     log = filled(path, 100)
@@ -133,7 +147,7 @@
     for number in range(1, whole, 7):
         broken = bytearray(data)
         if keep == "torn":
-            broken[number * page + 512:(number + 1) * page] = bytes(page - 512)
+            broken[number * page + 512 : (number + 1) * page] = bytes(page - 512)
         else:
             broken[number * page + 2_000] ^= 0x10
         path.write_bytes(broken)
@@ -169,6 +183,7 @@
 
 # ---- the operator's file
 
+
 def secret_file(folder, mode=0o600, text="0123456789abcdef\n"):
     path = folder / "secret"
     path.write_text(text)
@@ -184,25 +199,32 @@
     return [line.split("site.ini:")[1] for line in refused.value.lines]
 
 
-@pytest.mark.parametrize("text, said", [
-    (GOOD + "lease = 2", "4: [purges] lease: '2' has no number and unit"),
-    (GOOD + "lease = 2 parsec", "4: [purges] lease: '2 parsec' has no number and unit"),
-    (GOOD + "lease = 100 ms", "4: [purges] lease: 100 ms is out of range; wanted is 500 ms to 1 min"),
-    (GOOD + "hold = 10 s", "4: [purges] hold: 10 s is out of range; wanted is 1 min to 30 d"),
-    (GOOD + "fenced = maybe", "4: [purges] fenced: 'maybe'; one of young, nack is wanted"),
-    (GOOD + "names = many", "4: [purges] names: 'many'; a whole number from 100"),
-    (GOOD + "\nfollow = here", "5: [purges] follow: 'here'; an address and a port are wanted"),
-    (GOOD + "grace = 10 ms", "4: [purges] grace: shorter than twice the skew"),
-    (GOOD + "lease = 60 s\nhold = 2 min", "5: [purges] hold: ten leases at least"),
-    (GOOD + "tags = file", "1: [purges] tag file: wanted where tags = file"),
-    (GOOD + "tag file = none", "4: [purges] tag file: "),
-    (GOOD + "colour = red", "4: [purges] colour: no key of that name"),
-    (GOOD + "[pugres]\n", "4: [pugres]: no section of that name"),
-    ("[purges]\ndesk = 127.0.0.1:99999\nsecret = none\n", "2: [purges] desk: '127.0.0.1:99999'; an address"),
-    ("[purges]\ndesk = 127.0.0.1:9\n", "1: [purges] secret: is missing"),
-    ("[desk]\nlisten = 127.0.0.1:9\nstore = x\n", "1: [desk]: [purges] is missing"),
-    ("lease = 2 s\n", "1: File contains no section headers."),
-    (GOOD + "lease = 2 s\nlease = 3 s\n", "5: While reading from the file [line  5]: option 'lease'")])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        (GOOD + "lease = 2", "4: [purges] lease: '2' has no number and unit"),
+        (GOOD + "lease = 2 parsec", "4: [purges] lease: '2 parsec' has no number and unit"),
+        (GOOD + "lease = 100 ms", "4: [purges] lease: 100 ms is out of range; wanted is 500 ms to 1 min"),
+        (GOOD + "hold = 10 s", "4: [purges] hold: 10 s is out of range; wanted is 1 min to 30 d"),
+        (GOOD + "fenced = maybe", "4: [purges] fenced: 'maybe'; one of young, nack is wanted"),
+        (GOOD + "names = many", "4: [purges] names: 'many'; a whole number from 100"),
+        (GOOD + "\nfollow = here", "5: [purges] follow: 'here'; an address and a port are wanted"),
+        (GOOD + "grace = 10 ms", "4: [purges] grace: shorter than twice the skew"),
+        (GOOD + "lease = 60 s\nhold = 2 min", "5: [purges] hold: ten leases at least"),
+        (GOOD + "tags = file", "1: [purges] tag file: wanted where tags = file"),
+        (GOOD + "tag file = none", "4: [purges] tag file: "),
+        (GOOD + "colour = red", "4: [purges] colour: no key of that name"),
+        (GOOD + "[pugres]\n", "4: [pugres]: no section of that name"),
+        (
+            "[purges]\ndesk = 127.0.0.1:99999\nsecret = none\n",
+            "2: [purges] desk: '127.0.0.1:99999'; an address",
+        ),
+        ("[purges]\ndesk = 127.0.0.1:9\n", "1: [purges] secret: is missing"),
+        ("[desk]\nlisten = 127.0.0.1:9\nstore = x\n", "1: [desk]: [purges] is missing"),
+        ("lease = 2 s\n", "1: File contains no section headers."),
+        (GOOD + "lease = 2 s\nlease = 3 s\n", "5: While reading from the file [line  5]: option 'lease'"),
+    ],
+)
 def test_a_bad_file_is_refused_with_line_key_and_what_is_wanted(tmp_path, text, said):
     secret_file(tmp_path)
     assert any(line.startswith(said) for line in faults(tmp_path, text)), faults(tmp_path, text)
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -16,8 +16,9 @@
 from hookrouter.purges.tags import Listed, read_tags
 
 SECOND = 10_000
-TERMS = PurgeTerms(lease=LEASE, hold=600 * SECOND, grace=GRACE, skew=SKEW, fenced=w.YOUNG, most_names=50,
-                   most_tagged=9)
+TERMS = PurgeTerms(
+    lease=LEASE, hold=600 * SECOND, grace=GRACE, skew=SKEW, fenced=w.YOUNG, most_names=50, most_tagged=9
+)
 
 
 @pytest.mark.parametrize("block", range(8))
@@ -52,21 +53,38 @@
 
 # ---- which copies may answer, beside a plain list
 
-WHATS = {w.OBJECT: ("aa", "ab", "bb"), w.GROUP: ("1", "2"), w.TAG: ("red", "blue"), w.PREFIX: ("clip/a",
-                                                                                               "page/"),
-         w.GLOB: ("*/?b", "clip/[!a]*"), w.REGEX: ("(clip|page)/b+", "clip/a[ab]")}
-PLAIN = {"clip/a": lambda n: n.startswith("clip/a"), "page/": lambda n: n.startswith("page/"),
-         "*/?b": lambda n: n[-1] == "b" and n[-3] == "/", "clip/[!a]*": lambda n: n.startswith("clip/b"),
-         "(clip|page)/b+": lambda n: n.endswith("/bb"), "clip/a[ab]": lambda n: n.startswith("clip/a")}
+WHATS = {
+    w.OBJECT: ("aa", "ab", "bb"),
+    w.GROUP: ("1", "2"),
+    w.TAG: ("red", "blue"),
+    w.PREFIX: ("clip/a", "page/"),
+    w.GLOB: ("*/?b", "clip/[!a]*"),
+    w.REGEX: ("(clip|page)/b+", "clip/a[ab]"),
+}
+PLAIN = {
+    "clip/a": lambda n: n.startswith("clip/a"),
+    "page/": lambda n: n.startswith("page/"),
+    "*/?b": lambda n: n[-1] == "b" and n[-3] == "/",
+    "clip/[!a]*": lambda n: n.startswith("clip/b"),
+    "(clip|page)/b+": lambda n: n.endswith("/bb"),
+    "clip/a[ab]": lambda n: n.startswith("clip/a"),
+}
 purges = st.sampled_from([(sort, what) for sort, whats in WHATS.items() for what in whats])
 
 
 @settings(max_examples=150, derandomize=True, deadline=None)
-@given(st.lists(st.tuples(purges, st.integers(0, 9_000)), max_size=30), st.integers(0, 3),
-       st.sampled_from(["clip", "page"]), st.sampled_from(["aa", "ab", "bb"]), st.sampled_from(["1", "2"]),
-       st.sampled_from([None, (), ("red",), ("red", "blue")]), st.integers(0, 9_000))
+@given(
+    st.lists(st.tuples(purges, st.integers(0, 9_000)), max_size=30),
+    st.integers(0, 3),
+    st.sampled_from(["clip", "page"]),
+    st.sampled_from(["aa", "ab", "bb"]),
+    st.sampled_from(["1", "2"]),
+    st.sampled_from([None, (), ("red",), ("red", "blue")]),
+    st.integers(0, 9_000),
+)
 def test_the_index_is_never_laxer_than_a_list_of_all_purges_and_stricter_only_where_names_share(
-        events, most, kind, name, group, tags, at):
+    events, most, kind, name, group, tags, at
+):
     index, told, now = Index(TERMS._replace(most_names=most)), [], 0
     for (sort, what), span in events:
         now += span
@@ -78,7 +96,8 @@
         if sort == w.TAG:
             return tags is None or what in tags
         return {w.OBJECT: what == name, w.GROUP: what == group}.get(sort) or (
-            sort in w.PATTERNS and PLAIN[what](f"{kind}/{name}"))
+            sort in w.PATTERNS and PLAIN[what](f"{kind}/{name}")
+        )
 
     plain = [made for made, sort, what in told if concerned(sort, what)]
     assert index.newest(kind, name, group, tags) >= max(plain, default=0)
@@ -128,22 +147,40 @@
     assert index.newest("clip", "zz", "1", ()) == 5
 
 
-@pytest.mark.parametrize("sort, what, said", [
-    (w.REGEX, "clip/(", "cannot be compiled"), (w.REGEX, "(?=a)b", "cannot be compiled"),
-    (w.REGEX, "((a{100}){100}){10}", "cannot be compiled"), (w.GLOB, "clip/[ab", "without its ]"),
-    (w.GLOB, "[!]", "an empty []"), (w.REGEX, "", "empty"), (w.PREFIX, "x" * 257, "257 characters"),
-    (w.PREFIX, "clip/\n", "printable"), (w.GLOB, "*", "matches every name"), (w.REGEX, ".*|a",
-                                                                              "matches every name"),
-    (w.GROUP, "256", "from 0 to 255"), (w.GROUP, "07", "from 0 to 255"), (w.TAG, "a b", "without spaces"),
-    (w.OBJECT, "", "1 to 256"), ("page", "x", "no sort of purge")])
+@pytest.mark.parametrize(
+    "sort, what, said",
+    [
+        (w.REGEX, "clip/(", "cannot be compiled"),
+        (w.REGEX, "(?=a)b", "cannot be compiled"),
+        (w.REGEX, "((a{100}){100}){10}", "cannot be compiled"),
+        (w.GLOB, "clip/[ab", "without its ]"),
+        (w.GLOB, "[!]", "an empty []"),
+        (w.REGEX, "", "empty"),
+        (w.PREFIX, "x" * 257, "257 characters"),
+        (w.PREFIX, "clip/\n", "printable"),
+        (w.GLOB, "*", "matches every name"),
+        (w.REGEX, ".*|a", "matches every name"),
+        (w.GROUP, "256", "from 0 to 255"),
+        (w.GROUP, "07", "from 0 to 255"),
+        (w.TAG, "a b", "without spaces"),
+        (w.OBJECT, "", "1 to 256"),
+        ("page", "x", "no sort of purge"),
+    ],
+)
 def test_the_desk_refuses_with_the_reason(sort, what, said):
     assert said in g.refusal(sort, what, False)
     assert patterns.refusal(w.GLOB, "*", True) is None
 
 
-@pytest.mark.parametrize("text, tags", [
-    (" red,blue  red", ("red", "blue")), ("", ()), (" ".join(f"t{n}" for n in range(33)), None), ("x" * 65,
-                                                                                                  None)])
+@pytest.mark.parametrize(
+    "text, tags",
+    [
+        (" red,blue  red", ("red", "blue")),
+        ("", ()),
+        (" ".join(f"t{n}" for n in range(33)), None),
+        ("x" * 65, None),
+    ],
+)
 def test_tags_that_cannot_be_used_are_unknown_not_none(text, tags):
     assert read_tags(text) == tags
 
@@ -157,6 +194,7 @@
 
 # ---- the order, and a follower's place in it
 
+
 def filled(epochs, recent=4):
     tail = t.Tail(TERMS.hold, epochs[-1] + 1, recent=recent)
     for n, epoch in enumerate(epochs, 1):
@@ -164,10 +202,20 @@
     return tail
 
 
-@pytest.mark.parametrize("position, seen, given_then", [
-    ((2, 6), 2, t.RESUME), ((2, 4), 2, t.RESUME), ((1, 3), 1, t.RESUME), ((1, 4), 2, t.SNAPSHOT), ((0, 0), 0,
-                                                                                                   t.SNAPSHOT),
-    ((1, 1), 1, t.SNAPSHOT), ((2, 7), 2, t.SNAPSHOT), ((1, 6), 1, t.SNAPSHOT), ((2, 6), 4, t.RAISE)])
+@pytest.mark.parametrize(
+    "position, seen, given_then",
+    [
+        ((2, 6), 2, t.RESUME),
+        ((2, 4), 2, t.RESUME),
+        ((1, 3), 1, t.RESUME),
+        ((1, 4), 2, t.SNAPSHOT),
+        ((0, 0), 0, t.SNAPSHOT),
+        ((1, 1), 1, t.SNAPSHOT),
+        ((2, 7), 2, t.SNAPSHOT),
+        ((1, 6), 1, t.SNAPSHOT),
+        ((2, 6), 4, t.RAISE),
+    ],
+)
 def test_a_follower_is_given_what_its_position_asks_for(position, seen, given_then):
     assert filled([1, 1, 1, 2, 2, 2]).place(Position(*position), seen) == given_then
 
@@ -175,8 +223,14 @@
 def test_a_place_takes_each_purge_once_in_order_and_only_whole_snapshots():
     place = p.Place()
     one, two, three = (Purge(5, n, n, w.OBJECT, "a") for n in (1, 2, 3))
-    assert [place.purge(x) for x in (one, one, three, two, one, three)] == [p.APPLY, p.PASS, p.CUT, p.APPLY,
-                                                                            p.PASS, p.APPLY]
+    assert [place.purge(x) for x in (one, one, three, two, one, three)] == [
+        p.APPLY,
+        p.PASS,
+        p.CUT,
+        p.APPLY,
+        p.PASS,
+        p.APPLY,
+    ]
     place.begin()
     assert place.purge(one) == p.KEEP
     place.broken()  # cut before its end
@@ -199,8 +253,9 @@
 
     [first] = ask(1, "a")
     assert [purge.n for purge, _ in first.batch] == [1]
-    assert ask(2, "b", now=50) == [] and ask(3, "a") == [] and ask(4, "b", (w.OBJECT,
-                                                                            "other"))[0].why == "key"
+    assert (
+        ask(2, "b", now=50) == [] and ask(3, "a") == [] and ask(4, "b", (w.OBJECT, "other"))[0].why == "key"
+    )
     accepted, again, tell, second = desk.written()
     assert (accepted.token, again.token, again.repeated, tell.purges[0].what) == (1, 3, True, "a")
     assert second.batch[0][0].made == 100  # the clock went back, the order's times did not
@@ -210,14 +265,16 @@
     assert ask(6, "c")[0].why == "busy"
     desk.reopened(filled([3, 4]), {"b": ()})
     assert ask(7, "c")[0].batch[0][0][:2] == (5, 3)
-    assert [ask(8, f"p{n}", (w.PREFIX,
-                             f"clip/{n}"))for n in range(3)][2][0].reason.startswith("2 patterns are live")
+    assert [ask(8, f"p{n}", (w.PREFIX, f"clip/{n}")) for n in range(3)][2][0].reason.startswith(
+        "2 patterns are live"
+    )
     assert "9 purges are live" not in str([ask(n, f"x{n}") for n in range(4)])
     assert any("may be" in e.reason for n in range(20, 40) for e in ask(n, f"y{n}"))
 
 
 # ---- leases, and from when a purge is in effect
 
+
 def renewal(name, n, generation=1, branch=True):
     return Renewal(name, generation, branch, n, n, SKEW, False)
 
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -24,14 +24,21 @@
     purges = [{"n": n, "purge": {"key": f"{n:016x}", "at": 1764576000123}} for n in range(2, 20_002)]
     with Standing(FeedStandIn) as feed:
         path = tmp_path / "config.json"
-        path.write_text(json.dumps(configuration(
-            members(1, *caches, endpoint("o0", 7600, "origin"), whole=True), *purges,
-            listen=f"127.0.0.1:{free_port()}", feed=f"127.0.0.1:{feed.port}")))
+        path.write_text(
+            json.dumps(
+                configuration(
+                    members(1, *caches, endpoint("o0", 7600, "origin"), whole=True),
+                    *purges,
+                    listen=f"127.0.0.1:{free_port()}",
+                    feed=f"127.0.0.1:{feed.port}",
+                )
+            )
+        )
         process, port = serving(path)
         try:
             with socket.create_connection(("127.0.0.1", port), 5) as client:
                 client.settimeout(10)
-                (_, struct), = ask(client, message(1, b"check"), 1).values()
+                ((_, struct),) = ask(client, message(1, b"check"), 1).values()
                 assert struct[0][3] is True
             took = processor_time(process.pid)
             print(f"ready after {took:.2f} s of processor time, {took / SHARE:.1f} s at a fifth of a core")
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -87,8 +87,11 @@
     log.file_steps(((KEEP, 1, bodies), ("open", 5), ("names", (("m", 3),), ())), 9)
     newest, seal, floor, index = log.position()
     assert (newest, floor, index) == (5, 0, 9) and unpack(bodies[2])[0].n == 3
-    for steps in (((KEEP, 6, [body(6)]), ("verify", 5, b"0" * 16)), ((KEEP, 7, [body(7)]),),
-                  (("compare", 3, [body(3, "other")]),)):
+    for steps in (
+        ((KEEP, 6, [body(6)]), ("verify", 5, b"0" * 16)),
+        ((KEEP, 7, [body(7)]),),
+        (("compare", 3, [body(3, "other")]),),
+    ):
         with pytest.raises(Differs):
             log.file_steps(steps, 10)
         assert log.position() == (newest, seal, floor, index)
@@ -122,9 +125,11 @@
 
 def submit(rig, *words):
     """Its numbers; tried again under the same key by the command itself, and here."""
+
     def tried():
         code, out = rig.command("submit", *words, "--json", group="purges")
         return code == 0 and json.loads(out.splitlines()[-1])
+
     return rig.wait(tried)
 
 
@@ -132,6 +137,7 @@
     def tried():
         code, out = rig.command("list", "--last", "1000", "--json", group="purges")
         return code == 0 and [(row["number"], row["what"]) for row in json.loads(out)["purges"]]
+
     return rig.wait(tried)
 
 
@@ -153,10 +159,13 @@
 
 def same(rig, newest):
     """Waits until each running copy has all."""
+
     def all_have():
         rows = rig.status()["keepers"].values()
-        return len(rows) == 3 and all(row["orders"] and row["orders"][0][2] >= newest and not row["unfiled"]
-                                      for row in rows)
+        return len(rows) == 3 and all(
+            row["orders"] and row["orders"][0][2] >= newest and not row["unfiled"] for row in rows
+        )
+
     return rig.wait(all_have)
 
 
@@ -202,8 +211,10 @@
     shutil.copy(store, rig.folder / "yesterday")
     for what in ("put back", "damaged", "other"):
         rig.start(name)
-        accepted += zip(submit(rig, "--tag", f"during {what}".replace(" ", "-"))["numbers"],
-                        [f"during {what}".replace(" ", "-")])
+        accepted += zip(
+            submit(rig, "--tag", f"during {what}".replace(" ", "-"))["numbers"],
+            [f"during {what}".replace(" ", "-")],
+        )
         assert same(rig, len(accepted)), what
         ended()
         for path in rig.folder.glob(f"{name}-purges.db*"):
@@ -214,7 +225,7 @@
         elif what == "damaged":
             data = bytearray(store.read_bytes())
             at = data.find(b"a1")
-            data[at:at + 2] = b"zz"
+            data[at : at + 2] = b"zz"
             store.write_bytes(bytes(data))
         elif what == "other":  # of another fleet: as many, and none of them agreed here
             log = PurgeLog(store)
@@ -245,10 +256,16 @@
     others = [name for name in rig.keepers if name != owner]
     for name in others:
         rig.pause(name)
-    for _ in range(2):  # while the lease lasts it waits for the log, and is refused when that is over; then at once
+    for _ in range(
+        2
+    ):  # while the lease lasts it waits for the log, and is refused when that is over; then at once
         connection = http.client.HTTPConnection("127.0.0.1", rig.desks[owner], timeout=8)
-        connection.request("POST", "/v1/purges", json.dumps({"key": "b", "purges": [{"sort": "tag", "what": "b"}]}),
-                           {"Authorization": "Bearer another secret for this rig"})
+        connection.request(
+            "POST",
+            "/v1/purges",
+            json.dumps({"key": "b", "purges": [{"sort": "tag", "what": "b"}]}),
+            {"Authorization": "Bearer another secret for this rig"},
+        )
         got = connection.getresponse()
         assert got.status == 503 and got.headers["Retry-After"] == "1" and json.loads(got.read())["error"]
     for name in others:
@@ -263,15 +280,25 @@
     rig.kill(name)
     code, said = rig.command("compare", "--json")
     rules = {row["keeper"]: row["rule"] for row in json.loads(said)}
-    assert code == 1 and rules.pop(name) == "does not answer: start it" and set(rules.values()) == {"as agreed"}
+    assert (
+        code == 1 and rules.pop(name) == "does not answer: start it" and set(rules.values()) == {"as agreed"}
+    )
     at = str(rig.folder / f"{name}.ini")
-    ran = subprocess.run([sys.executable, "-m", "hookrouter", "fleet", "verify", "--site", at], capture_output=True,
-                         text=True, timeout=20)
+    ran = subprocess.run(
+        [sys.executable, "-m", "hookrouter", "fleet", "verify", "--site", at],
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
     assert ran.returncode == 0 and "2 purges are sound" in ran.stdout
     store = rig.folder / f"{name}-purges.db"
     store.write_bytes(b"no store" * 1_000)
-    ran = subprocess.run([sys.executable, "-m", "hookrouter", "fleet", "verify", "--site", at], capture_output=True,
-                         text=True, timeout=20)
+    ran = subprocess.run(
+        [sys.executable, "-m", "hookrouter", "fleet", "verify", "--site", at],
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
     assert ran.returncode == 1 and "Traceback" not in ran.stderr
     rig.start(name)
     assert rig.wait(lambda: rig.command("compare")[0] == 0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -49,8 +49,11 @@
             pending.remove(row)
             at, effect, n, end = row
             late = at >= effect.wait + model.lookups[effect.id]["sends"][n]["at"]
-            end = end or (i.LATE if late else dice.choice(
-                (i.SATISFIED,) * 8 + (i.ERRED, i.FULL, i.UNREACHED, i.BROKEN, i.MISSING)))
+            end = end or (
+                i.LATE
+                if late
+                else dice.choice((i.SATISFIED,) * 8 + (i.ERRED, i.FULL, i.UNREACHED, i.BROKEN, i.MISSING))
+            )
             settled = model.lookups[effect.id]["answered"] or effect.id in done or end == i.SATISFIED
             queue.append(i.SendEnd(effect.id, n, end, dice.randrange(6), settled, 100, effect.cache, None))
             if settled:
@@ -65,14 +68,27 @@
         if number < lookups:
             for _ in range(dice.randrange(4)):
                 number += 1
-                queue.append(lookup(number, dice.choice(KINDS).name, now + dice.randrange(4 * SECOND),
-                                    f"k{dice.randrange(30)}", dice.randrange(5), dice.randrange(4),
-                                    dice.choice((200, 2000))))
+                queue.append(
+                    lookup(
+                        number,
+                        dice.choice(KINDS).name,
+                        now + dice.randrange(4 * SECOND),
+                        f"k{dice.randrange(30)}",
+                        dice.randrange(5),
+                        dice.randrange(4),
+                        dice.choice((200, 2000)),
+                    )
+                )
             if dice.random() < 0.05:
                 queue.append(i.CacheList(i.CHANGES, (made_up_change(dice, now),)))
             if dice.random() < 0.05:
-                queue.append(i.Purged(dice.randrange(500 * MS), dice.randrange(4),
-                                      dice.choice((None, f"k{dice.randrange(30)}"))))
+                queue.append(
+                    i.Purged(
+                        dice.randrange(500 * MS),
+                        dice.randrange(4),
+                        dice.choice((None, f"k{dice.randrange(30)}")),
+                    )
+                )
             if dice.random() < 0.005:  # killed and started anew: what it held is no longer its duty
                 control, model, pending, alarms = control_of(number, stated), Model(stated), [], []
                 queue = [i.CacheList(i.REMEMBERED, FLEET)]
@@ -94,12 +110,24 @@
         self.purges.oldest = lambda lk: 0
 
     def decide(self, now, inputs):
-        return super().decide(now, [
-            e._replace(caches=tuple(c._replace(phase=i.READY) for c in e.caches)) if isinstance(e, i.CacheList) else e
-            for e in inputs])
+        return super().decide(
+            now,
+            [
+                e._replace(caches=tuple(c._replace(phase=i.READY) for c in e.caches))
+                if isinstance(e, i.CacheList)
+                else e
+                for e in inputs
+            ],
+        )
 
 
 def test_the_model_fails_a_module_without_guards():
     broken = {wrong for seed in range(12) for wrong in play(seed, Reckless)}
-    assert broken >= {"an effect twice", "nacked what may have run", "repeated outside the group",
-                      "sent to a drained cache", "an old copy allowed", "a cold cache pushed over"}
+    assert broken >= {
+        "an effect twice",
+        "nacked what may have run",
+        "repeated outside the group",
+        "sent to a drained cache",
+        "an old copy allowed",
+        "a cold cache pushed over",
+    }
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -37,10 +37,29 @@
 SMALL = Terms(tellers=3, most_caches=4)
 few = settings(derandomize=True, deadline=None, max_examples=150)
 
-loads = s.lists(s.builds(w.Load, s.sampled_from(("a", "b", "c", "d", "e")), s.sampled_from(("", "p")),
-                         s.integers(0, 900), s.integers(0, 900)), max_size=6)
-blocks = s.lists(s.builds(w.Block, s.sampled_from(("r1", "r2", "r3", "r4", "r5")), s.integers(1, 2),
-                          s.integers(0, 4), s.integers(0, 90_000), s.integers(1, 3), s.booleans(), loads), max_size=12)
+loads = s.lists(
+    s.builds(
+        w.Load,
+        s.sampled_from(("a", "b", "c", "d", "e")),
+        s.sampled_from(("", "p")),
+        s.integers(0, 900),
+        s.integers(0, 900),
+    ),
+    max_size=6,
+)
+blocks = s.lists(
+    s.builds(
+        w.Block,
+        s.sampled_from(("r1", "r2", "r3", "r4", "r5")),
+        s.integers(1, 2),
+        s.integers(0, 4),
+        s.integers(0, 90_000),
+        s.integers(1, 3),
+        s.booleans(),
+        loads,
+    ),
+    max_size=12,
+)
 
 
 def board(*parts):
@@ -73,9 +92,9 @@
             for load in block.loads if block.number >= floor else ():
                 cells.setdefault((load.cache, load.source), []).append((block.number, load.out, load.rate))
         best = {key: max(values) for key, values in cells.items()}
-        keys = sorted(best, key=lambda key: (-best[key][0], key))[:SMALL.most_caches]
+        keys = sorted(best, key=lambda key: (-best[key][0], key))[: SMALL.most_caches]
         kept[name] = life, floor, {key: best[key] for key in keys}
-    first = sorted(kept, key=lambda name: (rank(name), name))[:SMALL.tellers]
+    first = sorted(kept, key=lambda name: (rank(name), name))[: SMALL.tellers]
     return {name: kept[name] for name in first}
 
 
@@ -84,7 +103,7 @@
 def test_the_merge_commutes_is_associative_and_twice_is_once(one, two, three):
     """Also by way of what boards tell each other, in any order, doubled."""
     said = sayings(one + two + three)
-    one, two, three = said[:len(one)], said[len(one):len(one) + len(two)], said[len(one) + len(two):]
+    one, two, three = said[: len(one)], said[len(one) : len(one) + len(two)], said[len(one) + len(two) :]
     whole = state(board(one, two, three))
     assert state(board(three, two, one)) == whole == state(board(one + two, three, two, one))
     left, right = board(one, two), board(two, three)
@@ -96,16 +115,22 @@
 @given(blocks, blocks)
 def test_the_merge_is_what_the_plain_model_says_within_its_bounds(one, two):
     made = board(one, two)
-    assert {name: (t.life, t.floor, {key: row[:3] for key, row in t.rows.items()})
-            for name, t in made.tellers.items()} == plain((one, two))
+    assert {
+        name: (t.life, t.floor, {key: row[:3] for key, row in t.rows.items()})
+        for name, t in made.tellers.items()
+    } == plain((one, two))
     assert len(made.tellers) <= SMALL.tellers
     made.forget(NOW + SMALL.silent_after)
     assert not made.tellers  # all news ages
 
 
 @few
-@given(s.lists(s.floats(0, 1e6), min_size=1, max_size=20), s.floats(0, 1e12), s.sampled_from((0.125, 0.2, 0.5)),
-       s.floats(0, 5))
+@given(
+    s.lists(s.floats(0, 1e6), min_size=1, max_size=20),
+    s.floats(0, 1e12),
+    s.sampled_from((0.125, 0.2, 0.5)),
+    s.floats(0, 5),
+)
 def test_one_claim_moves_a_sum_within_its_bound(honest, claim, share, floor):
     shares = [max(0.125, 2 / len(honest))] * len(honest)
     most, _ = cut([*honest, claim], [*shares, share], floor)
@@ -162,7 +187,9 @@
     lender, sent = Lender(terms), 0
     for now in range(0, 100_000, 100):  # ten seconds
         for n in range(100):
-            sent += sum(len(piece.data) for _, piece in lender.asked(now, f"m{n}", w.Pull("x", 0, 0), lambda: data))
+            sent += sum(
+                len(piece.data) for _, piece in lender.asked(now, f"m{n}", w.Pull("x", 0, 0), lambda: data)
+            )
     assert 900_000 < sent <= 1_000_000 + 3 * PIECE and len(lender.waiting) <= 64
     puller = Puller("x", 0, 10_000)
     assert puller.tick(0) == w.Pull("x", 0, 0) and puller.tick(5_000) is not None
@@ -213,10 +240,13 @@
     assert other.health.strikes[other.control.index["c1"]] == 0
 
 
-@pytest.mark.parametrize("text, wrong", (
-    ("[sharing]\n", "[fleet] is missing"),
-    ("[sharing]\npull within = 1 d\n", "out of range"),
-))
+@pytest.mark.parametrize(
+    "text, wrong",
+    (
+        ("[sharing]\n", "[fleet] is missing"),
+        ("[sharing]\npull within = 1 d\n", "out of range"),
+    ),
+)
 def test_the_section_is_refused_without_a_fleet(text, wrong):
     with pytest.raises(Refused, match="sharing") as refused:
         read_text("site.ini", text)
@@ -233,13 +263,18 @@
 
 def test_routers_tell_each_other_their_loads_and_one_cut_off_forgets_and_one_that_starts_pulls(tmp_path):
     with Standing(Fresh) as cache, Standing(FeedStandIn) as feed:
-        rig, ports = Rig(tmp_path, keepers=3, zones=1, sections="[sharing]\nsilent after = 3 s\npull within = 5 s\n"), {}
+        rig, ports = (
+            Rig(tmp_path, keepers=3, zones=1, sections="[sharing]\nsilent after = 3 s\npull within = 5 s\n"),
+            {},
+        )
         try:
             for name in rig.names:
                 ports[name] = free_port()
-                stated = configuration(members(1, endpoint("c0", cache.port), endpoint("o0", cache.port, "origin"),
-                                               whole=True), listen=f"127.0.0.1:{ports[name]}",
-                                       feed=f"127.0.0.1:{feed.port}")
+                stated = configuration(
+                    members(1, endpoint("c0", cache.port), endpoint("o0", cache.port, "origin"), whole=True),
+                    listen=f"127.0.0.1:{ports[name]}",
+                    feed=f"127.0.0.1:{feed.port}",
+                )
                 stated["settings"]["limits"]["peers"], stated["name"] = True, name
                 rig.configs[name] = tmp_path / f"{name}.json"
                 rig.configs[name].write_text(json.dumps(stated))
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -15,7 +15,9 @@
 
 
 def spread(name="r0", number=0, lines=(), **more):
-    made = Spread(spread_terms(terms())._replace(number=number, routers=4, **more), (name, 1), 1, NOW - 10 * SECOND)
+    made = Spread(
+        spread_terms(terms())._replace(number=number, routers=4, **more), (name, 1), 1, NOW - 10 * SECOND
+    )
     made.listed(NOW, lines or [cache(f"c{n}") for n in range(4)])
     made.stands(["r0", "r1", "r2", "r3"])
     return made
@@ -120,6 +122,7 @@
 
 def test_a_dozen_processes_spread_load_through_kills_a_cut_and_old_news():
     from benchmarks.spread.processes import ON, crowd
+
     found = crowd(12, 8, ON, seconds=(5.0, 4.0, 4.0))
     assert found["ready"] and found["broken"] == []
     assert found["spreads"] >= 10  # members of both zones heard each other
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -22,7 +22,9 @@
     p0 = control.index["p0"]
     control.windows.room[p0] = before = 20.0
     first = [asked(control, NOW, n) for n in range(1, 5)]
-    control.decide(NOW + 50 * MS, [ended(first[0], i.SATISFIED, took=50 * MS)])  # heard after all four went out
+    control.decide(
+        NOW + 50 * MS, [ended(first[0], i.SATISFIED, took=50 * MS)]
+    )  # heard after all four went out
     later = [asked(control, NOW + 60 * MS + n, n) for n in range(5, 9)]
     control.decide(NOW + 590 * MS, [])  # budgets of the first are over, the later ones tell of a stall
     if released:
@@ -45,8 +47,12 @@
     assert first and control.windows.room[control.index["p0"]] < p0 / 4
 
 
-@pytest.mark.parametrize("routers, notes, gated", ((3, "none", False), (200, "none", True), (200, "hit", False)))
-def test_fills_that_miss_shut_the_gate_only_where_one_routers_part_of_a_source_is_too_small(routers, notes, gated):
+@pytest.mark.parametrize(
+    "routers, notes, gated", ((3, "none", False), (200, "none", True), (200, "hit", False))
+)
+def test_fills_that_miss_shut_the_gate_only_where_one_routers_part_of_a_source_is_too_small(
+    routers, notes, gated
+):
     """Failed before: a handful of routers nacked a third of all lookups for as long as one answer in ten was lost."""
     control = router(notes=notes, topology=terms().topology._replace(routers=routers))
     control.now = NOW
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -21,6 +21,7 @@
 
 # ---- the end, in made-up time: `at` is after SIGTERM, and the pages have lookups come up to 0.6 s after it
 
+
 def ending(tmp_path):
     s = scenes.Scene(tmp_path)
     service, stopped = s.stoppable()
@@ -59,7 +60,9 @@
     service.stop()
     s.net.pump([0.1] * 12)
     busy.come(message(2, allow="9000"))
-    while s.net.seconds() < 3.7:  # by the sooner reading of the page: 3 s where the longest deadline is longer
+    while (
+        s.net.seconds() < 3.7
+    ):  # by the sooner reading of the page: 3 s where the longest deadline is longer
         for way in s.net.ways:
             way.over or way.up()
         s.net.advance(0.05)
@@ -67,7 +70,9 @@
 
 
 @pytest.mark.parametrize("effect", ["clip", "hold"])
-def test_what_is_in_work_at_sigterm_is_answered_before_sigkill_whatever_time_its_client_gives_it(tmp_path, effect):
+def test_what_is_in_work_at_sigterm_is_answered_before_sigkill_whatever_time_its_client_gives_it(
+    tmp_path, effect
+):
     """SIGKILL comes 3.7 s after SIGTERM where the longest deadline is longer: seen on short days, where two of six were killed."""
     s, service, stopped, busy, _ = ending(tmp_path)
     busy.come(message(2, service=effect, replay="5c0f", allow="9000", ref="a" * 16))
@@ -124,7 +129,10 @@
 
 # ---- a pause of the process: its deadlines come before its reads, and what lies unread is owed an answer
 
-@pytest.mark.parametrize("case", ["silent too long", "idle too long", "short, silent", "short, idle", "the end"])
+
+@pytest.mark.parametrize(
+    "case", ["silent too long", "idle too long", "short, silent", "short, idle", "the end"]
+)
 def test_what_lies_unread_after_a_pause_is_taken_before_its_connection_is_ended(tmp_path, case):
     short = case.startswith("short")
     s = test_front.Scene(most=2 if short else 9)
@@ -172,11 +180,21 @@
         yield piece
 
 
-@pytest.mark.parametrize("pieces, end", [
-    (forever(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"), i.LATE),
-    (forever(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X-More: x\r\n"), i.LATE),
-    (forever(b"", b"HTTP/1.1 100 Go on\r\n\r\n"), i.LATE), (forever(b"HTTP/1.1 200 OK\r\n", b"X-Pad: p\r\n" * 40), i.BROKEN),
-    (forever(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1000\r\n" + b"x" * 4096 + b"\r\n"), i.BROKEN)])
+@pytest.mark.parametrize(
+    "pieces, end",
+    [
+        (forever(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"), i.LATE),
+        (forever(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X-More: x\r\n"), i.LATE),
+        (forever(b"", b"HTTP/1.1 100 Go on\r\n\r\n"), i.LATE),
+        (forever(b"HTTP/1.1 200 OK\r\n", b"X-Pad: p\r\n" * 40), i.BROKEN),
+        (
+            forever(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1000\r\n" + b"x" * 4096 + b"\r\n"
+            ),
+            i.BROKEN,
+        ),
+    ],
+)
 def test_an_answer_that_never_ends_is_over_in_its_time_and_leaves_nothing(pieces, end):
     s = test_caches.Scene()
     s.send()
@@ -208,7 +226,9 @@
     wire.come(answer(200, b"body", *COPY))  # ends in the other's place
     s.net.advance(0)
     assert s.ends() == [i.SATISFIED, i.BROKEN] and not wire.open
-    for n, (errand, tag) in enumerate(((test_caches.PLAIN, COPY[0]), (test_caches.PLAIN, COPY[0]), (OTHER, b"X-Rev: 0d"))):
+    for n, (errand, tag) in enumerate(
+        ((test_caches.PLAIN, COPY[0]), (test_caches.PLAIN, COPY[0]), (OTHER, b"X-Rev: 0d"))
+    ):
         s.send(errand=errand)
         wire = wire if n else s.up()
         wire.come(answer(200, b"body", tag, COPY[1]))  # one object's copy twice is no double
@@ -237,7 +257,10 @@
 
 # ---- a list counts as told 7 s after the feed has it
 
-@pytest.mark.parametrize("ways", [(), ("hangs",), ("refused",) * 3, ("mute",), ("hangs", "mute"), ("garbage", "hangs")])
+
+@pytest.mark.parametrize(
+    "ways", [(), ("hangs",), ("refused",) * 3, ("mute",), ("hangs", "mute"), ("garbage", "hangs")]
+)
 def test_a_watch_that_falls_silent_is_followed_anew_before_its_news_count_as_told(ways):
     s = test_feed.Scene()
     s.net.ways[0].up().come(test_feed.HEAD + b":\n\n")
@@ -250,13 +273,20 @@
             s.net.ways[-1].refuse()
         elif way != "hangs":
             wire = s.net.ways[-1].up()
-            wire.come({"mute": b"", "garbage": b"junk\r\n\r\n", "well": test_feed.HEAD + test_feed.told(test_feed.purge(4, group=1))}[way])
+            wire.come(
+                {
+                    "mute": b"",
+                    "garbage": b"junk\r\n\r\n",
+                    "well": test_feed.HEAD + test_feed.told(test_feed.purge(4, group=1)),
+                }[way]
+            )
     assert s.numbers() == [4] and s.net.seconds() - began < 7
     assert follower.SILENCE + follower.LONGEST_PAUSE + follower.UP_WITHIN < 4
 
 
 # ---- real processes
 
+
 def call(port, *data):
     connection = socket.create_connection(("127.0.0.1", port), 5)
     connection.settimeout(10)
@@ -279,11 +309,22 @@
     with Standing(Cache) as cache, Standing(FeedStandIn) as feed:
         fleet = [endpoint("c0", cache.port), endpoint("o0", cache.port, "origin")]
         path = tmp_path / "config.json"
-        path.write_text(json.dumps(configuration(members(1, *fleet, whole=True), listen=f"127.0.0.1:{free_port()}",
-                                                 feed=f"127.0.0.1:{feed.port}")))
+        path.write_text(
+            json.dumps(
+                configuration(
+                    members(1, *fleet, whole=True),
+                    listen=f"127.0.0.1:{free_port()}",
+                    feed=f"127.0.0.1:{feed.port}",
+                )
+            )
+        )
         process, port = serving(path)
         try:
-            idle, half, working = call(port, message(1, b"check")), call(port, message(1)), call(port, message(1))
+            idle, half, working = (
+                call(port, message(1, b"check")),
+                call(port, message(1)),
+                call(port, message(1)),
+            )
             for connection in (idle, half, working):
                 heard(connection, 1)
             working.sendall(message(2, part="9", allow="1200"))
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -16,7 +16,9 @@
     assert slots.take("c") is None and len(slots) == 2
     slots.give_back(first)
     third = slots.take("c")
-    assert third != first and slots.get(first) is None and slots.get(third) == "c" and slots.get(second) == "b"
+    assert (
+        third != first and slots.get(first) is None and slots.get(third) == "c" and slots.get(second) == "b"
+    )
     with pytest.raises(KeyError):
         slots.give_back(first)
 
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -13,7 +13,14 @@
     """Says what a test gives it."""
 
     def __init__(self, others=None, lead=2.0, allowance=None, tries=True):
-        self.out, self.much, self.room, self.may, self.asked, self.spent = others or {}, lead, allowance, tries, [], []
+        self.out, self.much, self.room, self.may, self.asked, self.spent = (
+            others or {},
+            lead,
+            allowance,
+            tries,
+            [],
+            [],
+        )
 
     def others(self, cache, now):
         return self.out.get(cache)
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -84,8 +84,9 @@
     back.start(life=0)  # below its former life
     assert world.until(lambda: world.agreed() or back.core.me.life > 1, 10)
     keys = {r.key for r in world.nodes[0].core.alive() if r.name == back.name}
-    assert world.until(lambda: {r.key for r in world.nodes[0].core.alive() if r.name == back.name}
-                       == {back.core.me.key}, 20), keys
+    assert world.until(
+        lambda: {r.key for r in world.nodes[0].core.alive() if r.name == back.name} == {back.core.me.key}, 20
+    ), keys
     twin = World(5, 6)
     twin.nodes[5].name = twin.nodes[0].name
     twin.nodes[5].life = 7  # of the two processes each has its own
@@ -131,7 +132,7 @@
         spoilt = bytearray(data)
         spoilt[dice.randrange(len(data))] ^= 1 << dice.randrange(8)
         with pytest.raises(datagrams.Malformed):
-            datagrams.read(secret, bytes(spoilt[:dice.randrange(1, len(data) + 1)]))
+            datagrams.read(secret, bytes(spoilt[: dice.randrange(1, len(data) + 1)]))
     text = datagrams.encode(["a", 7, "b", 9, ["Ping", -1, 5, []]])
     with pytest.raises(datagrams.Malformed):  # sealed, and not a message
         datagrams.read(secret, datagrams.seal(secret, text) + text)
@@ -181,8 +182,9 @@
 
     half = rig.names[::2]
     rig.exchange.split(half, [name for name in rig.names if name not in half])
-    assert rig.wait(lambda: all(len(said(name, "dead")) + rig.log(name).count("members dead") > 0
-                                for name in rig.keepers))
+    assert rig.wait(
+        lambda: all(len(said(name, "dead")) + rig.log(name).count("members dead") > 0 for name in rig.keepers)
+    )
     rig.exchange.heal()
     assert agree(rig, rig.names) is not None
 
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -49,7 +49,11 @@
     bound = sketch.total / sketch.k
     for name in NAMES:
         count = sketch.rows[name][0] if name in sketch.rows else None
-        assert (true[name] <= bound + 1e-9) if count is None else (true[name] - 1e-9 <= count <= true[name] + bound + 1e-9)
+        assert (
+            (true[name] <= bound + 1e-9)
+            if count is None
+            else (true[name] - 1e-9 <= count <= true[name] + bound + 1e-9)
+        )
     for name, (sure, _, _) in sketch.sure().rows.items():
         assert sure <= true[name] + 1e-9 <= sure + bound + 2e-9
     summary = sketch.summary()
@@ -105,7 +109,9 @@
         assert lies <= table.share() * sum(one.rate for one in found.values()) + 1e-9
 
 
-@pytest.mark.parametrize("wrong", [lent(row(1, 5), row(1, 5)), lent(row(1, 5), total=4), lent(age=lists.OLDEST + 1)])
+@pytest.mark.parametrize(
+    "wrong", [lent(row(1, 5), row(1, 5)), lent(row(1, 5), total=4), lent(age=lists.OLDEST + 1)]
+)
 def test_a_list_that_contradicts_itself_is_put_aside(wrong):
     with pytest.raises(Unfit):
         lists.read(msgspec.msgpack.encode(wrong))
@@ -192,8 +198,8 @@
                 spent.append((now, 30))
                 assert allowance.room >= terms.kept * allowance.burst(now) - 1e-6
         for k, (began, _) in enumerate(spent):
-            for upto, _ in spent[k:k + 60]:
-                total = sum(cost for at, cost in spent[k:k + 60] if at <= upto)
+            for upto, _ in spent[k : k + 60]:
+                total = sum(cost for at, cost in spent[k : k + 60] if at <= upto)
                 able = allowance.able(upto)
                 assert total <= terms.pace * able * (terms.burst + upto - began) + 30
 
@@ -208,6 +214,7 @@
 def test_the_section_wants_sharing_beside_it():
     from hookrouter.errors.site import Refused
     from hookrouter.site import read_text
+
     with pytest.raises(Refused, match=r"x:1: \[warming\]: \[fleet\] and \[sharing\] are missing"):
         read_text("x", "[warming]\nslots = 4\n")
     with pytest.raises(Refused, match="slots"):
--- a/tests/test_warming_crowd.py
+++ b/tests/test_warming_crowd.py
@@ -22,8 +22,10 @@
 
 def gained(crowd, names):
     """[(router, number)] of all warnings' duties gained, in order of their numbers."""
-    return sorted(((name, int(number)) for name in names
-                   for _, number in GAINED.findall(crowd.processes.log(name))), key=lambda row: row[1])
+    return sorted(
+        ((name, int(number)) for name in names for _, number in GAINED.findall(crowd.processes.log(name))),
+        key=lambda row: row[1],
+    )
 
 
 def test_a_stopped_owner_is_followed_and_its_late_fills_are_refused(tmp_path):
@@ -46,13 +48,22 @@
         # What a process that was stopped between its look at the clock and its bytes would send.
         port = re.search(rf"'{re.escape(new)}'.*?127\.0\.0\.1:(\d+)", str(crowd.caches.known()))[1]
         late = http.client.HTTPConnection("127.0.0.1", int(port), timeout=2)
-        late.request("GET", "/fetch/page/842b7d9d43cddf75/0", headers={
-            "X-Trace": "0000ffffffff0001", "X-Patience": "1000", "X-Origin-Pick": "p0",
-            "X-Fence": f"warm.z0/{new} {old}"})
+        late.request(
+            "GET",
+            "/fetch/page/842b7d9d43cddf75/0",
+            headers={
+                "X-Trace": "0000ffffffff0001",
+                "X-Patience": "1000",
+                "X-Origin-Pick": "p0",
+                "X-Fence": f"warm.z0/{new} {old}",
+            },
+        )
         assert late.getresponse().status == 409
         late.close()
         table = next(one for one in crowd.caches.tables() if one["cache"] == new)
-        neighbours = sum(count for slot in table["slots"] for source, count in slot["fills"].items() if source[0] == "c")
+        neighbours = sum(
+            count for slot in table["slots"] for source, count in slot["fills"].items() if source[0] == "c"
+        )
         assert neighbours > 10 and sum(slot["refused"] for slot in table["slots"]) >= 1
         assert table["falls"] == [] and table["after_drain"] == []
         assert [line for line in crowd.verdict().broken if not line.startswith("lookups lost")] == []
--- a/tests/test_warming_member.py
+++ b/tests/test_warming_member.py
@@ -22,9 +22,17 @@
     """A router as Heed and Warmed know it, and what it sent."""
     sent = []
     node = SimpleNamespace(
-        terms=terms(), kinds={kind.name: kind for kind in KINDS}, guard=None, now=lambda: NOW,
-        control=router(), sent=sent, caches=SimpleNamespace(send=lambda cache, errand, within, leave_within: sent.append(
-            (cache, errand, Deferred())) or SimpleNamespace(deferred=sent[-1][2])))
+        terms=terms(),
+        kinds={kind.name: kind for kind in KINDS},
+        guard=None,
+        now=lambda: NOW,
+        control=router(),
+        sent=sent,
+        caches=SimpleNamespace(
+            send=lambda cache, errand, within, leave_within: sent.append((cache, errand, Deferred()))
+            or SimpleNamespace(deferred=sent[-1][2])
+        ),
+    )
     node.heed = Heed(node)
     return node
 
@@ -32,9 +40,17 @@
 def begun(host, until):
     events = []
     warmer = SimpleNamespace(
-        heed=host.heed, router=host, reactor=Clock(), now=lambda: NOW, clock=lambda: 500, count=lambda name: None,
-        section={"slots": 4, "lenders": 5, "room": None}, sharing=SimpleNamespace(neighbours=lambda: []),
-        place=lambda cache: (1, 0), closed=lambda warmed, state, cause: events.append((state, cause)))
+        heed=host.heed,
+        router=host,
+        reactor=Clock(),
+        now=lambda: NOW,
+        clock=lambda: 500,
+        count=lambda name: None,
+        section={"slots": 4, "lenders": 5, "room": None},
+        sharing=SimpleNamespace(neighbours=lambda: []),
+        place=lambda cache: (1, 0),
+        closed=lambda warmed, state, cause: events.append((state, cause)),
+    )
     host.heed.listed(SimpleNamespace(whole=False, caches=(cache("c9", born=NOW - SECOND),)), False)
     return Warmed(warmer, "c9", Warrant("warm.edge/c9", 7, until)), events
 
@@ -53,8 +69,12 @@
     warmed, events = begun(host, until=501)
     warmed.table.state, warmed.table.out = "warming", {FILL.name: object()}
     warmed._fill(FILL)
-    (target, errand, deferred), = host.sent
-    assert target == "c9" and errand.source == "c1" and b"X-Fence: warm.edge/c9 7\r\n" in b"".join(request(errand, b"h"))
+    ((target, errand, deferred),) = host.sent
+    assert (
+        target == "c9"
+        and errand.source == "c1"
+        and b"X-Fence: warm.edge/c9 7\r\n" in b"".join(request(errand, b"h"))
+    )
     deferred.callback(Ended(i.ERRED, refused=True))
     assert events == [("given up", w.OLD_NUMBER)]
 
@@ -62,15 +82,22 @@
 def test_it_ends_where_its_cache_drains_or_leaves(host):
     for phase, cause in ((i.DRAINING, w.DRAINED), (i.GONE, w.LEFT)):
         warmed, events = begun(host, until=501)
-        host.heed.listed(SimpleNamespace(whole=False, caches=(cache("c9", phase=phase, born=NOW - SECOND),)), False)
+        host.heed.listed(
+            SimpleNamespace(whole=False, caches=(cache("c9", phase=phase, born=NOW - SECOND),)), False
+        )
         warmed.looked()
         assert events == [("given up", cause)]
 
 
 def test_the_router_notes_the_list_of_its_start_and_what_was_purged(host):
     assert set(host.heed.caches) == {one.id for one in FLEET}
-    assert host.heed.edges("edge", NOW, settled=True) == ("c0", "c1", "c2", "c3") and host.heed.parents(NOW) == ("p0", "p1")
+    assert host.heed.edges("edge", NOW, settled=True) == ("c0", "c1", "c2", "c3") and host.heed.parents(
+        NOW
+    ) == ("p0", "p1")
     host.heed.dropped_at(SimpleNamespace(object="k1", group=1), NOW - 50)
-    assert 0 < host.heed.age(host.kinds["clip"], "k1", 1, NOW) <= 50 and host.heed.age(host.kinds["clip"], "k2", 2, NOW) == 0
+    assert (
+        0 < host.heed.age(host.kinds["clip"], "k1", 1, NOW) <= 50
+        and host.heed.age(host.kinds["clip"], "k2", 2, NOW) == 0
+    )
     host.heed.asked(SimpleNamespace(kind="order", object="k", part=0, size=1, group=0), NOW)
     assert not host.heed.sketch.rows  # it may not be repeated: nobody fills it
--- a/tests/warming_mistakes.py
+++ b/tests/warming_mistakes.py
@@ -108,9 +108,21 @@
 
 # What it takes the place of, and the mistake.
 MISTAKES = (
-    ("warming", FillWithoutNumber), ("fence", NoFence), ("purged", PurgeBetweenListAndFillLost),
-    ("purged", PurgeOfBeforeTheListsForgotten), ("doors", DrainingSource), ("doors", DrainingTarget),
-    ("warming", TriedAgain), ("warming", ProgressForgotten), ("warming", NextStepUntold),
-    ("warming", FillsBeforeCourseIsKept), ("dated", dated_anew), ("allowance", LookupsNotFirst),
-    ("allowance", ColdAllowanceExceeded), ("allowance", OthersUnheeded), ("borrowed", LiarUnbounded),
-    ("borrowed", AddedTwice), ("merge", merged_twice))
+    ("warming", FillWithoutNumber),
+    ("fence", NoFence),
+    ("purged", PurgeBetweenListAndFillLost),
+    ("purged", PurgeOfBeforeTheListsForgotten),
+    ("doors", DrainingSource),
+    ("doors", DrainingTarget),
+    ("warming", TriedAgain),
+    ("warming", ProgressForgotten),
+    ("warming", NextStepUntold),
+    ("warming", FillsBeforeCourseIsKept),
+    ("dated", dated_anew),
+    ("allowance", LookupsNotFirst),
+    ("allowance", ColdAllowanceExceeded),
+    ("allowance", OthersUnheeded),
+    ("borrowed", LiarUnbounded),
+    ("borrowed", AddedTwice),
+    ("merge", merged_twice),
+)
