--- a/hookrouter/control/cold.py
+++ b/hookrouter/control/cold.py
@@ -12,10 +12,9 @@
         self.born, self.purse, self.turn, self.lost = map(beliefs.column, (0, 0.0, -1, False))
         self.top, self.fall, self.routers = terms.topology, terms.fall_for, max(1, terms.topology.routers)
         self.lump = max([1.0, *(kind.latency_budget for kind in terms.kinds if not kind.write)])
-        self.terms = (
-            self._terms(terms.cold_share, terms.cold_for, terms.fall_multiple, self.top.crew),
-            self._terms(terms.parent_cold_share, terms.parent_cold_for, terms.parent_fall_multiple,
-                        self.routers))
+        edges = terms.cold_share, terms.cold_for, terms.fall_multiple
+        parents = terms.parent_cold_share, terms.parent_cold_for, terms.parent_fall_multiple
+        self.terms = self._terms(*edges, self.top.crew), self._terms(*parents, self.routers)
 
     def _terms(self, share, span, multiple, users):
         """Share at first, time to full, turns in a tenth of full capacity, for how many a turn stays open."""
--- a/hookrouter/control/copies.py
+++ b/hookrouter/control/copies.py
@@ -21,8 +21,8 @@
         kind, pure, now = self.kinds[lk.kind], size / self.flow, self.b.now
         free = max(now, self.free) + pure / self.flows
         budget = share * (kind.latency_budget + kind.budget_stretch * pure)
-        if made < self.purges.guarded(lk) or now - made > (kind.fresh or now) or (
-                max(now + pure, free) > min(lk.due, now + max(pure, budget))):
+        late = max(now + pure, free) > min(lk.due, now + max(pure, budget))
+        if made < self.purges.guarded(lk) or now - made > (kind.fresh or now) or late:
             return False
         self.free = free
         self.kept.used(lk.own)
--- a/hookrouter/control/health.py
+++ b/hookrouter/control/health.py
@@ -55,9 +55,11 @@
         self.trickle[n], self.rest_until[n], self.rest[n], self.strikes[n] = None, None, REST, 0
 
     def usable(self, n):
-        trickle, b = self.trickle[n], self.b
-        return trickle is None or (b.now >= self.rest_until[n] and b.out[n] < trickle and (
-            b.told is None or b.told.tries(b.ids[n], b.now)))  # some look whether it is well again, and tell
+        if self.trickle[n] is None:
+            return True
+        if self.b.now < self.rest_until[n] or self.b.out[n] >= self.trickle[n]:
+            return False
+        return self.b.told is None or self.b.told.tries(self.b.ids[n], self.b.now)  # some look, and tell
 
 
 # state of a cache, how a send there ended -> effect
--- a/hookrouter/control/learning.py
+++ b/hookrouter/control/learning.py
@@ -29,7 +29,7 @@
     def __init__(self, control, terms):
         self.c, self.times, self.windows = control, control.times, control.windows
         self.tardy = control.column(False)  # the last answer came late
-        self.step = terms.topology.crew ** -0.5  # of the paper's: the crew's chance steps add up by the root
+        self.step = terms.topology.crew**-0.5  # of the paper's: the crew's chance steps add up by the root
         self.spare, self.astray = SPARE_MOST, 0.0  # further sends; nats
         self.silent, self.mute_via = 0.0, None  # share of fills; what fed the last of them
 
@@ -61,15 +61,15 @@
         if word == i.MISSING:
             c.health.told(sent.target, GOOD)  # it answers, though it lacks the object
         # Both are blamed: what goes well clears the one not at fault. Time-outs beside answers are a crowd's.
-        if word in (i.ERRED, i.UNREACHED, i.BROKEN) or (word == i.LATE and mute) or (
-                word == i.FULL and not fills):
+        failed = word in (i.ERRED, i.UNREACHED, i.BROKEN) or (word == i.LATE and mute)
+        if failed or (word == i.FULL and not fills):
             c.health.told(sent.target, BAD)
         # Silent in a row: it may have died. The list tells seconds late; what answers again counts as cold.
         silent = c.now - c.heard[sent.target] > SILENCE and c.health.trickle[sent.target] is not None
         if silent and word in (i.UNREACHED, i.BROKEN, i.LATE):
             c.cold.lost[sent.target] = True
-        if fills and not windows.crowd() and (word in (i.ERRED, i.FULL) or (
-                word == i.LATE and not stray and (dry or not self.windows.tells_hits))):
+        waited = word == i.LATE and not stray and (dry or not windows.tells_hits)
+        if fills and not windows.crowd() and (waited or word in (i.ERRED, i.FULL)):
             c.health.told(sent.source, BAD)
 
     def _satisfied(self, sent, end, fills):
--- a/hookrouter/control/lookups.py
+++ b/hookrouter/control/lookups.py
@@ -8,8 +8,8 @@
 OWN_SHARE = 0.25  # of the budget, for an own copy's way: the queue's rest is for what finds no cache
 
 NEW, PLACING, OUT, PAIRING, PAIR, ENDED = "new", "placing", "out", "pairing", "pair", "ended"
-ARRIVED, SENT, STUCK, FAILED, OVERRUN, SETTLED, DUE, AT_HAND = (
-    "arrived", "sent", "stuck", "failed", "overrun", "settled", "due", "at hand")
+ARRIVED, SENT, STUCK, FAILED = "arrived", "sent", "stuck", "failed"
+OVERRUN, SETTLED, DUE, AT_HAND = "overrun", "settled", "due", "at hand"
 
 
 class Lookups:
@@ -78,9 +78,10 @@
         if source is None or target in c.origins:
             c.say(i.Ask(lk.id, c.ids[target], wait, leave))
         else:
-            c.say(i.Obtain(lk.id, c.ids[target], c.ids[source], wait, c.purges.oldest(lk),
-                           1 if edge and not kind.write else 0, self.terms.joins and not lk.hits_only,
-                           lk.hits_only, False, edge and via is not None and kind.fresh > 0, leave))
+            ids, oldest, held = (lk.id, c.ids[target], c.ids[source]), c.purges.oldest(lk), lk.hits_only
+            rank, joins = int(edge and not kind.write), self.terms.joins and not held
+            renews = edge and via is not None and kind.fresh > 0
+            c.say(i.Obtain(*ids, wait, oldest, rank, joins, held, False, renews, leave))
         return SENT
 
     def _give_up(self, lk):
--- a/hookrouter/control/purges.py
+++ b/hookrouter/control/purges.py
@@ -38,8 +38,9 @@
         """No copy from before that may answer, by fleet-wide purges."""
         if self.guard is None:
             return 0
-        return inf if self.guard.shut() else self.guard.oldest(
-            self.b.now, self.kinds[lk.kind].name, lk.key, lk.group)
+        if self.guard.shut():
+            return inf
+        return self.guard.oldest(self.b.now, self.kinds[lk.kind].name, lk.key, lk.group)
 
     def fenced(self, kind):
         return self.guard is not None and not kind.write and self.guard.shut()
--- a/hookrouter/control/router.py
+++ b/hookrouter/control/router.py
@@ -37,8 +37,7 @@
     def _on_list(self, news):
         top = self.terms.topology
         if news.mode == i.UNANSWERED:  # the subscription failed: again, not all routers at once
-            self.alarm(self.dice.randint(ASK_AGAIN // 2, ASK_AGAIN), (None, UNHEARD))
-            return
+            return self.alarm(self.dice.randint(ASK_AGAIN // 2, ASK_AGAIN), (None, UNHEARD))
         if news.mode == i.REMEMBERED and self.terms.must_subscribe:
             self.say(i.Subscribe(True))
         if news.mode != i.CHANGES:
@@ -51,8 +50,8 @@
         ready = [n for n in range(len(self.ids)) if self.phase[n] == i.READY]
         self.origins = [n for n in ready if self.sort[n] == top.origin_sort]
         self.parents = [n for n in ready if self.sort[n] == top.parent_sort and n not in self.origins]
-        self.edges = [n for n in ready if self.where[n] == top.zone
-                      and self.sort[n] not in (top.origin_sort, top.parent_sort)]
+        upper = top.origin_sort, top.parent_sort
+        self.edges = [n for n in ready if self.where[n] == top.zone and self.sort[n] not in upper]
         self.reach = sum(self.weight[n] for n in self.edges)
         self.windows.listed()
 
@@ -97,8 +96,6 @@
         self.copies.purge(name, made)
 
 
-HANDLERS = {
-    i.CacheList: Control._on_list, i.Lookup: Control._on_lookup, i.Alarm: Control._on_alarm,
-    i.SendEnd: Control._on_end, i.ClientGone: Control._on_gone, i.Purged: Control._on_purge,
-    **dict.fromkeys((i.Begun, i.ProbeEnd, i.Whisper), lambda control, event: None),  # not asked for yet
-}
+HANDLERS = {i.CacheList: Control._on_list, i.Lookup: Control._on_lookup, i.Alarm: Control._on_alarm}
+HANDLERS |= {i.SendEnd: Control._on_end, i.ClientGone: Control._on_gone, i.Purged: Control._on_purge}
+HANDLERS |= dict.fromkeys((i.Begun, i.ProbeEnd, i.Whisper), lambda control, event: None)  # not asked for yet
--- a/hookrouter/control/rules.py
+++ b/hookrouter/control/rules.py
@@ -25,10 +25,10 @@
         if not lk.doubts or kind.effect == i.IDEMPOTENT:
             return True
         group = {i.SAME_ZONE: b.where, i.SAME_CELL: b.cell}.get(kind.dropped_at)
-        return self.leaves_within(lk) > 0 and (
-            group is None or all(group[first] == group[target] for _, first in lk.doubts.values()))
+        same = group is None or all(group[first] == group[target] for _, first in lk.doubts.values())
+        return same and self.leaves_within(lk) > 0
 
     def nackable(self, lk):
         kind = self.kinds[lk.kind]
-        return not lk.doubts or kind.effect == i.IDEMPOTENT or (
-            kind.effect == i.DEDUPLICATED and kind.dropped_at == i.EVERYWHERE)
+        everywhere = kind.effect == i.DEDUPLICATED and kind.dropped_at == i.EVERYWHERE
+        return not lk.doubts or kind.effect == i.IDEMPOTENT or everywhere
--- a/hookrouter/control/times.py
+++ b/hookrouter/control/times.py
@@ -29,4 +29,4 @@
     def deadline(self, lk):
         """When a part is late: the design's average and deviation, doubled with each overrun."""
         limit = lk.work + self.average[lk.kind] + DEVIATIONS * self.deviation[lk.kind]
-        return int(min(LAST_DEADLINE, max(LEAST_WAIT, limit) * 2 ** lk.overruns))
+        return int(min(LAST_DEADLINE, max(LEAST_WAIT, limit) * 2**lk.overruns))
