Purge.sort is Purge.kind: the name of the field for what a purge names

Item's key in submissions stays "sort", as do the store's column, the answers' keys and what operators read; only names in code change. Where a purge's kind and that of an object meet, the latter is object_kind.

--- a/benchmarks/purges/costs.py
+++ b/benchmarks/purges/costs.py
@@ -35,14 +35,14 @@
     guard.granted(0, 1 << 60)
     for n in range(count):
         if n % 10:
-            sort, what = ((w.OBJECT, f"{n:016x}"), (w.TAG, f"t{n}"))[n % 2]
+            kind, what = ((w.OBJECT, f"{n:016x}"), (w.TAG, f"t{n}"))[n % 2]
         else:
-            sort, what = (
+            kind, what = (
                 (w.PREFIX, f"clip/{n:05x}"),
                 (w.GLOB, f"*/{n:04x}*"),
                 (w.REGEX, f"clip/{n:04x}[0-9a-f]+"),
             )[n // 10 % 3]
-        guard.told(n, Purge(1, n + 1, n, sort, what))
+        guard.told(n, Purge(1, n + 1, n, kind, what))
     return guard
 
 
--- a/benchmarks/purges/desk.py
+++ b/benchmarks/purges/desk.py
@@ -88,7 +88,7 @@
             if isinstance(effect, g.Write):
                 self.writing = effect.batch
                 for purge, key in effect.batch:
-                    self.world.told[purge.epoch, purge.n] = Told(purge.sort, purge.what, self.asked[key])
+                    self.world.told[purge.epoch, purge.n] = Told(purge.kind, purge.what, self.asked[key])
                 self.world.after(self.world.dice.randint(5, 300), self._written, self.life)
             elif isinstance(effect, g.Accepted):
                 self.world.acknowledged(effect.purges, effect.repeated)
--- a/benchmarks/purges/desks.py
+++ b/benchmarks/purges/desks.py
@@ -60,7 +60,7 @@
         self.connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
 
     def submit(self, key, items):
-        body = json.dumps({"key": key, "purges": [{"sort": sort, "what": what} for sort, what in items]})
+        body = json.dumps({"key": key, "purges": [{"sort": kind, "what": what} for kind, what in items]})
         self.connection.request("POST", "/v1/purges", body, {"Authorization": f"Bearer {SECRET}"})
         answer = self.connection.getresponse()
         return answer.status, json.loads(answer.read())
--- a/benchmarks/purges/kills.py
+++ b/benchmarks/purges/kills.py
@@ -49,9 +49,9 @@
     log = PurgeLog(f"{folder}/purges.db", must_exist=True)
     rows = log.load().rows
     log.close()
-    stored = {f"{purge.epoch}.{purge.n}": (purge.sort, purge.what) for purge, _ in rows}
+    stored = {f"{purge.epoch}.{purge.n}": (purge.kind, purge.what) for purge, _ in rows}
     told = [row for purges in acknowledged.values() for row in purges]
-    lost = sum(stored.get(number) != (sort, what) for number, sort, what in told)
+    lost = sum(stored.get(number) != (kind, what) for number, kind, what in told)
     twice = len(told) - len({number for number, _, _ in told}) + len(rows) - len({p.what for p, _ in rows})
     return times, len(acknowledged), lost, twice
 
--- a/benchmarks/purges/shapes.py
+++ b/benchmarks/purges/shapes.py
@@ -57,20 +57,20 @@
 class Told(NamedTuple):
     """One purge as the model knows it."""
 
-    sort: str
+    kind: str
     what: str
     at: int  # true time at which the desk took it
 
 
-def concerns(purge, kind, name):
+def concerns(purge, object_kind, name):
     """In plain words: is this copy's object what was purged?"""
-    sort, what = purge.sort, purge.what
-    full = f"{kind}/{name}"
+    kind, what = purge.kind, purge.what
+    full = f"{object_kind}/{name}"
     return {
         w.OBJECT: what == name,
         w.GROUP: what == str(GROUPS[name]),
         w.TAG: what in TAGS[name],
         w.PREFIX: full.startswith(what),
-        w.GLOB: sort == w.GLOB and fnmatch.fnmatchcase(full, what),
-        w.REGEX: sort == w.REGEX and re.fullmatch(what, full) is not None,
-    }[sort]
+        w.GLOB: kind == w.GLOB and fnmatch.fnmatchcase(full, what),
+        w.REGEX: kind == w.REGEX and re.fullmatch(what, full) is not None,
+    }[kind]
--- a/benchmarks/purges/world.py
+++ b/benchmarks/purges/world.py
@@ -80,7 +80,7 @@
 
     def _purge(self):
         dice = self.dice
-        sort = dice.choice(w.SORTS)
+        kind = dice.choice(w.KINDS)
         name = dice.choice(OBJECTS)
         what = {
             w.OBJECT: name,
@@ -90,7 +90,7 @@
             w.GLOB: f"*/{name[0]}?",
             w.REGEX: f"clip/[0-9]{name[1]}",
         }
-        self.desk.submit(f"k{self.count}", ((sort, what[sort]),))
+        self.desk.submit(f"k{self.count}", ((kind, what[kind]),))
         self.after(dice.expovariate(self.shape.purges) * SECOND, self._purge)
 
     # ---- the origin and the caches
@@ -131,7 +131,7 @@
             if began >= at and made < purge.at and concerns(purge, kind, name):
                 self.breaks.append(
                     f"{router.name} at {self.now}: {kind}/{name} of {made} begun at {began}, "
-                    f"purged at {purge.at} by {purge.sort} {purge.what}, "
+                    f"purged at {purge.at} by {purge.kind} {purge.what}, "
                     f"stated in effect at {at}"
                 )
         for at, purge in router.heard:
--- a/hookrouter/command/purges.py
+++ b/hookrouter/command/purges.py
@@ -180,11 +180,11 @@
     return data["error"] if isinstance(data, dict) and "error" in data else f"the desk answered {status}"
 
 
-SORTS = ("object", "group", "tag", "prefix", "glob", "regex")
+KINDS = ("object", "group", "tag", "prefix", "glob", "regex")
 
 
 def options(command):
-    for sort in reversed(SORTS):
+    for kind in reversed(KINDS):
         example = {
             "object": "7f3a9c21e0b4d655",
             "group": "17",
@@ -192,8 +192,8 @@
             "prefix": "clip/7f",
             "glob": "page/*ab",
             "regex": "(clip|page)/0[0-9]+",
-        }[sort]
-        command = click.option(f"--{sort}", multiple=True, metavar="NAME", help=f"As in {example}.")(command)
+        }[kind]
+        command = click.option(f"--{kind}", multiple=True, metavar="NAME", help=f"As in {example}.")(command)
     return command
 
 
@@ -209,7 +209,7 @@
     "--for", "span", type=click.FloatRange(0.1, 3600), default=60.0, help="Seconds to wait at most."
 )
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
-def submit(site_file, pattern, from_file, everything, key, wait, span, as_json, **sorts):
+def submit(site_file, pattern, from_file, everything, key, wait, span, as_json, **kinds):
     """Purge objects, groups, tags or patterns in every depot, in one submission.
 
     Names that patterns are matched with are KIND/OBJECT. All are accepted, or none.
@@ -217,7 +217,7 @@
     Example: hookrouter purges submit --site site.ini --tag winter-prices --group 17 --wait
     """
     sections = sections_of(site_file, "purges")
-    items = [{"sort": sort, "what": what} for sort in SORTS for what in sorts[sort]]
+    items = [{"sort": kind, "what": what} for kind in KINDS for what in kinds[kind]]
     items += [{"sort": "glob", "what": what} for what in pattern]
     items += listed(from_file) if from_file else []
     if not items:
@@ -261,11 +261,11 @@
         raise Missing(f"{name}: {wrong.strerror}") from None
     items = []
     for number, line in enumerate(lines, 1):
-        sort, _, what = line.strip().partition(" ")
-        if sort and not sort.startswith("#"):
-            if sort not in SORTS or not what:
-                raise BadInput(f"line {number}: wanted is SORT NAME, and a sort is one of {', '.join(SORTS)}")
-            items.append({"sort": sort, "what": what.strip()})
+        kind, _, what = line.strip().partition(" ")
+        if kind and not kind.startswith("#"):
+            if kind not in KINDS or not what:
+                raise BadInput(f"line {number}: wanted is SORT NAME, and a sort is one of {', '.join(KINDS)}")
+            items.append({"sort": kind, "what": what.strip()})
     return items
 
 
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -229,7 +229,7 @@
             latest = wall + self.members.latest(at) - at
         return {
             "number": wire.number(purge),
-            "sort": purge.sort,
+            "sort": purge.kind,
             "what": purge.what,
             "key": key,
             "accepted_ms": wall // 10,
--- a/hookrouter/desk/web.py
+++ b/hookrouter/desk/web.py
@@ -109,7 +109,7 @@
 
     def render_POST(self, request):
         asked = wire.read_submit(request.content.read())
-        items = tuple((item.sort, item.what) for item in asked.purges)
+        items = tuple((item.kind, item.what) for item in asked.purges)
         gone = []
         request.notifyFinish().addErrback(gone.append)
         self.desk.submit(asked.key, items, asked.everything).addCallback(self._answered, request, gone)
@@ -128,7 +128,7 @@
                 {
                     "repeated": ended.repeated,
                     "purges": [
-                        {"number": wire.number(p), "made_ms": p.made // 10, "sort": p.sort, "what": p.what}
+                        {"number": wire.number(p), "made_ms": p.made // 10, "sort": p.kind, "what": p.what}
                         for p in ended.purges
                     ],
                 },
--- a/hookrouter/fleet/decisions/warming/purged.py
+++ b/hookrouter/fleet/decisions/warming/purged.py
@@ -48,14 +48,14 @@
         are not known: no, for the fill goes with the guard's age limit, which no older copy passes.
         """
         what = purge.what
-        if purge.sort == p.OBJECT:
+        if purge.kind == p.OBJECT:
             return lambda name, group: what == name[1]
-        if purge.sort == p.GROUP:
+        if purge.kind == p.GROUP:
             return lambda name, group: what == str(group)
-        if purge.sort == p.TAG:
+        if purge.kind == p.TAG:
             return lambda name, group: what in (self.tags(name[1]) or ())
         known = Patterns(1)
-        if not known.raise_to(purge.sort, what, 1, 0, 0):
+        if not known.raise_to(purge.kind, what, 1, 0, 0):
             return lambda name, group: True  # it may be about anything
         return lambda name, group: known.bound(f"{name[0]}/{name[1]}") is not None
 
--- a/hookrouter/purges/guard.py
+++ b/hookrouter/purges/guard.py
@@ -55,7 +55,7 @@
         """A desk that is ahead makes no purge later than its news; one that is behind, none too early."""
         made = min(now, purge.made + self.behind) + self.terms.skew + ROUNDING
         self.latest = now
-        self.index.add(purge.sort, purge.what, made, now)
+        self.index.add(purge.kind, purge.what, made, now)
 
     # ---- asked
 
--- a/hookrouter/purges/index.py
+++ b/hookrouter/purges/index.py
@@ -57,7 +57,7 @@
         self.patterns = Patterns(MOST_PATTERNS)
         self.any_tag = None  # the newest purge of any tag, for objects whose tags are not known
         self.all = None  # the newest that counts against every name
-        self.live = {}  # (sort, key) -> the newest bound, the last told last
+        self.live = {}  # (kind, key) -> the newest bound, the last told last
         # Name -> (what it was asked with, its bounds); void after each change.
         self.version, self.asked = 0, {}
         self.tables = {w.OBJECT: self.objects, w.GROUP: self.groups, w.TAG: self.tags}
@@ -65,33 +65,33 @@
     def __len__(self):
         return len(self.live)
 
-    def add(self, sort, what, made, told):
+    def add(self, kind, what, made, told):
         """made: the bound, skew included; told: when this router was told, by the clock of its lookups."""
         self.forget(told)
         self.version += 1
         key = what
-        if sort in self.tables:
-            key = self.tables[sort].raise_to(what, made, told, self.grace)
-        elif not (sort in w.PATTERNS and self.patterns.raise_to(sort, what, made, told, self.grace)):
+        if kind in self.tables:
+            key = self.tables[kind].raise_to(what, made, told, self.grace)
+        elif not (kind in w.PATTERN_KINDS and self.patterns.raise_to(kind, what, made, told, self.grace)):
             self.all = raised(self.all, made, told, self.grace)  # it may be about anything
             return
-        if sort == w.TAG:
+        if kind == w.TAG:
             self.any_tag = raised(self.any_tag, made, told, self.grace)
-        self.live[sort, key] = max(made, self.live.pop((sort, key), 0))
+        self.live[kind, key] = max(made, self.live.pop((kind, key), 0))
 
     def forget(self, now):
         """What is older than the hold says nothing any more: no copy is as old as that."""
         before = now - self.hold
         while self.live:
-            (sort, key), newest = next(iter(self.live.items()))
+            (kind, key), newest = next(iter(self.live.items()))
             if newest >= before:
                 break
-            del self.live[sort, key]
+            del self.live[kind, key]
             self.version += 1
-            if sort in self.tables:
-                self.tables[sort].forget(key)
+            if kind in self.tables:
+                self.tables[kind].forget(key)
             else:
-                self.patterns.forget(sort, key)
+                self.patterns.forget(kind, key)
 
     def row(self, kind, name, group, tags):
         """(its newest bound, when the last of its purges was told, all bounds) for a copy of an object.
--- a/hookrouter/purges/ledger.py
+++ b/hookrouter/purges/ledger.py
@@ -25,7 +25,7 @@
 class Submission(NamedTuple):
     token: int  # names who asked; given back with the answer
     key: str  # the same for all tries of one submission
-    items: tuple  # of (sort, what)
+    items: tuple  # of (kind, what)
     everything: bool  # a pattern may match every name
 
 
@@ -74,7 +74,7 @@
         self.batch, self.waiting = [], deque()  # (Submission, its purges) that are written, and that wait
         self.open = {}  # key -> [its purges, further tokens that asked for the same]
         self.pending = 0
-        self.patterns = sum(sort in w.PATTERNS for sort, _ in tail.live)
+        self.patterns = sum(kind in w.PATTERN_KINDS for kind, _ in tail.live)
 
     def submit(self, now, submission):
         refusal = self._refusal(submission)
@@ -82,7 +82,7 @@
             return [refusal]
         known = self.keys.get(submission.key) or self.open.get(submission.key, [None])[0]
         if known is not None:
-            if tuple((p.sort, p.what) for p in known) != submission.items:
+            if tuple((p.kind, p.what) for p in known) != submission.items:
                 return [Refused(submission.token, "key", "this key was used for another submission")]
             if submission.key in self.keys:
                 return [Accepted(submission.token, known, True)]
@@ -94,8 +94,8 @@
         # The desk's clock may go back; the order's times do not.
         self.made = max(self.made, now)
         purges = tuple(
-            w.Purge(self.tail.epoch, self.next + n, self.made, sort, what)
-            for n, (sort, what) in enumerate(submission.items)
+            w.Purge(self.tail.epoch, self.next + n, self.made, kind, what)
+            for n, (kind, what) in enumerate(submission.items)
         )
         self.next += len(purges)
         self.pending += len(purges)
@@ -113,7 +113,7 @@
         """The store as it was read again; what it holds of the batch that failed counts."""
         self.tail, self.keys = tail, keys
         self.next, self.made = tail.newest.n + 1, max(self.made, tail.made)
-        self.patterns = sum(sort in w.PATTERNS for sort, _ in tail.live)
+        self.patterns = sum(kind in w.PATTERN_KINDS for kind, _ in tail.live)
         return self._step(REOPENED)
 
     def restored(self):
@@ -124,7 +124,7 @@
         """Forgets the keys of purges up to there: a repeat after that is a new purge, which is harmless."""
         for key in [key for key, purges in self.keys.items() if purges[-1].n <= upto]:
             del self.keys[key]
-        self.patterns = sum(sort in w.PATTERNS for sort, _ in self.tail.live)
+        self.patterns = sum(kind in w.PATTERN_KINDS for kind, _ in self.tail.live)
 
     # ---- what can be refused
 
@@ -135,10 +135,10 @@
             return Refused(submission.token, "form", f"1 to {MOST_ITEMS} purges in one submission are wanted")
         if len(set(submission.items)) != len(submission.items):
             return Refused(submission.token, "form", "the same purge twice in one submission")
-        for sort, what in submission.items:
-            wrong = refusal(sort, what, submission.everything)
+        for kind, what in submission.items:
+            wrong = refusal(kind, what, submission.everything)
             if wrong is not None:
-                return Refused(submission.token, "form", f"{sort} {what[:LONGEST_NAME]!r}: {wrong}")
+                return Refused(submission.token, "form", f"{kind} {what[:LONGEST_NAME]!r}: {wrong}")
         return None
 
     def _full(self, submission):
@@ -147,8 +147,8 @@
         if self.pending + len(submission.items) > MOST_WAITING:
             return Refused(submission.token, "busy", "too many purges wait for the disk", RETRY)
         live = self.tail.live
-        new = [(sort, what) for sort, what in submission.items if (sort, what) not in live]
-        matching = sum(sort in w.PATTERNS for sort, _ in new)
+        new = [(kind, what) for kind, what in submission.items if (kind, what) not in live]
+        matching = sum(kind in w.PATTERN_KINDS for kind, _ in new)
         if matching and self.patterns + matching > self.limits.most_patterns:
             return Refused(
                 submission.token,
@@ -218,13 +218,13 @@
         return self.open.pop(submission.key)[1]
 
 
-def refusal(sort, what, everything):
+def refusal(kind, what, everything):
     """Why this cannot be purged, or None."""
-    if sort not in w.SORTS:
-        return f"no sort of purge; {', '.join(w.SORTS)} are"
-    if sort in w.PATTERNS:
-        return patterns.refusal(sort, what, everything)
-    if sort == w.GROUP:
+    if kind not in w.KINDS:
+        return f"no sort of purge; {', '.join(w.KINDS)} are"
+    if kind in w.PATTERN_KINDS:
+        return patterns.refusal(kind, what, everything)
+    if kind == w.GROUP:
         plain = what.isascii() and what.isdigit() and what == str(int(what)) and int(what) < MOST_GROUPS
         return None if plain else f"a whole number from 0 to {MOST_GROUPS - 1} is wanted"
     if not what or len(what) > LONGEST_NAME or not what.isascii() or not what.isprintable() or " " in what:
--- a/hookrouter/purges/patterns.py
+++ b/hookrouter/purges/patterns.py
@@ -28,11 +28,11 @@
     return made
 
 
-def expression(sort, what):
+def expression(kind, what):
     """The pattern as a regular expression over whole names. ValueError says why there is none."""
-    if sort == w.REGEX:
+    if kind == w.REGEX:
         return what
-    if sort == w.PREFIX:
+    if kind == w.PREFIX:
         return escaped(what) + ".*"
     return glob(what)
 
@@ -66,7 +66,7 @@
     return "".join(pieces)
 
 
-def refusal(sort, what, everything=False):
+def refusal(kind, what, everything=False):
     """Why the desk cannot take this pattern, or None. everything: it may match every name."""
     if not what:
         return "a pattern must not be empty"
@@ -75,7 +75,7 @@
     if not what.isascii() or not what.isprintable():
         return "a pattern must be of printable ASCII"
     try:
-        compiled = re2.compile(expression(sort, what), options(MEMORY))
+        compiled = re2.compile(expression(kind, what), options(MEMORY))
     except (ValueError, re2.error) as wrong:
         return f"the pattern cannot be compiled: {said(wrong)}"
     if not everything and all(compiled.fullmatch(name) for name in PROBES):
@@ -111,15 +111,15 @@
     def __init__(self, most):
         self.most = most
         self.segments, self.count, self.version = [], 0, 0
-        self.known = {}  # (sort, what) -> (its bound, its segment)
+        self.known = {}  # (kind, what) -> (its bound, its segment)
         self.matched = {}  # name -> [patterns seen, bounds, version, merged bound], the last used last
 
     def __len__(self):
         return len(self.known)
 
-    def raise_to(self, sort, what, made, told, grace):
+    def raise_to(self, kind, what, made, told, grace):
         """True where this pattern is counted; False where it has to be counted against every name."""
-        key = sort, what
+        key = kind, what
         self.version += 1
         if key in self.known:
             self.known[key][0].raise_to(made, told, grace)
@@ -127,7 +127,7 @@
         if len(self.known) >= self.most:
             return False
         try:
-            text = expression(sort, what)
+            text = expression(kind, what)
             re2.compile(text, options(MEMORY))
         except (ValueError, re2.error):
             return False  # a desk of another build took it: safe, if dear
@@ -161,9 +161,9 @@
             whole.compile()
             self.segments[-JOINED:] = [whole]
 
-    def forget(self, sort, what):
+    def forget(self, kind, what):
         """It counts no more; its segment goes with the last of its patterns."""
-        _, segment = self.known.pop((sort, what))
+        _, segment = self.known.pop((kind, what))
         while segment.joined is not None:
             segment = segment.joined
         segment.live -= 1
--- a/hookrouter/purges/tail.py
+++ b/hookrouter/purges/tail.py
@@ -34,7 +34,7 @@
         self.hold, self.epoch, self.most = hold, epoch, recent
         self.firsts = []  # (n of the first entry, epoch), for each epoch that has entries
         self.recent = deque()
-        self.live = {}  # (sort, what) -> the newest Purge, the last told last
+        self.live = {}  # (kind, what) -> the newest Purge, the last told last
         self.newest = w.Position(0, floor)
         self.made = 0
 
@@ -44,8 +44,8 @@
         self.recent.append(purge)
         if len(self.recent) > self.most:
             self.recent.popleft()
-        self.live.pop((purge.sort, purge.what), None)
-        self.live[purge.sort, purge.what] = purge
+        self.live.pop((purge.kind, purge.what), None)
+        self.live[purge.kind, purge.what] = purge
         self.newest = w.Position(purge.epoch, purge.n)
         self.made = max(self.made, purge.made)
 
@@ -54,8 +54,8 @@
         self.recent.clear()
         self.firsts = [(newest.n, newest.epoch)]
         for purge in purges:
-            old = self.live.pop((purge.sort, purge.what), purge)
-            self.live[purge.sort, purge.what] = max(old, purge, key=lambda p: p.made)
+            old = self.live.pop((purge.kind, purge.what), purge)
+            self.live[purge.kind, purge.what] = max(old, purge, key=lambda p: p.made)
             self.made = max(self.made, purge.made)
         self.newest = newest
 
--- a/hookrouter/purges/wire.py
+++ b/hookrouter/purges/wire.py
@@ -50,7 +50,7 @@
 
 
 class Item(msgspec.Struct, forbid_unknown_fields=True):
-    sort: str
+    kind: str = msgspec.field(name="sort")  # the key that submitters and stores know
     what: str
 
 
--- a/hookrouter/purges/words.py
+++ b/hookrouter/purges/words.py
@@ -4,8 +4,8 @@
 
 # What a purge names. A name is KIND/OBJECT; groups are whole numbers in digits.
 OBJECT, GROUP, TAG, PREFIX, GLOB, REGEX = "object", "group", "tag", "prefix", "glob", "regex"
-SORTS = (OBJECT, GROUP, TAG, PREFIX, GLOB, REGEX)
-PATTERNS = frozenset((PREFIX, GLOB, REGEX))
+KINDS = (OBJECT, GROUP, TAG, PREFIX, GLOB, REGEX)
+PATTERN_KINDS = frozenset((PREFIX, GLOB, REGEX))
 
 # What a router without a lease does: answers from copies younger than the lease, or nacks.
 YOUNG, NACK = "young", "nack"
@@ -29,7 +29,7 @@
     epoch: int
     n: int
     made: int
-    sort: str
+    kind: str
     what: str
 
 
--- a/hookrouter/stores/purge_log.py
+++ b/hookrouter/stores/purge_log.py
@@ -38,19 +38,18 @@
 
 def pack(purge, key):
     """A purge as the bytes that are sealed, and that copies are told."""
-    sort, what = purge.sort.encode(), purge.what.encode()
-    packed = NUMBERS.pack(purge.epoch, purge.n, purge.made, len(sort), len(what))
-    return b"".join((packed, sort, what, key.encode()))
+    kind, what = purge.kind.encode(), purge.what.encode()
+    packed = NUMBERS.pack(purge.epoch, purge.n, purge.made, len(kind), len(what))
+    return b"".join((packed, kind, what, key.encode()))
 
 
 def unpack(body):
     """(Purge, key); ValueError or struct.error where it is none."""
-    epoch, n, made, of_sort, of_what = NUMBERS.unpack_from(body)
-    sort, what = NUMBERS.size + of_sort, NUMBERS.size + of_sort + of_what
-    return (
-        Purge(epoch, n, made, body[NUMBERS.size : sort].decode(), body[sort:what].decode()),
-        body[what:].decode(),
-    )
+    epoch, n, made, kind_bytes, what_bytes = NUMBERS.unpack_from(body)
+    kind_end = NUMBERS.size + kind_bytes
+    what_end = kind_end + what_bytes
+    kind, what = body[NUMBERS.size : kind_end].decode(), body[kind_end:what_end].decode()
+    return Purge(epoch, n, made, kind, what), body[what_end:].decode()
 
 
 def seal(before, purge, key):
@@ -114,9 +113,9 @@
             before, n = self._fact("floor seal"), self._fact("floor")
             found = self.file.execute("SELECT epoch, n, made, sort, what, key, seal FROM purges ORDER BY n")
             while batch := found.fetchmany(ROWS):
-                for epoch, number, made, sort, what, key, told in batch:
+                for epoch, number, made, kind, what, key, told in batch:
                     n += 1
-                    purge = Purge(epoch, number, made, sort, what)
+                    purge = Purge(epoch, number, made, kind, what)
                     before = self._checked(before, purge, key, told, n)
                     yield purge, key
         except sqlite3.DatabaseError as wrong:
--- a/tests/test_purge_network.py
+++ b/tests/test_purge_network.py
@@ -48,9 +48,9 @@
         now = int(self.net.seconds() * SECOND)
         self.purging.granted(now, self.router.now(), span, self.router.now())
 
-    def purge(self, sort=w.OBJECT, what=NAME, ago=0.0):
+    def purge(self, kind=w.OBJECT, what=NAME, ago=0.0):
         self.n += 1
-        self.purging.purged([Purge(1, self.n, int((self.wall() - ago) * SECOND), sort, what)])
+        self.purging.purged([Purge(1, self.n, int((self.wall() - ago) * SECOND), kind, what)])
 
     def ask(self, **fields):
         """On a connection of its own: a silent one is ended."""
@@ -103,7 +103,7 @@
 
 
 def test_a_copy_of_its_own_is_not_given_once_purged_by_tag_pattern_or_group(tmp_path):
-    for sort, what in ((w.TAG, "red"), (w.GLOB, f"clip/{NAME[:4]}*"), (w.GROUP, "17"), (w.OBJECT, NAME)):
+    for kind, what in ((w.TAG, "red"), (w.GLOB, f"clip/{NAME[:4]}*"), (w.GROUP, "17"), (w.OBJECT, NAME)):
         s = Scene(tmp_path)
         s.lease(60 * SECOND)
         s.ask()
@@ -114,7 +114,7 @@
         s.purge(w.TAG, "green")  # none of its tags
         s.ask()
         assert s.counters.values["copies_given"] == 2
-        s.purge(sort, what)
+        s.purge(kind, what)
         s.ask()
         assert s.counters.values["copies_given"] == 2 and s.counters.values["sends"] == 2
 
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -69,7 +69,7 @@
     "(clip|page)/b+": lambda n: n.endswith("/bb"),
     "clip/a[ab]": lambda n: n.startswith("clip/a"),
 }
-purges = st.sampled_from([(sort, what) for sort, whats in WHATS.items() for what in whats])
+purges = st.sampled_from([(kind, what) for kind, whats in WHATS.items() for what in whats])
 
 
 @settings(max_examples=150, derandomize=True, deadline=None)
@@ -83,28 +83,28 @@
     st.integers(0, 9_000),
 )
 def test_the_index_is_never_laxer_than_a_list_of_all_purges_and_stricter_only_where_names_share(
-    events, most, kind, name, group, tags, at
+    events, most, object_kind, name, group, tags, at
 ):
     index, told, now = Index(TERMS._replace(most_names=most)), [], 0
-    for (sort, what), span in events:
+    for (kind, what), span in events:
         now += span
-        index.add(sort, what, now, now)
-        told.append((now, sort, what))
-        index.newest(kind, name, group, tags)  # so that later patterns meet remembered matches
+        index.add(kind, what, now, now)
+        told.append((now, kind, what))
+        index.newest(object_kind, name, group, tags)  # so that later patterns meet remembered matches
 
-    def concerned(sort, what):
-        if sort == w.TAG:
+    def concerned(kind, what):
+        if kind == w.TAG:
             return tags is None or what in tags
-        return {w.OBJECT: what == name, w.GROUP: what == group}.get(sort) or (
-            sort in w.PATTERNS and PLAIN[what](f"{kind}/{name}")
+        return {w.OBJECT: what == name, w.GROUP: what == group}.get(kind) or (
+            kind in w.PATTERN_KINDS and PLAIN[what](f"{object_kind}/{name}")
         )
 
-    plain = [made for made, sort, what in told if concerned(sort, what)]
-    assert index.newest(kind, name, group, tags) >= max(plain, default=0)
-    due = index.due(now - at, kind, name, group, tags)
+    plain = [made for made, kind, what in told if concerned(kind, what)]
+    assert index.newest(object_kind, name, group, tags) >= max(plain, default=0)
+    due = index.due(now - at, object_kind, name, group, tags)
     assert due >= max((made for made in plain if made <= now - at), default=0)
     if most == 3:  # no name shares a bound then
-        assert index.newest(kind, name, group, tags) == max(plain, default=0)
+        assert index.newest(object_kind, name, group, tags) == max(plain, default=0)
 
 
 def test_purges_of_one_name_in_quick_succession_come_due_all_the_same():
@@ -133,7 +133,7 @@
 def test_what_is_older_than_the_hold_leaves_and_the_tables_with_it():
     index = Index(TERMS)
     for n in range(3_000):
-        index.add(w.SORTS[n % 6], str(n % 256) if n % 6 == 1 else f"x{n}", n, n)
+        index.add(w.KINDS[n % 6], str(n % 256) if n % 6 == 1 else f"x{n}", n, n)
     held = len(index), len(index.patterns.segments)
     index.forget(3_000 + TERMS.hold)
     assert held[0] > 500 and len(index) == 0
@@ -148,7 +148,7 @@
 
 
 @pytest.mark.parametrize(
-    "sort, what, said",
+    "kind, what, said",
     [
         (w.REGEX, "clip/(", "cannot be compiled"),
         (w.REGEX, "(?=a)b", "cannot be compiled"),
@@ -167,8 +167,8 @@
         ("page", "x", "no sort of purge"),
     ],
 )
-def test_the_desk_refuses_with_the_reason(sort, what, said):
-    assert said in g.refusal(sort, what, False)
+def test_the_desk_refuses_with_the_reason(kind, what, said):
+    assert said in g.refusal(kind, what, False)
     assert patterns.refusal(w.GLOB, "*", True) is None
 
 
