--- a/benchmarks/admission/order.py
+++ b/benchmarks/admission/order.py
@@ -27,7 +27,7 @@
         for purge in self.disk:
             self.tail.add(purge)
         self.members = Members(LEASE, SKEW, ROUNDING, now, tuple(self.names.items()))
-        self.members.read_anew(now, [purge for purge in self.disk if purge.made >= now - 3 * LEASE])
+        self.members.read_anew(now, [purge for purge in self.disk if purge.timestamp >= now - 3 * LEASE])
 
     def submit(self):
         """A purge, durable and told from now on: the time of the model's own promise is kept."""
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -55,7 +55,7 @@
         """What a former life took lately may not be in effect yet; its clock may have been another's."""
         self.recalled = self.clock()  # from when this life counts what those before took
         since = self.recalled - 2 * self.members.span - self.members.skew
-        self.members.read_anew(now, [purge for purge in self.tail.recent if purge.made >= since])
+        self.members.read_anew(now, [purge for purge in self.tail.recent if purge.timestamp >= since])
 
     def _recall(self, loaded):
         """What is shown of purges that the store holds: those of this life stay as they are known."""
@@ -64,7 +64,7 @@
         for purge, key in loaded.rows[-MOST_LATEST:]:
             row = known.get(purge.n)
             # The time of the order stands in for that of the acceptance, which is after it by one write.
-            self.accepted[purge.n] = row if row and row[0] == purge else (purge, purge.made, None, key)
+            self.accepted[purge.n] = row if row and row[0] == purge else (purge, purge.timestamp, None, key)
         self.effects = {n: at for n, at in self.effects.items() if self.accepted.get(n) == known.get(n)}
 
     def _reopen(self, least=0):
--- a/hookrouter/desk/web.py
+++ b/hookrouter/desk/web.py
@@ -128,7 +128,12 @@
                 {
                     "repeated": ended.repeated,
                     "purges": [
-                        {"number": wire.number(p), "made_ms": p.made // 10, "sort": p.kind, "what": p.what}
+                        {
+                            "number": wire.number(p),
+                            "made_ms": p.timestamp // 10,
+                            "sort": p.kind,
+                            "what": p.what,
+                        }
                         for p in ended.purges
                     ],
                 },
--- a/hookrouter/fleet/member/records.py
+++ b/hookrouter/fleet/member/records.py
@@ -184,8 +184,8 @@
 
         return self._threaded(reading)
 
-    def older(self, made, most):
-        return self._threaded(self.store.older, made, most)
+    def older(self, timestamp, most):
+        return self._threaded(self.store.older, timestamp, most)
 
     def stop(self):
         self.stopped = True
--- a/hookrouter/purges/guard.py
+++ b/hookrouter/purges/guard.py
@@ -53,7 +53,7 @@
 
     def told(self, now, purge):
         """A desk that is ahead makes no purge later than its news; one that is behind, none too early."""
-        made = min(now, purge.made + self.behind) + self.terms.skew + ROUNDING
+        made = min(now, purge.timestamp + self.behind) + self.terms.skew + ROUNDING
         self.latest = now
         self.index.add(purge.kind, purge.what, made, now)
 
--- a/hookrouter/purges/ledger.py
+++ b/hookrouter/purges/ledger.py
@@ -70,7 +70,7 @@
 
     def __init__(self, tail, keys, limits):
         self.tail, self.keys, self.limits = tail, keys, limits
-        self.state, self.next, self.made = IDLE, tail.newest.n + 1, tail.made
+        self.state, self.next, self.last_timestamp = IDLE, tail.newest.n + 1, tail.last_timestamp
         self.batch, self.waiting = [], deque()  # (Submission, its purges) that are written, and that wait
         self.open = {}  # key -> [its purges, further tokens that asked for the same]
         self.pending = 0
@@ -92,9 +92,9 @@
         if full is not None:
             return [full]
         # The desk's clock may go back; the order's times do not.
-        self.made = max(self.made, now)
+        self.last_timestamp = max(self.last_timestamp, now)
         purges = tuple(
-            w.Purge(self.tail.epoch, self.next + n, self.made, kind, what)
+            w.Purge(self.tail.epoch, self.next + n, self.last_timestamp, kind, what)
             for n, (kind, what) in enumerate(submission.items)
         )
         self.next += len(purges)
@@ -112,7 +112,7 @@
     def reopened(self, tail, keys):
         """The store as it was read again; what it holds of the batch that failed counts."""
         self.tail, self.keys = tail, keys
-        self.next, self.made = tail.newest.n + 1, max(self.made, tail.made)
+        self.next, self.last_timestamp = tail.newest.n + 1, max(self.last_timestamp, tail.last_timestamp)
         self.patterns = sum(kind in w.PATTERN_KINDS for kind, _ in tail.live)
         return self._step(REOPENED)
 
--- a/hookrouter/purges/tail.py
+++ b/hookrouter/purges/tail.py
@@ -36,7 +36,7 @@
         self.recent = deque()
         self.live = {}  # (kind, what) -> the newest Purge, the last told last
         self.newest = w.Position(0, floor)
-        self.made = 0
+        self.last_timestamp = 0
 
     def add(self, purge):
         if not self.firsts or self.firsts[-1][1] != purge.epoch:
@@ -47,7 +47,7 @@
         self.live.pop((purge.kind, purge.what), None)
         self.live[purge.kind, purge.what] = purge
         self.newest = w.Position(purge.epoch, purge.n)
-        self.made = max(self.made, purge.made)
+        self.last_timestamp = max(self.last_timestamp, purge.timestamp)
 
     def take(self, purges, newest):
         """A snapshot from above in place of what was here; what was live stays live, which is safe."""
@@ -55,8 +55,8 @@
         self.firsts = [(newest.n, newest.epoch)]
         for purge in purges:
             old = self.live.pop((purge.kind, purge.what), purge)
-            self.live[purge.kind, purge.what] = max(old, purge, key=lambda p: p.made)
-            self.made = max(self.made, purge.made)
+            self.live[purge.kind, purge.what] = max(old, purge, key=lambda p: p.timestamp)
+            self.last_timestamp = max(self.last_timestamp, purge.timestamp)
         self.newest = newest
 
     def place(self, position, seen):
@@ -92,9 +92,9 @@
         before, gone = now - self.hold, 0
         while self.live:
             key, purge = next(iter(self.live.items()))
-            if purge.made >= before:
+            if purge.timestamp >= before:
                 break
             del self.live[key]
-        while self.recent and self.recent[0].made < before:
+        while self.recent and self.recent[0].timestamp < before:
             gone = self.recent.popleft().n
         return gone
--- a/hookrouter/purges/words.py
+++ b/hookrouter/purges/words.py
@@ -24,11 +24,11 @@
 
 
 class Purge(NamedTuple):
-    """One purge. made: when the desk took it, by the desk's clock, which never goes back between purges."""
+    """One purge, as the desk numbered it."""
 
     epoch: int
     n: int
-    made: int
+    timestamp: int  # when the desk took it, by its clock, which never goes back between purges
     kind: str
     what: str
 
--- a/hookrouter/stores/purge_log.py
+++ b/hookrouter/stores/purge_log.py
@@ -39,17 +39,17 @@
 def pack(purge, key):
     """A purge as the bytes that are sealed, and that copies are told."""
     kind, what = purge.kind.encode(), purge.what.encode()
-    packed = NUMBERS.pack(purge.epoch, purge.n, purge.made, len(kind), len(what))
+    packed = NUMBERS.pack(purge.epoch, purge.n, purge.timestamp, len(kind), len(what))
     return b"".join((packed, kind, what, key.encode()))
 
 
 def unpack(body):
     """(Purge, key); ValueError or struct.error where it is none."""
-    epoch, n, made, kind_bytes, what_bytes = NUMBERS.unpack_from(body)
+    epoch, n, timestamp, kind_bytes, what_bytes = NUMBERS.unpack_from(body)
     kind_end = NUMBERS.size + kind_bytes
     what_end = kind_end + what_bytes
     kind, what = body[NUMBERS.size : kind_end].decode(), body[kind_end:what_end].decode()
-    return Purge(epoch, n, made, kind, what), body[what_end:].decode()
+    return Purge(epoch, n, timestamp, kind, what), body[what_end:].decode()
 
 
 def seal(before, purge, key):
@@ -113,9 +113,9 @@
             before, n = self._fact("floor seal"), self._fact("floor")
             found = self.file.execute("SELECT epoch, n, made, sort, what, key, seal FROM purges ORDER BY n")
             while batch := found.fetchmany(ROWS):
-                for epoch, number, made, kind, what, key, told in batch:
+                for epoch, number, timestamp, kind, what, key, told in batch:
                     n += 1
-                    purge = Purge(epoch, number, made, kind, what)
+                    purge = Purge(epoch, number, timestamp, kind, what)
                     before = self._checked(before, purge, key, told, n)
                     yield purge, key
         except sqlite3.DatabaseError as wrong:
@@ -271,11 +271,11 @@
     def names(self):
         return self.file.execute("SELECT name, generation FROM members ORDER BY name").fetchall()
 
-    def older(self, made, most):
-        """The number of the last of the oldest purges made before then, so many at most; 0: none."""
+    def older(self, timestamp, most):
+        """The number of the last of the oldest purges from before that time, so many at most; 0: none."""
         row = self.file.execute(
             "SELECT max(n) FROM (SELECT n, made FROM purges ORDER BY n LIMIT ?) " "WHERE made < ?",
-            (most, made),
+            (most, timestamp),
         ).fetchone()
         return row[0] or 0
 
--- a/tests/purging.py
+++ b/tests/purging.py
@@ -24,5 +24,5 @@
     return b"data: " + wire.write(wire.Event(t, epoch, **more)) + b"\n\n"
 
 
-def purges(*numbers, epoch=5, kind=w.OBJECT, what=NAME, made=1):
-    return [Purge(epoch, n, made, kind, what) for n in numbers]
+def purges(*numbers, epoch=5, kind=w.OBJECT, what=NAME, timestamp=1):
+    return [Purge(epoch, n, timestamp, kind, what) for n in numbers]
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -43,7 +43,7 @@
 
 class Skewless(Guard):
     def told(self, now, purge):
-        super().told(now, purge._replace(made=purge.made - 3 * SKEW))
+        super().told(now, purge._replace(timestamp=purge.timestamp - 3 * SKEW))
 
 
 @pytest.mark.parametrize("make", (Unfenced, Trusting, Skewless))
@@ -258,7 +258,7 @@
     )
     accepted, again, tell, second = desk.written()
     assert (accepted.token, again.token, again.repeated, tell.purges[0].what) == (1, 3, True, "a")
-    assert second.batch[0][0].made == 100  # the clock went back, the order's times did not
+    assert second.batch[0][0].timestamp == 100  # the clock went back, the order's times did not
     assert ask(5, "a")[0].repeated and tail.newest == (3, 1)
     refused, reopen = desk.failed()
     assert (refused.token, refused.why) == (2, "busy") and isinstance(reopen, g.Reopen)
