The operator's file is a package: values, sections, file

Change: readers of values, the table of sections with what contradicts, and the reading with its faults are modules of their own, with docstrings, annotations and a type for each fault; texts of faults are as they were.

--- /dev/null
+++ b/hookrouter/site/values.py
@@ -0,0 +1,162 @@
+"""Readers of the values in the operator's file: from text to the program's units, or Wrong."""
+
+import hmac
+import os
+import re
+import stat
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from ..errors.site import Wrong
+from ..terms import SECOND, TENTHS
+
+SPANS = {"ms": TENTHS, "s": SECOND, "min": 60 * SECOND, "h": 3_600 * SECOND, "d": 86_400 * SECOND}
+SIZES = {"B": 1, "kB": 1_000, "MB": 1_000_000, "GB": 1_000_000_000}
+LEAST_SECRET = 16  # bytes: fewer can be guessed
+MOST_DESKS = 5  # as many as there are keepers
+
+Address = tuple[str, int]
+Reader = Callable[[str, str], Any]  # (text of the value, folder of the file) -> value; raises Wrong
+
+
+def amount(units: Mapping[str, int], least: int, most: int, example: str) -> Reader:
+    """Reads a number with its unit, in whole units of the program, from least to most of them."""
+    pattern = re.compile(r"(\d+(?:\.\d+)?)\s*([A-Za-z%]+)")
+
+    def read(text: str, folder: str) -> Any:
+        found = pattern.fullmatch(text)
+        if found is None or found[2] not in units:
+            raise Wrong(f"{text!r} has no number and unit; wanted as in {example}, units {', '.join(units)}")
+        value = round(float(found[1]) * units[found[2]])
+        if not least <= value <= most:
+            raise Wrong(f"{text} is out of range; wanted is {shown(least, units)} to {shown(most, units)}")
+        return value
+
+    return read
+
+
+def shown(value: int, units: Mapping[str, int]) -> str:
+    """A value in the largest unit that it has one of, as an operator writes it."""
+    unit = max(
+        (u for u in units if units[u] <= max(1, value)), key=lambda u: units[u], default=next(iter(units))
+    )
+    return f"{value / units[unit]:g} {unit}"
+
+
+def span(least: int, most: int, example: str = "250 ms") -> Reader:
+    """Reads a span of time, in tenths of a millisecond."""
+    return amount(SPANS, least, most, example)
+
+
+def count(least: int, most: int) -> Reader:
+    """Reads a whole number."""
+
+    def read(text: str, folder: str) -> Any:
+        if not text.isdecimal() or not least <= int(text) <= most:
+            raise Wrong(f"{text!r}; a whole number from {least} to {most} is wanted")
+        return int(text)
+
+    return read
+
+
+def word(*words: str) -> Reader:
+    """Reads one of some words."""
+
+    def read(text: str, folder: str) -> Any:
+        if text not in words:
+            raise Wrong(f"{text!r}; one of {', '.join(words)} is wanted")
+        return text
+
+    return read
+
+
+def address(text: str, folder: str) -> Address:
+    """Reads HOST:PORT."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise Wrong(f"{text!r}; an address and a port are wanted, as in 127.0.0.1:9100")
+    return host, int(port)
+
+
+def addresses(text: str, folder: str) -> tuple[Address, ...]:
+    """Reads one address, or several different ones separated by commas."""
+    found = tuple(address(part.strip(), folder) for part in text.split(","))
+    if len(found) > MOST_DESKS or len(set(found)) != len(found):
+        raise Wrong(f"{text!r}; one address is wanted, or up to {MOST_DESKS} different ones")
+    return found
+
+
+def keepers(text: str, folder: str) -> dict[str, Address]:
+    """Reads the names and addresses of three or five keepers, in order."""
+    found = {}
+    for part in text.split(","):
+        who, _, where = part.strip().partition(" ")
+        found[name(who.strip(), folder)] = address(where.strip(), folder)
+    different = len(set(found.values())) == len(found) == text.count(",") + 1
+    if len(found) not in (3, 5) or not different:
+        raise Wrong(
+            "three or five keepers of different names and addresses are wanted, as in "
+            "k1 10.0.0.1:9300, k2 10.0.0.2:9300, k3 10.0.0.3:9300"
+        )
+    return found
+
+
+def name(text: str, folder: str) -> str:
+    """Reads a name of 1 to 64 characters."""
+    if not re.fullmatch(r"[A-Za-z0-9._-]{1,64}", text):
+        raise Wrong(f"{text!r}; 1 to 64 letters, digits, dots, dashes or underscores are wanted")
+    return text
+
+
+def path(text: str, folder: str) -> str:
+    """Reads a path, relative to the folder of the operator's file."""
+    return os.path.join(folder, text)
+
+
+def file(text: str, folder: str) -> str:
+    """Reads the path of a file that exists."""
+    found = path(text, folder)
+    if not os.path.isfile(found):
+        raise Wrong(f"{found}: there is no such file")
+    return found
+
+
+def directory(text: str, folder: str) -> str:
+    """Reads the path of a folder that can be written."""
+    found = path(text, folder)
+    if not os.path.isdir(found) or not os.access(found, os.W_OK | os.X_OK):
+        raise Wrong(f"{found}: there is no such folder, or it cannot be written")
+    return found
+
+
+def secret(text: str, folder: str) -> "Secret":
+    """Reads the secret in a file that only its owner may read."""
+    found = file(text, folder)
+    if stat.S_IMODE(os.stat(found).st_mode) & 0o077:
+        raise Wrong(f"{found}: others may read it; wanted is a file of its owner's only (chmod 600)")
+    try:
+        with open(found, "rb") as opened:
+            value = opened.read().strip()
+    except OSError as wrong:
+        raise Wrong(f"{found}: {wrong.strerror}") from None
+    if len(value) < LEAST_SECRET or not value.isascii() or b"\n" in value:
+        raise Wrong(f"{found}: one line of {LEAST_SECRET} characters of ASCII or more is wanted")
+    return Secret(value)
+
+
+class Secret:
+    """Bytes that no log, trace or print shows."""
+
+    __slots__ = ("value",)
+
+    def __init__(self, value: bytes) -> None:
+        """value: the secret itself."""
+        self.value = value
+
+    def __eq__(self, other: object) -> bool:
+        """Compares in constant time."""
+        return isinstance(other, Secret) and hmac.compare_digest(self.value, other.value)
+
+    def __repr__(self) -> str:
+        """A placeholder."""
+        return "<secret>"
