--- a/benchmarks/admission/order.py
+++ b/benchmarks/admission/order.py
@@ -1,10 +1,9 @@
 """The order of purges with its leases, as the desk has it: the program's own decisions on a made-up disk."""
 
-from hookrouter.purges import Purge
-from hookrouter.purges import words as w
+from hookrouter.purges import Purge, types
 from hookrouter.purges.members import Members, Renewal
 from hookrouter.purges.tail import RESUME, Tail
-from hookrouter.purges.words import Position
+from hookrouter.purges.types import Position
 
 LEASE, HOLD, SKEW, ROUNDING = 20_000, 600_000, 200, 20
 RECENT = 60  # purges that a tail reaches back
@@ -15,7 +14,7 @@
 
     def __init__(self, world, old):
         self.world, self.epoch = world, 0
-        self.disk = [Purge(1, n, 1, w.OBJECT, f"o{n}") for n in range(1, old + 1)]
+        self.disk = [Purge(1, n, 1, types.OBJECT, f"o{n}") for n in range(1, old + 1)]
         self.names, self.accepted, self.stated = {}, {}, []  # n -> true time; (n, in effect at)
         self.begin()
 
@@ -32,7 +31,7 @@
     def submit(self):
         """A purge, durable and told from now on: the time of the model's own promise is kept."""
         now = self.world.engine.now
-        purge = Purge(self.epoch, len(self.disk) + 1, now, w.OBJECT, f"o{len(self.disk) + 1}")
+        purge = Purge(self.epoch, len(self.disk) + 1, now, types.OBJECT, f"o{len(self.disk) + 1}")
         self.disk.append(purge)
         self.tail.add(purge)
         self.members.accepted(now, [purge])
--- a/benchmarks/purges/costs.py
+++ b/benchmarks/purges/costs.py
@@ -8,8 +8,7 @@
 from hookrouter import interface as i
 from hookrouter.control import Control
 from hookrouter.node.start import read_start
-from hookrouter.purges import Guard, Purge, PurgeTerms
-from hookrouter.purges import words as w
+from hookrouter.purges import Guard, Purge, PurgeTerms, types
 from hookrouter.stores import PurgeLog
 
 SECOND = 10_000
@@ -31,16 +30,16 @@
 
 def guard_of(count):
     """With so many live purges, a tenth of them patterns, and a lease."""
-    guard = Guard(PurgeTerms(2 * SECOND, 86_400 * SECOND, 5_000, 200, w.YOUNG, 100_000, 50_000))
+    guard = Guard(PurgeTerms(2 * SECOND, 86_400 * SECOND, 5_000, 200, types.YOUNG, 100_000, 50_000))
     guard.granted(0, 1 << 60)
     for n in range(count):
         if n % 10:
-            kind, what = ((w.OBJECT, f"{n:016x}"), (w.TAG, f"t{n}"))[n % 2]
+            kind, what = ((types.OBJECT, f"{n:016x}"), (types.TAG, f"t{n}"))[n % 2]
         else:
             kind, what = (
-                (w.PREFIX, f"clip/{n:05x}"),
-                (w.GLOB, f"*/{n:04x}*"),
-                (w.REGEX, f"clip/{n:04x}[0-9a-f]+"),
+                (types.PREFIX, f"clip/{n:05x}"),
+                (types.GLOB, f"*/{n:04x}*"),
+                (types.REGEX, f"clip/{n:04x}[0-9a-f]+"),
             )[n // 10 % 3]
         guard.told(n, Purge(1, n + 1, n, kind, what))
     return guard
@@ -98,7 +97,7 @@
     for start in range(0, count, 4_000):
         log.append(
             [
-                (Purge(1, n, n, w.OBJECT, f"{n:016x}"), f"k{n}")
+                (Purge(1, n, n, types.OBJECT, f"{n:016x}"), f"k{n}")
                 for n in range(start + 1, min(count, start + 4_000) + 1)
             ]
         )
@@ -119,13 +118,15 @@
     fills = []
     for known in (True, False):
         dice = random.Random(7)
-        guard = Guard(PurgeTerms(2 * SECOND, 86_400 * SECOND, 5_000, 200, w.YOUNG, 10_000, 10_000 * known))
+        guard = Guard(
+            PurgeTerms(2 * SECOND, 86_400 * SECOND, 5_000, 200, types.YOUNG, 10_000, 10_000 * known)
+        )
         guard.granted(0, 1 << 60)
         copies, now, filled, next_purge = {}, SECOND, 0, 0
         for n in range(count):
             now += 100  # a hundred lookups a second
             if now >= next_purge:  # a tag of 200 is purged each ten seconds
-                guard.told(now, Purge(1, n, now, w.TAG, f"t{dice.randrange(200)}"))
+                guard.told(now, Purge(1, n, now, types.TAG, f"t{dice.randrange(200)}"))
                 next_purge = now + 10 * SECOND
             number = int(dice.paretovariate(0.8)) % 20_000
             name = f"{number:x}"
--- a/benchmarks/purges/shapes.py
+++ b/benchmarks/purges/shapes.py
@@ -7,7 +7,7 @@
 import re
 from typing import NamedTuple
 
-from hookrouter.purges import words as w
+from hookrouter.purges import types
 
 SECOND = 10_000
 LEASE, HOLD, GRACE, SKEW, ROUNDING = 2 * SECOND, 60 * SECOND, 5_000, 200, 20
@@ -41,7 +41,7 @@
         routers=dice.randint(1, 4),
         relays=pick((0, 0, 1, 2)),
         span=dice.randint(8, 16) * SECOND,
-        fenced=pick((w.YOUNG, w.YOUNG, w.NACK)),
+        fenced=pick((types.YOUNG, types.YOUNG, types.NACK)),
         kills=pick((0, 0.1, 0.4)),
         cuts=pick((0, 0.2, 1.0)),
         pauses=pick((0, 0.1, 0.3)),
@@ -67,10 +67,10 @@
     kind, what = purge.kind, purge.what
     full = f"{object_kind}/{name}"
     return {
-        w.OBJECT: what == name,
-        w.GROUP: what == str(GROUPS[name]),
-        w.TAG: what in TAGS[name],
-        w.PREFIX: full.startswith(what),
-        w.GLOB: kind == w.GLOB and fnmatch.fnmatchcase(full, what),
-        w.REGEX: kind == w.REGEX and re.fullmatch(what, full) is not None,
+        types.OBJECT: what == name,
+        types.GROUP: what == str(GROUPS[name]),
+        types.TAG: what in TAGS[name],
+        types.PREFIX: full.startswith(what),
+        types.GLOB: kind == types.GLOB and fnmatch.fnmatchcase(full, what),
+        types.REGEX: kind == types.REGEX and re.fullmatch(what, full) is not None,
     }[kind]
--- a/benchmarks/purges/world.py
+++ b/benchmarks/purges/world.py
@@ -9,8 +9,7 @@
 import heapq
 from random import Random
 
-from hookrouter.purges import Guard, Position
-from hookrouter.purges import words as w
+from hookrouter.purges import Guard, Position, types
 
 from .desk import Desk
 from .followers import Relay, Router
@@ -80,15 +79,15 @@
 
     def _purge(self):
         dice = self.dice
-        kind = dice.choice(w.KINDS)
+        kind = dice.choice(types.KINDS)
         name = dice.choice(OBJECTS)
         what = {
-            w.OBJECT: name,
-            w.GROUP: str(GROUPS[name]),
-            w.TAG: dice.choice(TAGS[name]),
-            w.PREFIX: f"{dice.choice(KINDS)}/{name[0]}",
-            w.GLOB: f"*/{name[0]}?",
-            w.REGEX: f"clip/[0-9]{name[1]}",
+            types.OBJECT: name,
+            types.GROUP: str(GROUPS[name]),
+            types.TAG: dice.choice(TAGS[name]),
+            types.PREFIX: f"{dice.choice(KINDS)}/{name[0]}",
+            types.GLOB: f"*/{name[0]}?",
+            types.REGEX: f"clip/[0-9]{name[1]}",
         }
         self.desk.submit(f"k{self.count}", ((kind, what[kind]),))
         self.after(dice.expovariate(self.shape.purges) * SECOND, self._purge)
--- a/benchmarks/warming/stage.py
+++ b/benchmarks/warming/stage.py
@@ -12,7 +12,7 @@
 from hookrouter.fleet.decisions.warming import steps as s
 from hookrouter.fleet.decisions.warming import words as w
 from hookrouter.fleet.decisions.warming.plan import Kind
-from hookrouter.purges.words import OBJECT, Purge
+from hookrouter.purges.types import OBJECT, Purge
 
 DUTY, TARGET, NEIGHBOURS, PARENT = "warm/n", "n", ("a", "b"), "p"
 KINDS = {"page": Kind(True, 2, 0, 1.0)}
--- a/hookrouter/desk/above.py
+++ b/hookrouter/desk/above.py
@@ -4,7 +4,7 @@
 from ..purges import tail as t
 from ..purges import wire
 from ..purges.members import Renewal
-from ..purges.words import Position
+from ..purges.types import Position
 
 BEAT = 0.5  # seconds between heartbeats: four in the shortest silence that a follower bears
 SLOW = 5.0  # seconds that a follower may leave what was written unread; then it is cut, and resumes
--- a/hookrouter/feed/purges.py
+++ b/hookrouter/feed/purges.py
@@ -6,7 +6,7 @@
 from ..purges import place as p
 from ..purges import wire
 from ..purges.place import Place
-from ..purges.words import Position
+from ..purges.types import Position
 from ..terms import SECOND
 from .caller import Caller
 from .follower import Feed
--- a/hookrouter/fleet/decisions/warming/purged.py
+++ b/hookrouter/fleet/decisions/warming/purged.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from ....purges import words as p
+from ....purges import types
 from ....purges.patterns import Patterns
 
 KEPT = 20_000  # purges, a minute's burst; a list from before them is of no use
@@ -48,11 +48,11 @@
         are not known: no, for the fill goes with the guard's age limit, which no older copy passes.
         """
         what = purge.what
-        if purge.kind == p.OBJECT:
+        if purge.kind == types.OBJECT:
             return lambda name, group: what == name[1]
-        if purge.kind == p.GROUP:
+        if purge.kind == types.GROUP:
             return lambda name, group: what == str(group)
-        if purge.kind == p.TAG:
+        if purge.kind == types.TAG:
             return lambda name, group: what in (self.tags(name[1]) or ())
         known = Patterns(1)
         if not known.raise_to(purge.kind, what, 1, 0, 0):
--- a/hookrouter/purges/__init__.py
+++ b/hookrouter/purges/__init__.py
@@ -6,6 +6,6 @@
 """
 
 from .guard import Guard
-from .words import Position, Purge, PurgeTerms
+from .types import Position, Purge, PurgeTerms
 
 __all__ = ["Guard", "Position", "Purge", "PurgeTerms"]
--- a/hookrouter/purges/guard.py
+++ b/hookrouter/purges/guard.py
@@ -6,7 +6,7 @@
 """
 
 from . import fence
-from . import words as w
+from . import types as w
 from .index import Index
 from .tags import Tags
 
--- a/hookrouter/purges/index.py
+++ b/hookrouter/purges/index.py
@@ -6,7 +6,7 @@
 
 from zlib import crc32
 
-from . import words as w
+from . import types as w
 from .bounds import Bound
 from .patterns import Patterns
 
--- a/hookrouter/purges/ledger.py
+++ b/hookrouter/purges/ledger.py
@@ -7,8 +7,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from . import patterns
-from . import words as w
+from . import patterns, types
 
 MOST_ITEMS = 1_000  # purges in one submission: a batch stays well under what a follower takes in at once
 MOST_WAITING = 20_000  # purges that wait for the disk; beyond it a submission is turned away at once
@@ -74,7 +73,7 @@
         self.batch, self.waiting = [], deque()  # (Submission, its purges) that are written, and that wait
         self.open = {}  # key -> [its purges, further tokens that asked for the same]
         self.pending = 0
-        self.patterns = sum(kind in w.PATTERN_KINDS for kind, _ in tail.live)
+        self.patterns = sum(kind in types.PATTERN_KINDS for kind, _ in tail.live)
 
     def submit(self, now, submission):
         refusal = self._refusal(submission)
@@ -94,7 +93,7 @@
         # The desk's clock may go back; the order's times do not.
         self.last_timestamp = max(self.last_timestamp, now)
         purges = tuple(
-            w.Purge(self.tail.epoch, self.next + n, self.last_timestamp, kind, what)
+            types.Purge(self.tail.epoch, self.next + n, self.last_timestamp, kind, what)
             for n, (kind, what) in enumerate(submission.items)
         )
         self.next += len(purges)
@@ -113,7 +112,7 @@
         """The store as it was read again; what it holds of the batch that failed counts."""
         self.tail, self.keys = tail, keys
         self.next, self.last_timestamp = tail.newest.n + 1, max(self.last_timestamp, tail.last_timestamp)
-        self.patterns = sum(kind in w.PATTERN_KINDS for kind, _ in tail.live)
+        self.patterns = sum(kind in types.PATTERN_KINDS for kind, _ in tail.live)
         return self._step(REOPENED)
 
     def restored(self):
@@ -124,7 +123,7 @@
         """Forgets the keys of purges up to there: a repeat after that is a new purge, which is harmless."""
         for key in [key for key, purges in self.keys.items() if purges[-1].n <= upto]:
             del self.keys[key]
-        self.patterns = sum(kind in w.PATTERN_KINDS for kind, _ in self.tail.live)
+        self.patterns = sum(kind in types.PATTERN_KINDS for kind, _ in self.tail.live)
 
     # ---- what can be refused
 
@@ -148,7 +147,7 @@
             return Refused(submission.token, "busy", "too many purges wait for the disk", RETRY)
         live = self.tail.live
         new = [(kind, what) for kind, what in submission.items if (kind, what) not in live]
-        matching = sum(kind in w.PATTERN_KINDS for kind, _ in new)
+        matching = sum(kind in types.PATTERN_KINDS for kind, _ in new)
         if matching and self.patterns + matching > self.limits.most_patterns:
             return Refused(
                 submission.token,
@@ -220,11 +219,11 @@
 
 def refusal(kind, what, everything):
     """Why this cannot be purged, or None."""
-    if kind not in w.KINDS:
-        return f"no sort of purge; {', '.join(w.KINDS)} are"
-    if kind in w.PATTERN_KINDS:
+    if kind not in types.KINDS:
+        return f"no sort of purge; {', '.join(types.KINDS)} are"
+    if kind in types.PATTERN_KINDS:
         return patterns.refusal(kind, what, everything)
-    if kind == w.GROUP:
+    if kind == types.GROUP:
         plain = what.isascii() and what.isdigit() and what == str(int(what)) and int(what) < MOST_GROUPS
         return None if plain else f"a whole number from 0 to {MOST_GROUPS - 1} is wanted"
     if not what or len(what) > LONGEST_NAME or not what.isascii() or not what.isprintable() or " " in what:
--- a/hookrouter/purges/patterns.py
+++ b/hookrouter/purges/patterns.py
@@ -7,7 +7,7 @@
 
 import re2
 
-from . import words as w
+from . import types as w
 from .bounds import Bound
 
 LONGEST = 256  # characters of a pattern: names have 80 at most
--- a/hookrouter/purges/place.py
+++ b/hookrouter/purges/place.py
@@ -1,6 +1,6 @@
 """A follower's place in the order: what comes is applied, passed over, or ends the connection, by a table."""
 
-from . import words as w
+from . import types
 
 # How what came stands to the place, and what is done.
 REPEATED, NEXT, GAP, LOWER_EPOCH, SNAPSHOT_PART = (
@@ -24,7 +24,7 @@
     """position: of the newest purge applied; seen: the highest epoch heard of."""
 
     def __init__(self):
-        self.position, self.seen = w.START, 0
+        self.position, self.seen = types.START, 0
         self.parts = None  # of a snapshot under way
 
     def epoch(self, epoch):
@@ -38,7 +38,7 @@
         """What is done with it: PASS, APPLY, CUT or KEEP."""
         word = TABLE[self._relation(purge)]
         if word == APPLY:
-            self.position = w.Position(purge.epoch, purge.n)
+            self.position = types.Position(purge.epoch, purge.n)
         elif word == KEEP:
             self.parts.append(purge)
         return word
--- a/hookrouter/purges/tail.py
+++ b/hookrouter/purges/tail.py
@@ -5,7 +5,7 @@
 from bisect import bisect_right
 from collections import deque
 
-from . import words as w
+from . import types
 
 RECENT = 20_000  # purges kept one by one: a burst of a minute; a follower from before that gets a snapshot
 
@@ -35,7 +35,7 @@
         self.firsts = []  # (n of the first entry, epoch), for each epoch that has entries
         self.recent = deque()
         self.live = {}  # (kind, what) -> the newest Purge, the last told last
-        self.newest = w.Position(0, floor)
+        self.newest = types.Position(0, floor)
         self.last_timestamp = 0
 
     def add(self, purge):
@@ -46,7 +46,7 @@
             self.recent.popleft()
         self.live.pop((purge.kind, purge.what), None)
         self.live[purge.kind, purge.what] = purge
-        self.newest = w.Position(purge.epoch, purge.n)
+        self.newest = types.Position(purge.epoch, purge.n)
         self.last_timestamp = max(self.last_timestamp, purge.timestamp)
 
     def take(self, purges, newest):
--- a/hookrouter/purges/words.py
+++ b/hookrouter/purges/types.py
@@ -1,4 +1,4 @@
-"""The words of fleet-wide purges, shared by desk, relays and routers."""
+"""The types of fleet-wide purges, shared by desk, relays and routers."""
 
 from typing import NamedTuple
 
--- a/hookrouter/purges/wire.py
+++ b/hookrouter/purges/wire.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..errors.wire import NotPurges as Malformed
-from . import words as w
+from . import types
 
 MOST_BODY = 1_000_000  # bytes of one request or event: a submission of the most purges has some 300,000
 MOST_IN_EVENT = 500  # purges in one event
@@ -79,7 +79,7 @@
 
 
 def purges_of(event):
-    return [w.Purge(*row) for row in event.purges]
+    return [types.Purge(*row) for row in event.purges]
 
 
 def number(position):
@@ -89,7 +89,7 @@
 
 def read_number(text):
     epoch, _, n = text.partition(".")
-    return w.Position(read_whole(epoch, text), read_whole(n, text))
+    return types.Position(read_whole(epoch, text), read_whole(n, text))
 
 
 def read_ending(text):
--- a/hookrouter/site.py
+++ b/hookrouter/site.py
@@ -12,7 +12,7 @@
 from typing import Any, Callable, NamedTuple
 
 from .errors.site import Refused, Wrong
-from .purges import words as w
+from .purges import types
 from .terms import SECOND, TENTHS
 
 VARIABLE = "HOOKROUTER_SITE"
@@ -184,11 +184,11 @@
         ),
         "skew": Key(span(0, 4_000, "20 ms"), 200, "between the clocks of desk, origin and routers, at most"),
         "fenced": Key(
-            word(w.YOUNG, w.NACK),
-            w.YOUNG,
+            word(types.YOUNG, types.NACK),
+            types.YOUNG,
             "a router without a lease answers from copies younger than the lease, or nacks",
         ),
-        "tags": Key(word(w.ANSWERS, w.FILE), w.ANSWERS, "where the tags of objects come from"),
+        "tags": Key(word(types.ANSWERS, types.FILE), types.ANSWERS, "where the tags of objects come from"),
         "tag file": Key(file, None, "a line an object: its id, then its tags"),
         "names": Key(count(100, 10_000_000), 100_000, "objects and tags that a router keeps one by one"),
         "tagged": Key(count(0, 10_000_000), 50_000, "objects whose tags a router remembers"),
@@ -293,7 +293,7 @@
         yield "purges", "grace", "shorter than twice the skew, so what the origin gives out anew is refused"
     if purges["hold"] < 10 * purges["lease"]:
         yield "purges", "hold", "ten leases at least are wanted"
-    if (purges["tags"] == w.FILE) != (purges["tag file"] is not None):
+    if (purges["tags"] == types.FILE) != (purges["tag file"] is not None):
         yield "purges", "tag file", "wanted where tags = file, and only there"
 
 
@@ -367,7 +367,7 @@
 
 def purge_terms(purges):
     """The section [purges] as a router's PurgeTerms."""
-    return w.PurgeTerms(
+    return types.PurgeTerms(
         lease=purges["lease"],
         hold=purges["hold"],
         grace=purges["grace"],
--- a/hookrouter/stores/purge_log.py
+++ b/hookrouter/stores/purge_log.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from ..errors.stores import Damaged, Differs, Foreign
-from ..purges.words import Purge
+from ..purges.types import Purge
 from ..tables.seals import FIRST_SEAL, sealed
 from .sqlite import BUSY, create, empty, not_opened, transaction
 
--- a/tests/purging.py
+++ b/tests/purging.py
@@ -2,8 +2,7 @@
 
 import os
 
-from hookrouter.purges import Purge, wire
-from hookrouter.purges import words as w
+from hookrouter.purges import Purge, types, wire
 from hookrouter.site import read_text
 
 SITE = "[purges]\ndesk = 127.0.0.1:{port}\nsecret = secret\nlease = 2 s\nskew = {skew}\n"
@@ -24,5 +23,5 @@
     return b"data: " + wire.write(wire.Event(t, epoch, **more)) + b"\n\n"
 
 
-def purges(*numbers, epoch=5, kind=w.OBJECT, what=NAME, timestamp=1):
+def purges(*numbers, epoch=5, kind=types.OBJECT, what=NAME, timestamp=1):
     return [Purge(epoch, n, timestamp, kind, what) for n in numbers]
--- a/tests/test_purge_network.py
+++ b/tests/test_purge_network.py
@@ -12,8 +12,7 @@
 from hookrouter.node.counters import Counters
 from hookrouter.node.router import Router
 from hookrouter.node.start import read_start
-from hookrouter.purges import Purge
-from hookrouter.purges import words as w
+from hookrouter.purges import Purge, types
 
 FLEET = (
     endpoint("c0", 7100),
@@ -48,7 +47,7 @@
         now = int(self.net.seconds() * SECOND)
         self.purging.granted(now, self.router.now(), span, self.router.now())
 
-    def purge(self, kind=w.OBJECT, what=NAME, ago=0.0):
+    def purge(self, kind=types.OBJECT, what=NAME, ago=0.0):
         self.n += 1
         self.purging.purged([Purge(1, self.n, int((self.wall() - ago) * SECOND), kind, what)])
 
@@ -103,7 +102,12 @@
 
 
 def test_a_copy_of_its_own_is_not_given_once_purged_by_tag_pattern_or_group(tmp_path):
-    for kind, what in ((w.TAG, "red"), (w.GLOB, f"clip/{NAME[:4]}*"), (w.GROUP, "17"), (w.OBJECT, NAME)):
+    for kind, what in (
+        (types.TAG, "red"),
+        (types.GLOB, f"clip/{NAME[:4]}*"),
+        (types.GROUP, "17"),
+        (types.OBJECT, NAME),
+    ):
         s = Scene(tmp_path)
         s.lease(60 * SECOND)
         s.ask()
@@ -111,7 +115,7 @@
         s.ask()
         assert s.counters.values["copies_given"] == 1
         s.net.advance(0.1)
-        s.purge(w.TAG, "green")  # none of its tags
+        s.purge(types.TAG, "green")  # none of its tags
         s.ask()
         assert s.counters.values["copies_given"] == 2
         s.purge(kind, what)
@@ -122,7 +126,7 @@
 def test_an_object_without_known_tags_is_bound_by_any_tag_and_304_is_judged_too(tmp_path):
     s = Scene(tmp_path)
     s.lease(60 * SECOND)
-    s.purge(w.TAG, "red")
+    s.purge(types.TAG, "red")
     s.net.advance(1)
     s.ask(have="aa")
     line, age = s.cache()
@@ -152,7 +156,9 @@
     s.lease(60 * SECOND)
     ticks = iter(range(10**6))
     s.purging.watch = lambda: next(ticks) / 1_000  # a millisecond a purge
-    s.purging.whole([Purge(1, n, int(s.wall() * SECOND), w.OBJECT, f"o{n}") for n in range(1, 22)], (1, 21))
+    s.purging.whole(
+        [Purge(1, n, int(s.wall() * SECOND), types.OBJECT, f"o{n}") for n in range(1, 22)], (1, 21)
+    )
     assert 0 < len(s.router.guard.index) < 21 and s.purging.place(21) == (-1, -1)
     taken = s.ask()  # lookups go on between
     s.comes(s.cache()[0], 0.0)
--- a/tests/test_purge_store.py
+++ b/tests/test_purge_store.py
@@ -7,14 +7,13 @@
 
 import pytest
 
-from hookrouter.purges import Purge
-from hookrouter.purges import words as w
+from hookrouter.purges import Purge, types
 from hookrouter.site import Refused, Secret, read, read_text
 from hookrouter.stores import Damaged, PurgeLog, Unusable
 
 
 def batch(first, last, epoch=1):
-    return [(Purge(epoch, n, 10 * n, w.OBJECT, f"o{n}"), f"k{n}") for n in range(first, last + 1)]
+    return [(Purge(epoch, n, 10 * n, types.OBJECT, f"o{n}"), f"k{n}") for n in range(first, last + 1)]
 
 
 def filled(path, last=3_000):
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -6,18 +6,17 @@
 
 from benchmarks.purges.shapes import GRACE, LEASE, SKEW
 from benchmarks.purges.world import World
-from hookrouter.purges import Guard, Position, Purge, PurgeTerms, patterns
+from hookrouter.purges import Guard, Position, Purge, PurgeTerms, patterns, types
 from hookrouter.purges import ledger as g
 from hookrouter.purges import place as p
 from hookrouter.purges import tail as t
-from hookrouter.purges import words as w
 from hookrouter.purges.index import Index
 from hookrouter.purges.members import Members, Renewal
 from hookrouter.purges.tags import Listed, read_tags
 
 SECOND = 10_000
 TERMS = PurgeTerms(
-    lease=LEASE, hold=600 * SECOND, grace=GRACE, skew=SKEW, fenced=w.YOUNG, most_names=50, most_tagged=9
+    lease=LEASE, hold=600 * SECOND, grace=GRACE, skew=SKEW, fenced=types.YOUNG, most_names=50, most_tagged=9
 )
 
 
@@ -54,12 +53,12 @@
 # ---- which copies may answer, beside a plain list
 
 WHATS = {
-    w.OBJECT: ("aa", "ab", "bb"),
-    w.GROUP: ("1", "2"),
-    w.TAG: ("red", "blue"),
-    w.PREFIX: ("clip/a", "page/"),
-    w.GLOB: ("*/?b", "clip/[!a]*"),
-    w.REGEX: ("(clip|page)/b+", "clip/a[ab]"),
+    types.OBJECT: ("aa", "ab", "bb"),
+    types.GROUP: ("1", "2"),
+    types.TAG: ("red", "blue"),
+    types.PREFIX: ("clip/a", "page/"),
+    types.GLOB: ("*/?b", "clip/[!a]*"),
+    types.REGEX: ("(clip|page)/b+", "clip/a[ab]"),
 }
 PLAIN = {
     "clip/a": lambda n: n.startswith("clip/a"),
@@ -93,10 +92,10 @@
         index.newest(object_kind, name, group, tags)  # so that later patterns meet remembered matches
 
     def concerned(kind, what):
-        if kind == w.TAG:
+        if kind == types.TAG:
             return tags is None or what in tags
-        return {w.OBJECT: what == name, w.GROUP: what == group}.get(kind) or (
-            kind in w.PATTERN_KINDS and PLAIN[what](f"{object_kind}/{name}")
+        return {types.OBJECT: what == name, types.GROUP: what == group}.get(kind) or (
+            kind in types.PATTERN_KINDS and PLAIN[what](f"{object_kind}/{name}")
         )
 
     plain = [made for made, kind, what in told if concerned(kind, what)]
@@ -110,13 +109,13 @@
 def test_purges_of_one_name_in_quick_succession_come_due_all_the_same():
     index = Index(TERMS)
     for n in range(100_000):
-        index.add(w.TAG, "sheet", n, n)  # each within the grace of the one before
+        index.add(types.TAG, "sheet", n, n)  # each within the grace of the one before
     assert index.due(99_999 - GRACE, "page", "aa", "1", ("sheet",)) >= 99_999 - 2 * GRACE
     assert len(index) == 1
 
 
 def test_two_tags_of_one_object_in_opposite_order_are_the_same_at_two_routers():
-    told = [Purge(1, 1, 8_000, w.TAG, "red"), Purge(1, 2, 8_500, w.TAG, "blue")]
+    told = [Purge(1, 1, 8_000, types.TAG, "red"), Purge(1, 2, 8_500, types.TAG, "blue")]
     guards = [Guard(TERMS), Guard(TERMS)]
     for guard, purges_told in zip(guards, (told, told[::-1])):
         guard.granted(0, LEASE)
@@ -133,7 +132,7 @@
 def test_what_is_older_than_the_hold_leaves_and_the_tables_with_it():
     index = Index(TERMS)
     for n in range(3_000):
-        index.add(w.KINDS[n % 6], str(n % 256) if n % 6 == 1 else f"x{n}", n, n)
+        index.add(types.KINDS[n % 6], str(n % 256) if n % 6 == 1 else f"x{n}", n, n)
     held = len(index), len(index.patterns.segments)
     index.forget(3_000 + TERMS.hold)
     assert held[0] > 500 and len(index) == 0
@@ -143,33 +142,33 @@
 
 def test_a_pattern_that_this_build_cannot_compile_counts_against_every_name():
     index = Index(TERMS)
-    index.add(w.REGEX, "(?<=a)b", 5, 5)
+    index.add(types.REGEX, "(?<=a)b", 5, 5)
     assert index.newest("clip", "zz", "1", ()) == 5
 
 
 @pytest.mark.parametrize(
     "kind, what, said",
     [
-        (w.REGEX, "clip/(", "cannot be compiled"),
-        (w.REGEX, "(?=a)b", "cannot be compiled"),
-        (w.REGEX, "((a{100}){100}){10}", "cannot be compiled"),
-        (w.GLOB, "clip/[ab", "without its ]"),
-        (w.GLOB, "[!]", "an empty []"),
-        (w.REGEX, "", "empty"),
-        (w.PREFIX, "x" * 257, "257 characters"),
-        (w.PREFIX, "clip/\n", "printable"),
-        (w.GLOB, "*", "matches every name"),
-        (w.REGEX, ".*|a", "matches every name"),
-        (w.GROUP, "256", "from 0 to 255"),
-        (w.GROUP, "07", "from 0 to 255"),
-        (w.TAG, "a b", "without spaces"),
-        (w.OBJECT, "", "1 to 256"),
+        (types.REGEX, "clip/(", "cannot be compiled"),
+        (types.REGEX, "(?=a)b", "cannot be compiled"),
+        (types.REGEX, "((a{100}){100}){10}", "cannot be compiled"),
+        (types.GLOB, "clip/[ab", "without its ]"),
+        (types.GLOB, "[!]", "an empty []"),
+        (types.REGEX, "", "empty"),
+        (types.PREFIX, "x" * 257, "257 characters"),
+        (types.PREFIX, "clip/\n", "printable"),
+        (types.GLOB, "*", "matches every name"),
+        (types.REGEX, ".*|a", "matches every name"),
+        (types.GROUP, "256", "from 0 to 255"),
+        (types.GROUP, "07", "from 0 to 255"),
+        (types.TAG, "a b", "without spaces"),
+        (types.OBJECT, "", "1 to 256"),
         ("page", "x", "no sort of purge"),
     ],
 )
 def test_the_desk_refuses_with_the_reason(kind, what, said):
     assert said in g.refusal(kind, what, False)
-    assert patterns.refusal(w.GLOB, "*", True) is None
+    assert patterns.refusal(types.GLOB, "*", True) is None
 
 
 @pytest.mark.parametrize(
@@ -187,7 +186,7 @@
 
 def test_a_listed_object_has_just_the_tags_of_the_file():
     guard = Guard(TERMS, Listed({"aa": ("red",)}))
-    guard.told(9_000, Purge(1, 1, 9_000, w.TAG, "red"))
+    guard.told(9_000, Purge(1, 1, 9_000, types.TAG, "red"))
     guard.granted(0, LEASE)
     assert guard.oldest(9_000, "page", "aa", 1) > 9_000 > guard.oldest(9_000, "page", "zz", 1)
 
@@ -198,7 +197,7 @@
 def filled(epochs, recent=4):
     tail = t.Tail(TERMS.hold, epochs[-1] + 1, recent=recent)
     for n, epoch in enumerate(epochs, 1):
-        tail.add(Purge(epoch, n, n, w.OBJECT, f"o{n}"))
+        tail.add(Purge(epoch, n, n, types.OBJECT, f"o{n}"))
     return tail
 
 
@@ -222,7 +221,7 @@
 
 def test_a_place_takes_each_purge_once_in_order_and_only_whole_snapshots():
     place = p.Place()
-    one, two, three = (Purge(5, n, n, w.OBJECT, "a") for n in (1, 2, 3))
+    one, two, three = (Purge(5, n, n, types.OBJECT, "a") for n in (1, 2, 3))
     assert [place.purge(x) for x in (one, one, three, two, one, three)] == [
         p.APPLY,
         p.PASS,
@@ -249,12 +248,14 @@
     desk = g.Ledger(tail, {}, g.Limits(10, 2))
 
     def ask(token, key, *items, now=100):
-        return desk.submit(now, g.Submission(token, key, items or ((w.OBJECT, key),), False))
+        return desk.submit(now, g.Submission(token, key, items or ((types.OBJECT, key),), False))
 
     [first] = ask(1, "a")
     assert [purge.n for purge, _ in first.batch] == [1]
     assert (
-        ask(2, "b", now=50) == [] and ask(3, "a") == [] and ask(4, "b", (w.OBJECT, "other"))[0].why == "key"
+        ask(2, "b", now=50) == []
+        and ask(3, "a") == []
+        and ask(4, "b", (types.OBJECT, "other"))[0].why == "key"
     )
     accepted, again, tell, second = desk.written()
     assert (accepted.token, again.token, again.repeated, tell.purges[0].what) == (1, 3, True, "a")
@@ -265,7 +266,7 @@
     assert ask(6, "c")[0].why == "busy"
     desk.reopened(filled([3, 4]), {"b": ()})
     assert ask(7, "c")[0].batch[0][0][:2] == (5, 3)
-    assert [ask(8, f"p{n}", (w.PREFIX, f"clip/{n}")) for n in range(3)][2][0].reason.startswith(
+    assert [ask(8, f"p{n}", (types.PREFIX, f"clip/{n}")) for n in range(3)][2][0].reason.startswith(
         "2 patterns are live"
     )
     assert "9 purges are live" not in str([ask(n, f"x{n}") for n in range(4)])
@@ -282,7 +283,7 @@
 def test_a_purge_is_in_effect_once_all_have_it_or_hold_to_young_copies():
     members = Members(LEASE, SKEW, 20, 0)
     assert members.renew(0, renewal("a", 0), 0) == members.renew(0, renewal("b", 0), 0) == LEASE
-    members.accepted(100, [Purge(1, 1, 100, w.OBJECT, "x")])
+    members.accepted(100, [Purge(1, 1, 100, types.OBJECT, "x")])
     assert members.renew(200, renewal("a", 1), 1) == LEASE
     assert members.renew(5_000, renewal("b", 0), 1) == 100 + LEASE - 5_000  # no more than from the purge on
     assert members.settle(6_000) == [] and members.behind(6_000, 1) == [("b", "live", 0)]
@@ -298,14 +299,14 @@
 
 def test_a_desk_that_started_anew_reckons_with_leases_of_its_former_life():
     members = Members(LEASE, 0, 0, 1_000, [("a", 7)])
-    members.read_anew(1_000, [Purge(1, 1, 100, w.OBJECT, "x")])
+    members.read_anew(1_000, [Purge(1, 1, 100, types.OBJECT, "x")])
     assert members.settle(1_100) == [] and members.behind(1_100, 1) == [("a", "unheard", -1)]
     assert members.renew(1_200, renewal("a", 0, 7), 1) == 0  # it may have been in effect before
     assert members.renew(1_200, renewal("a", 1, 6), 1) is None  # an older life of the same router
     assert members.renew(1_300, renewal("a", 1, 7), 1) == LEASE
     assert members.settle(1_300) == [] and [n for n, _, _ in members.settle(1_700)] == [1]
     assert members.renew(1_400, renewal("a", 0, 8), 1) == 0  # it starts again; its former life may go on
-    members.accepted(1_500, [Purge(2, 2, 1_500, w.OBJECT, "z")])
+    members.accepted(1_500, [Purge(2, 2, 1_500, types.OBJECT, "z")])
     assert members.renew(1_600, renewal("a", 2, 8), 2) == LEASE
     assert members.settle(1_600 + LEASE // 2) == []
     assert members.renew(1_700, renewal("a", 2, 7), 2) is None
@@ -315,6 +316,6 @@
     members.left("a", 7)
     # Behind, and without a lease so far: waits for none.
     assert members.renew(80_000, renewal("new", 0), 2) == 0
-    members.accepted(90_000, [Purge(2, 3, 90_000, w.OBJECT, "y")])
+    members.accepted(90_000, [Purge(2, 3, 90_000, types.OBJECT, "y")])
     assert members.settle(90_000) == []  # nobody is left to wait for, but what the skew asks
     assert members.settle(90_000 + 2 * SKEW) == [(3, 90_000, 90_000 + 2 * SKEW)]
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -25,7 +25,7 @@
 from hookrouter.fleet.decisions.warming.pace import Cold
 from hookrouter.fleet.decisions.warming.plan import STEP, Kind, gains
 from hookrouter.fleet.decisions.warming.rank import hashed, rank
-from hookrouter.purges.words import Purge
+from hookrouter.purges.types import Purge
 
 NAMES = [("page", f"o{n}", 0) for n in range(40)]
 asks = st.lists(st.integers(0, 39), max_size=300)
