--- a/benchmarks/admission/judge.py
+++ b/benchmarks/admission/judge.py
@@ -100,7 +100,7 @@
                 self.purge_late += 1
                 self.broke(f"{sub.name} answers at {sub.n}, purge {due} is in effect")
             # By true time and the gateway's own count of that lease.
-            row = world.order.members.rows.get(sub.name)
+            row = world.order.followers.rows.get(sub.name)
             if sub.unfenced() and row is not None and row.until < now:
                 self.fenced_too_late += 1
                 self.broke(f"{sub.name} answers beyond its lease")
--- a/benchmarks/admission/order.py
+++ b/benchmarks/admission/order.py
@@ -1,7 +1,7 @@
 """The order of purges with its leases, as the desk has it: the program's own decisions on a made-up disk."""
 
 from hookrouter.purges import Purge, types
-from hookrouter.purges.members import Members, Renewal
+from hookrouter.purges.followers import Followers, Renewal
 from hookrouter.purges.tail import RESUME, Tail
 from hookrouter.purges.types import Position
 
@@ -10,7 +10,7 @@
 
 
 class Order:
-    """disk: purges that lasted; names: members that the store knows."""
+    """disk: purges that lasted; names: followers that the store knows."""
 
     def __init__(self, world, old):
         self.world, self.epoch = world, 0
@@ -25,8 +25,8 @@
         self.tail = Tail(HOLD, self.epoch, recent=RECENT)
         for purge in self.disk:
             self.tail.add(purge)
-        self.members = Members(LEASE, SKEW, ROUNDING, now, tuple(self.names.items()))
-        self.members.read_anew(now, [purge for purge in self.disk if purge.timestamp >= now - 3 * LEASE])
+        self.followers = Followers(LEASE, SKEW, ROUNDING, now, tuple(self.names.items()))
+        self.followers.read_anew(now, [purge for purge in self.disk if purge.timestamp >= now - 3 * LEASE])
 
     def submit(self):
         """A purge, durable and told from now on: the time of the model's own promise is kept."""
@@ -34,13 +34,13 @@
         purge = Purge(self.epoch, len(self.disk) + 1, now, types.OBJECT, f"o{len(self.disk) + 1}")
         self.disk.append(purge)
         self.tail.add(purge)
-        self.members.accepted(now, [purge])
+        self.followers.accepted(now, [purge])
         self.accepted[purge.n] = now
-        self.stated.append((self.members.latest(now), purge.n))
+        self.stated.append((self.followers.latest(now), purge.n))
         return purge
 
     def look(self):
-        for n, _, at in self.members.settle(self.world.engine.now):
+        for n, _, at in self.followers.settle(self.world.engine.now):
             self.stated.append((at, n))
 
     def how(self, n):
@@ -53,7 +53,7 @@
 
     def renew(self, name, generation, n):
         now = self.world.engine.now
-        span = self.members.renew(
+        span = self.followers.renew(
             now, Renewal(name, generation, self.resumes(n), n, n, SKEW, False), self.tail.newest.n
         )
         self.names[name] = generation
--- a/benchmarks/purges/desk.py
+++ b/benchmarks/purges/desk.py
@@ -1,7 +1,7 @@
 """A desk with a disk that keeps what was written, or comes back as it was earlier."""
 
 from hookrouter.purges import ledger as g
-from hookrouter.purges.members import Members, Renewal
+from hookrouter.purges.followers import Followers, Renewal
 from hookrouter.purges.tail import RESUME, Tail
 
 from .links import Above
@@ -32,8 +32,8 @@
         self.stored = self.epoch
         self.tail, keys = self._read()
         self.ledger = g.Ledger(self.tail, keys, g.Limits(10_000, 1_000))
-        self.members = Members(LEASE, SKEW, ROUNDING, world.now, tuple(self.names.items()))
-        self.members.read_anew(world.now, list(self.tail.recent)[-50:])
+        self.followers = Followers(LEASE, SKEW, ROUNDING, world.now, tuple(self.names.items()))
+        self.followers.read_anew(world.now, list(self.tail.recent)[-50:])
         world.after(100, self._beat, self.life)
 
     def epoch_stored(self):
@@ -93,11 +93,11 @@
             elif isinstance(effect, g.Accepted):
                 self.world.acknowledged(effect.purges, effect.repeated)
             elif isinstance(effect, g.Tell):
-                self.members.accepted(self.world.now, effect.purges)
+                self.followers.accepted(self.world.now, effect.purges)
                 self.tell(effect.purges)
                 for purge in effect.purges:
                     told = self.world.told[purge.epoch, purge.n]
-                    self.world.in_effect.append((self.members.latest(self.world.now), told))
+                    self.world.in_effect.append((self.followers.latest(self.world.now), told))
                 self._look()
 
     def _written(self, life):
@@ -107,7 +107,7 @@
             self._carry(self.ledger.written())
 
     def _look(self):
-        for n, _, at in self.members.settle(self.world.now):
+        for n, _, at in self.followers.settle(self.world.now):
             self.world.stated += 1
             number = next((purge.epoch, purge.n) for purge in reversed(self.tail.recent) if purge.n == n)
             self.world.in_effect.append((at, self.world.told[number]))
@@ -120,14 +120,14 @@
         self._look()
         self.world.after(500, self._beat, life)
 
-    def renew(self, member, generation, position, seen, least, every, relay, answer):
+    def renew(self, follower, generation, position, seen, least, every, relay, answer):
         """A renewal has come; the answer goes back as the network has it."""
         if not self.up:
             return
         on_branch = self.tail.place(position, seen) == RESUME
-        renewal = Renewal(member, generation, on_branch, least, every, SKEW, relay)
-        span = self.members.renew(self.world.now, renewal, self.tail.newest.n)
+        renewal = Renewal(follower, generation, on_branch, least, every, SKEW, relay)
+        span = self.followers.renew(self.world.now, renewal, self.tail.newest.n)
         if span is not None:
-            self.names[member] = generation
+            self.names[follower] = generation
             answer(span, self.tail.epoch, self.clock())
         self._look()
--- a/benchmarks/purges/followers.py
+++ b/benchmarks/purges/followers.py
@@ -3,7 +3,7 @@
 from hookrouter.purges import PurgeTerms
 from hookrouter.purges import place as p
 from hookrouter.purges.fence import Fence
-from hookrouter.purges.members import Members, Renewal
+from hookrouter.purges.followers import Followers, Renewal
 from hookrouter.purges.tail import RESUME, Tail
 
 from .links import Above, Link
@@ -140,7 +140,7 @@
                 router.link.cut()
         self.links = set()
         self.tail, self.fence = Tail(HOLD, 0), Fence(LEASE)
-        self.members = Members(LEASE, SKEW, ROUNDING, self.world.now, tuple(self.names.items()), 0)
+        self.followers = Followers(LEASE, SKEW, ROUNDING, self.world.now, tuple(self.names.items()), 0)
 
     def apply(self, purge):
         self.tail.epoch = max(self.tail.epoch, self.place.seen)
@@ -150,7 +150,7 @@
     def snapshot(self, parts):
         self.tail.epoch = self.place.seen
         self.tail.take(parts, self.place.position)
-        self.members.other_branch()
+        self.followers.other_branch()
         for link in sorted(self.links, key=lambda link: link.follower.name):
             link.cut()
 
@@ -160,21 +160,21 @@
         self.fence.granted(asked, span)
 
     def every(self):
-        _, every = self.members.least(self.world.now)
+        _, every = self.followers.least(self.world.now)
         return self.place.position.n if every is None else every
 
     def least(self):
-        live, _ = self.members.least(self.world.now)
+        live, _ = self.followers.least(self.world.now)
         return self.place.position.n if live is None else min(live, self.place.position.n)
 
-    def renew(self, member, generation, position, seen, least, every, relay, answer):
+    def renew(self, follower, generation, position, seen, least, every, relay, answer):
         self.fence.at(self.world.now)
         left = self.fence.left()
         on_branch = self.tail.place(position, seen) == RESUME
-        renewal = Renewal(member, generation, on_branch, least, every, SKEW, relay)
-        span = self.members.renew(self.world.now, renewal, self.tail.newest.n, left)
+        renewal = Renewal(follower, generation, on_branch, least, every, SKEW, relay)
+        span = self.followers.renew(self.world.now, renewal, self.tail.newest.n, left)
         if span is not None:
-            self.names[member] = generation
+            self.names[follower] = generation
             answer(span, self.tail.epoch, self.world.now + self.off)
 
 
--- a/benchmarks/purges/links.py
+++ b/benchmarks/purges/links.py
@@ -31,7 +31,7 @@
 
 
 class Above:
-    """What the desk and a relay have in common: an order told to followers, and members with leases."""
+    """What the desk and a relay have in common: an order told to followers, and their leases."""
 
     def serve(self, position, seen, link):
         place = self.tail.place(position, seen)
--- a/hookrouter/desk/above.py
+++ b/hookrouter/desk/above.py
@@ -1,9 +1,9 @@
-"""What desk and relay have in common: an order told to followers, and members whose leases they renew."""
+"""What desk and relay have in common: an order told to followers, and leases that they renew."""
 
 from ..feed.purges import steady
 from ..purges import tail as t
 from ..purges import wire
-from ..purges.members import Renewal
+from ..purges.followers import Renewal
 from ..purges.types import Position
 
 BEAT = 0.5  # seconds between heartbeats: four in the shortest silence that a follower bears
@@ -115,8 +115,8 @@
 
 
 class Above:
-    """tail, members: the decisions. Subclasses say what is theirs: span_left(), raise_epoch(),
-    and noted() and member_left(), which names outlive the process.
+    """tail, followers: the decisions. Subclasses say what is theirs: span_left(), raise_epoch(),
+    and noted() and follower_left(), which names outlive the process.
     """
 
     def __init__(self, reactor, log):
@@ -187,18 +187,18 @@
                 stream.pump()
 
     def renew(self, asked):
-        """wire.Granted, or None where the member is not one to be had."""
+        """wire.Granted, or None where the follower is not one to be had."""
         now = steady()
         if asked.leave:
-            self.members.left(asked.name, asked.generation)
-            self.member_left(asked.name)
+            self.followers.left(asked.name, asked.generation)
+            self.follower_left(asked.name)
             self.settle()
             return self._granted(0)
         # Else a crash would leave a lease behind of which nobody knows.
         if not self.noted(asked.name, asked.generation):
             return self._granted(0)
         on_branch = self.tail.place(Position(asked.epoch, asked.n), asked.seen) == t.RESUME
-        known = self.members.rows.get(asked.name)
+        known = self.followers.rows.get(asked.name)
         before = None if known is None else known.generation
         renewal = Renewal(
             asked.name,
@@ -209,7 +209,7 @@
             asked.skew,
             asked.relay,
         )
-        span = self.members.renew(now, renewal, self.tail.newest.n, self.span_left())
+        span = self.followers.renew(now, renewal, self.tail.newest.n, self.span_left())
         if span is None:
             self.count("members_refused")
             return None
@@ -219,10 +219,10 @@
         return self._granted(span)
 
     def _granted(self, span):
-        return wire.Granted(span, self.tail.epoch, self.clock(), self.members.settling())
+        return wire.Granted(span, self.tail.epoch, self.clock(), self.followers.settling())
 
     def span_left(self):
-        """What of an own lease bounds those of the members; None: nothing does."""
+        """What of an own lease bounds those of the followers; None: nothing does."""
         return None
 
     def settle(self):
@@ -239,9 +239,9 @@
     def _settle(self):
         self.settling = False
         now = steady()
-        for n, accepted, at in self.members.settle(now):
+        for n, accepted, at in self.followers.settle(now):
             self.in_effect(n, accepted, at)
-        due = self.members.due(now)
+        due = self.followers.due(now)
         if due is not None and not self.stopped:
             self._settle_in(max(LOOK, (due - now) / 10_000))
 
@@ -252,17 +252,17 @@
 
     def facts(self):
         now = steady()
-        rows = self.members.rows.values()
+        rows = self.followers.rows.values()
         return {
             "epoch": self.tail.epoch,
             "newest": wire.number(self.tail.newest),
             "live": len(self.tail.live),
             "followers": len(self.streams),
-            "undone": len(self.members.undone),
+            "undone": len(self.followers.undone),
             "members": [
                 {
                     "name": row.name,
-                    "state": self.members.state(now, row),
+                    "state": self.followers.state(now, row),
                     "n": row.n,
                     "all": row.all,
                     "relay": row.relay,
--- a/hookrouter/desk/admission.py
+++ b/hookrouter/desk/admission.py
@@ -30,12 +30,12 @@
 
 class Admission:
     def __init__(self, reactor, log, sections, above, name, elsewhere=None):
-        """above: the Desk or Relay; its rows of members are those that will come. elsewhere: see Gate."""
+        """above: the Desk or Relay; its rows of followers are those that will come. elsewhere: see Gate."""
         section = sections["admission"]
         secret = section["secret"] or sections["purges"]["secret"]
         terms = Terms(name, int(time.time() * 1_000), tickets.key_of(secret.value), section["share"] / 100)
         self.reactor, self.log, self.above = reactor, log, above
-        known = len(above.members.rows)
+        known = len(above.followers.rows)
         self.gate = Gate(terms, steady(), known, Random(), elsewhere)
         self.conns, self.last = {}, 0  # number -> Waiting
         self.call = self.wake = None
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -6,8 +6,8 @@
 
 from ..purges import ledger as g
 from ..purges import wire
+from ..purges.followers import Followers
 from ..purges.guard import ROUNDING
-from ..purges.members import Members
 from .above import Above, steady
 
 SECOND = 10_000
@@ -44,8 +44,8 @@
         self.effects = {}  # n -> wall time from which it is in effect
         now = steady()
         self.ledger = g.Ledger(self.tail, keys, self.limits)
-        self.members = Members(purges["lease"], purges["skew"], ROUNDING, now, loaded.members)
-        self.names = {name for name, _ in loaded.members}  # that are in the store for sure
+        self.followers = Followers(purges["lease"], purges["skew"], ROUNDING, now, loaded.followers)
+        self.names = {name for name, _ in loaded.followers}  # that are in the store for sure
         self._recall(loaded)
         self._doubtful(now)
 
@@ -54,8 +54,8 @@
     def _doubtful(self, now):
         """What a former life took lately may not be in effect yet; its clock may have been another's."""
         self.recalled = self.clock()  # from when this life counts what those before took
-        since = self.recalled - 2 * self.members.span - self.members.skew
-        self.members.read_anew(now, [purge for purge in self.tail.recent if purge.timestamp >= since])
+        since = self.recalled - 2 * self.followers.span - self.followers.skew
+        self.followers.read_anew(now, [purge for purge in self.tail.recent if purge.timestamp >= since])
 
     def _recall(self, loaded):
         """What is shown of purges that the store holds: those of this life stay as they are known."""
@@ -135,7 +135,7 @@
 
     def _tell(self, purges, keys):
         now, wall = steady(), self.clock()
-        self.members.accepted(now, purges)
+        self.followers.accepted(now, purges)
         for purge, key in zip(purges, keys):
             self.accepted.pop(purge.n, None)  # of before a store was restored
             self.effects.pop(purge.n, None)
@@ -168,7 +168,7 @@
         self.reactor.callLater(FOLD_EVERY, self._fold)
 
     def noted(self, name, generation):
-        """Whether the store knows this member; if not, it does soon."""
+        """Whether the store knows this follower; if not, it does soon."""
         if name in self.names:
             return True
         self.joined[name] = generation
@@ -176,13 +176,13 @@
         self._note()
         return False
 
-    def member_left(self, name):
+    def follower_left(self, name):
         self.joined.pop(name, None)
         self.gone.add(name)
         self._note()
 
     def tick(self):
-        self.gone.update(name for name in self.members.struck_off() if name not in self.members.rows)
+        self.gone.update(name for name in self.followers.struck_off() if name not in self.followers.rows)
         self._note()
         self.settle()
 
@@ -193,7 +193,7 @@
         joined, left = sorted(self.joined.items()), sorted(self.gone)
         self.joined, self.gone, self.noting = {}, set(), True
         self.names.difference_update(left)
-        done = self.store.members(joined, left)
+        done = self.store.update_followers(joined, left)
         done.addCallbacks(
             lambda _: self.names.update(name for name, _ in joined), self._not_noted
         ).addCallback(self._noted)
@@ -221,12 +221,12 @@
         purge, wall, at, key = self.accepted[n]
         now, former, effect = steady(), at is None, self.effects.get(n)
         if former:
-            latest = self.recalled + self.members.latest(0)
+            latest = self.recalled + self.followers.latest(0)
             # Not doubtful at the start of this life: in effect by the span that the doubt has, see _doubtful.
-            if effect is None and wall < self.recalled - 2 * self.members.span - self.members.skew:
-                effect = latest = wall + 2 * self.members.span + self.members.settling()
+            if effect is None and wall < self.recalled - 2 * self.followers.span - self.followers.skew:
+                effect = latest = wall + 2 * self.followers.span + self.followers.settling()
         else:
-            latest = wall + self.members.latest(at) - at
+            latest = wall + self.followers.latest(at) - at
         return {
             "number": wire.number(purge),
             "sort": purge.kind,
@@ -236,12 +236,12 @@
             "in_effect_ms": effect // 10 if effect is not None else None,
             "by": former,
             "latest_ms": latest // 10,
-            "members": len(self.members.rows),
+            "members": len(self.followers.rows),
             "behind": []
             if former and effect is not None
             else [
                 {"name": name, "state": state, "n": place}
-                for name, state, place in self.members.behind(now, n)[:100]
+                for name, state, place in self.followers.behind(now, n)[:100]
             ],
         }
 
--- a/hookrouter/desk/own.py
+++ b/hookrouter/desk/own.py
@@ -20,8 +20,8 @@
 
 
 class Own:
-    """What keeps a desk's order: read or reopen, append, fold, members, close. See fleet/purges.py for the
-    other.
+    """What keeps a desk's order: read or reopen, append, fold, update_followers, close. The other one is
+    fleet/member/purges.py.
     """
 
     def __init__(self, reactor, path, hold):
@@ -61,8 +61,8 @@
     def fold(self, upto):
         return self._threaded(self.store.fold, upto)
 
-    def members(self, joined, left):
-        return self._threaded(self.store.members, joined, left)
+    def update_followers(self, joined, left):
+        return self._threaded(self.store.update_followers, joined, left)
 
     def close(self):
         return self._threaded(self.store.close)
--- a/hookrouter/desk/relay.py
+++ b/hookrouter/desk/relay.py
@@ -1,12 +1,12 @@
-"""A relay: a follower of the desk that tells on what it is told, and answers above for the members below."""
+"""A relay: follows the desk, passes on what it is told, and reports upwards for the followers below."""
 
 import json
 import os
 
 from ..feed.purges import PurgeFeed
 from ..purges.fence import Fence
+from ..purges.followers import Followers
 from ..purges.guard import ROUNDING
-from ..purges.members import Members
 from ..purges.tail import Tail
 from .above import Above, steady
 from .desk import Clock
@@ -15,7 +15,7 @@
 
 
 class Names:
-    """The names of members in a file, replaced whole: half a file is never read."""
+    """The names of followers in a file, replaced whole: half a file is never read."""
 
     def __init__(self, path):
         self.path = path
@@ -39,7 +39,7 @@
 
 
 class Relay(Above):
-    """Its members' leases end with its own at the latest; above it reports the least of what they applied."""
+    """Its followers' leases end with its own at the latest; it reports the least of what they applied."""
 
     def __init__(self, reactor, deadlines, log, purges, relay, paced=False):
         """paced: with [admission], it comes back as it is told."""
@@ -51,7 +51,7 @@
         names = self.names.read()
         if names is None:
             log("relay's file of members cannot be read, begun anew", relay["store"], level="error")
-        self.members = Members(purges["lease"], purges["skew"], ROUNDING, steady(), names or (), 0)
+        self.followers = Followers(purges["lease"], purges["skew"], ROUNDING, steady(), names or (), 0)
         self.noted_names = {name for name, _ in names or ()}  # that are in the file for sure
         self.new = set()
         address = (relay["above"],) if relay["above"] else purges["desk"]
@@ -87,7 +87,7 @@
     def whole(self, purges, newest):
         """A snapshot: those below go on from their places in the order as it is now."""
         self.tail.take(purges, newest)
-        self.members.other_branch()
+        self.followers.other_branch()
         for stream in list(self.streams):
             stream.cut()
 
@@ -100,7 +100,7 @@
 
     def place(self, n):
         """(applied by all that are live, applied by all) of what this relay has itself."""
-        live, every = self.members.least(steady())
+        live, every = self.followers.least(steady())
         return min(n, n if live is None else live), min(n, n if every is None else every)
 
     # ---- below
@@ -121,11 +121,11 @@
             self.reactor.callLater(NOTE, self._note)  # those that come together make one file
         return False
 
-    def member_left(self, name):
+    def follower_left(self, name):
         self.noted_names.discard(name)
 
     def tick(self):
-        struck = [name for name in self.members.struck_off() if name not in self.members.rows]
+        struck = [name for name in self.followers.struck_off() if name not in self.followers.rows]
         self.noted_names.difference_update(struck)
         if self.new or struck:
             self._note()
--- a/hookrouter/fleet/member/purges.py
+++ b/hookrouter/fleet/member/purges.py
@@ -25,7 +25,7 @@
 LOOK = 0.02  # seconds between looks whether the copy has come up to the grant
 BEGIN_WITHIN = 2.0  # seconds; an owner that cannot begin by then lets another try
 MOST_BATCH = 1_000  # purges in one entry of the log: a message takes as many of the longest
-MOST_NAMES = 1_000  # members' names in one entry
+MOST_NAMES = 1_000  # followers' names in one entry
 PASS_WITHIN = 2.5  # seconds for the owner's answer: less than a submitter waits for this one
 MOST_PASSED = 256  # requests that wait for the owner's answer
 SWEEP_EVERY = 2.0  # seconds between steps
@@ -46,7 +46,7 @@
         first, bodies = batch[0][0].n, [pack(purge, key) for purge, key in batch]
         return self.duty.command(KEEP, [first, bodies]).addCallback(self._told, "kept")
 
-    def members(self, joined, left):
+    def update_followers(self, joined, left):
         parts = [
             self.duty.command(NAMES, [joined[at : at + MOST_NAMES], left[at : at + MOST_NAMES]])
             for at in range(0, max(len(joined), len(left)), MOST_NAMES)
--- a/hookrouter/purges/fence.py
+++ b/hookrouter/purges/fence.py
@@ -6,7 +6,7 @@
 
 JOINING, CURRENT, FENCED = "joining", "current", "fenced"
 GRANTED, LAPSED, LONG, DENIED = "granted", "lapsed", "long", "denied"
-FORGOTTEN = 100  # leases without one, and the desk may have struck the member off: 5 min at 3 s
+FORGOTTEN = 100  # leases without one, and the desk may have struck the follower off: 5 min at 3 s
 
 
 class Fence:
--- a/hookrouter/purges/members.py
+++ b/hookrouter/purges/followers.py
@@ -1,17 +1,19 @@
 """Who must have heard of a purge before it is in effect, by leases; and when each purge was.
 
-A member is a router, or a relay with the routers below it. Its lease says: until then it may answer from
-copies that purges beyond its position have made old. Once it has run out the member holds to copies younger
+A follower is a router, or a relay with the routers below it. Its lease says: until then it may answer from
+copies that purges beyond its position have made old. Once it has run out the follower holds to copies younger
 than the lease by itself, so no purge waits for it longer than that. Leases end by a purge's acceptance plus
 the lease, whoever is behind: that is the latest time stated.
+
+Operators see followers as "members": that word stands in answers, counters, log lines and the store.
 """
 
 from collections import deque
 from typing import NamedTuple
 
-DRIFT = 0.01  # share by which the clocks of members may run slower: quartz is a thousand times better
-STRUCK_OFF = 200  # leases without word and a member is none; by FORGOTTEN it knows that long before
-MOST_MEMBERS = 10_000  # of one desk or relay; more hang off relays
+DRIFT = 0.01  # share by which the clocks of followers may run slower: quartz is a thousand times better
+STRUCK_OFF = 200  # leases without word and a follower is none; by FORGOTTEN it knows that long before
+MOST_FOLLOWERS = 10_000  # of one desk or relay; more hang off relays
 NEVER = -(1 << 62)
 
 LIVE, LAPSED, UNHEARD = "live", "lapsed", "unheard"
@@ -19,7 +21,7 @@
 
 class Renewal(NamedTuple):
     name: str
-    generation: int  # of this life of the member; a later one ends those before
+    generation: int  # of this life of the follower; a later one ends those before
     on_branch: bool  # its position is one of this order
     n: int  # all up to here is applied; at a relay by all below that are live
     all: int  # at a relay: by all below, those whose lease has run out too; else n
@@ -33,7 +35,7 @@
     lease_from: int  # who lacks it may have a lease from then on; NEVER: it may be in effect already
 
 
-class Member:
+class Follower:
     __slots__ = ("name", "generation", "n", "all", "until", "skew", "relay", "heard", "had_lease")
 
     def __init__(self, name, generation, until, had_lease=True):
@@ -43,7 +45,7 @@
         self.skew, self.relay, self.heard = 0, False, None
 
 
-class Members:
+class Followers:
     """names: (name, generation) of those that a former life knew. assumed: for how long their leases may
     still run; 0 at a relay, since the desk goes on counting what it granted to the relay's former life."""
 
@@ -51,7 +53,7 @@
         self.lease, self.skew, self.rounding = lease, skew, rounding
         self.span = int(lease * (1 + DRIFT)) + 1
         until = now + (self.span if assumed is None else assumed)
-        self.rows = {name: Member(name, generation, until) for name, generation in names}
+        self.rows = {name: Follower(name, generation, until) for name, generation in names}
         self.ghosts = []  # (until, n): leases of former lives, each for a lease at most
         self.struck = set()
         self.undone = deque()
@@ -70,7 +72,7 @@
         self.undone.extend(Undone(purge.n, now, NEVER) for purge in purges)
 
     def renew(self, now, renewal, newest, most=None):
-        """The span granted, 0 where it is behind; None where it is an older life of a member, or too many.
+        """The span granted, 0 where it is behind; None where it is an older life of a follower, or too many.
 
         most: at a relay, what is left of its own lease: those below cannot be granted more.
         """
@@ -78,13 +80,13 @@
         # An earlier life only once the later one's lease is over: its clock may have been set back between.
         if row is not None and renewal.generation < row.generation and row.until > now:
             return None
-        if row is None and len(self.rows) >= MOST_MEMBERS:
+        if row is None and len(self.rows) >= MOST_FOLLOWERS:
             return None
         if row is None or renewal.generation != row.generation:
             if row is not None and row.until > now:
                 # Routers below a relay's former life, or a second one of the same name, may rely on it yet.
                 self.ghosts.append((row.until, row.n))
-            row = self.rows[renewal.name] = Member(
+            row = self.rows[renewal.name] = Follower(
                 renewal.name, renewal.generation, now, row is not None and row.had_lease
             )
         row.heard, row.relay, row.skew = now, renewal.relay, renewal.skew
@@ -110,7 +112,7 @@
         return self.undone[lacks].lease_from + self.lease - now
 
     def other_branch(self):
-        """What members have applied is not of this order: nothing is known until they say so again."""
+        """What followers have applied is not of this order: nothing is known until they say so again."""
         for row in self.rows.values():
             row.n = row.all = -1
 
@@ -131,7 +133,7 @@
         return LIVE if row.until > now else LAPSED
 
     def least(self, now):
-        """(what all live members have, what all members have); None where there are none."""
+        """(what all live followers have, what all followers have); None where there are none."""
         live = [row.n for row in self.rows.values() if row.until > now]
         self.ghosts = [(until, n) for until, n in self.ghosts if until > now]
         live.extend(n for _, n in self.ghosts)
@@ -174,7 +176,7 @@
         return accepted + self.span + self.settling()
 
     def behind(self, now, n):
-        """Members that lack this purge, as (name, state, position), the farthest behind first."""
+        """Followers that lack this purge, as (name, state, position), the farthest behind first."""
         rows = [
             (row.name, self.state(now, row), row.all)
             for row in self.rows.values()
--- a/hookrouter/purges/wire.py
+++ b/hookrouter/purges/wire.py
@@ -13,7 +13,7 @@
 MOST = 1 << 53  # of any number here: beyond it stores and other languages' readers go wrong
 
 Whole = Annotated[int, msgspec.Meta(ge=0, le=MOST)]
-Name = Annotated[str, msgspec.Meta(pattern="^[!-~]{1,64}$")]  # of a member: it stands in logs
+Name = Annotated[str, msgspec.Meta(pattern="^[!-~]{1,64}$")]  # of a follower: it stands in logs
 Row = tuple[Whole, Whole, Whole, str, str]
 
 
--- a/hookrouter/stores/purge_log.py
+++ b/hookrouter/stores/purge_log.py
@@ -1,4 +1,4 @@
-"""The desk's store: purges in order, each sealed over all before it; epochs; the names of members.
+"""The desk's store: purges in order, each sealed over all before it; epochs; the names of followers.
 
 SQLite in WAL mode with synchronous FULL: a transaction that has returned is on disk, one that was cut off is
 not there at all (sqlite.org/wal.html). SQLite does not check its pages, so each row carries a seal over
@@ -33,7 +33,7 @@
     epoch: int  # the last life's
     floor: int  # all up to this number is folded away
     rows: list  # of (Purge, key), in order
-    members: list  # of (name, generation)
+    followers: list  # of (name, generation)
 
 
 def pack(purge, key):
@@ -175,7 +175,7 @@
         with transaction(self.file):
             self._step_sweep(upto)
 
-    def members(self, joined, left):
+    def update_followers(self, joined, left):
         """joined: (name, generation); left: names."""
         with transaction(self.file):
             self._step_names(joined, left)
--- a/tests/test_purge_follower.py
+++ b/tests/test_purge_follower.py
@@ -8,7 +8,7 @@
 from hookrouter.desk.above import SLOW, Above, Stream
 from hookrouter.feed.purges import PurgeFeed
 from hookrouter.purges import wire
-from hookrouter.purges.members import Members
+from hookrouter.purges.followers import Followers
 from hookrouter.purges.tail import Tail
 from hookrouter.tables.deadlines import Deadlines
 
@@ -182,7 +182,7 @@
 class Lone(Above):
     def __init__(self, net, recent):
         super().__init__(net, lambda *args, **more: None)
-        self.tail, self.members = Tail(1 << 60, 5, recent=recent), Members(SECOND, 0, 0, 0)
+        self.tail, self.followers = Tail(1 << 60, 5, recent=recent), Followers(SECOND, 0, 0, 0)
         self.clock, self.names, self.asked = (lambda: 77), set(), []
 
     def noted(self, name, generation):
@@ -193,9 +193,9 @@
 def test_no_lease_is_given_before_its_name_would_outlive_a_crash():
     above = Lone(Net(), 10)
     asked = wire.Renew("r1", 1, 0, 0, 0, 0, 0, 0)
-    assert above.renew(asked).span == 0 and above.members.rows == {} and above.asked == ["r1"]
+    assert above.renew(asked).span == 0 and above.followers.rows == {} and above.asked == ["r1"]
     above.names.add("r1")
-    assert above.renew(asked).span == SECOND and list(above.members.rows) == ["r1"]
+    assert above.renew(asked).span == SECOND and list(above.followers.rows) == ["r1"]
     assert above.renew(wire.Renew("r1", 0, 0, 0, 0, 0, 0, 0)) is None
 
 
--- a/tests/test_purge_store.py
+++ b/tests/test_purge_store.py
@@ -21,7 +21,7 @@
     log.load()
     assert log.begin(1) == 1
     log.append(batch(1, last))
-    log.members([("r1", 5), ("r2", 6)], ["r9"])
+    log.update_followers([("r1", 5), ("r2", 6)], ["r9"])
     return log
 
 
@@ -30,7 +30,7 @@
     filled(path).close()
     log = PurgeLog(path)
     loaded = log.load()
-    assert (loaded.epoch, loaded.floor, loaded.rows, loaded.members) == (
+    assert (loaded.epoch, loaded.floor, loaded.rows, loaded.followers) == (
         1,
         0,
         batch(1, 3_000),
@@ -39,11 +39,11 @@
     assert [log.begin(0), log.begin(7), log.begin(5)] == [2, 7, 8]
     log.fold(2_999)
     log.append(batch(3_001, 3_002, 8))
-    log.members([], ["r1"])
+    log.update_followers([], ["r1"])
     log.close()
     log = PurgeLog(path, must_exist=True)
     loaded = log.load()
-    assert (loaded.floor, [p.n for p, _ in loaded.rows], loaded.members) == (
+    assert (loaded.floor, [p.n for p, _ in loaded.rows], loaded.followers) == (
         2_999,
         [3_000, 3_001, 3_002],
         [("r2", 6)],
@@ -72,7 +72,7 @@
     log.append([(Purge(epoch, m, m, "object", f"o{m}"), f"k{m}") for m in range(n, n + 50)])
     print(n + 49, flush=True)
     log.fold(n - 1_000)
-    log.members([(f"m{k}", k)], [f"m{k - 1}"])
+    log.update_followers([(f"m{k}", k)], [f"m{k - 1}"])
 """
 
 
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -10,8 +10,8 @@
 from hookrouter.purges import ledger as g
 from hookrouter.purges import place as p
 from hookrouter.purges import tail as t
+from hookrouter.purges.followers import Followers, Renewal
 from hookrouter.purges.index import Index
-from hookrouter.purges.members import Members, Renewal
 from hookrouter.purges.tags import Listed, read_tags
 
 SECOND = 10_000
@@ -281,41 +281,41 @@
 
 
 def test_a_purge_is_in_effect_once_all_have_it_or_hold_to_young_copies():
-    members = Members(LEASE, SKEW, 20, 0)
-    assert members.renew(0, renewal("a", 0), 0) == members.renew(0, renewal("b", 0), 0) == LEASE
-    members.accepted(100, [Purge(1, 1, 100, types.OBJECT, "x")])
-    assert members.renew(200, renewal("a", 1), 1) == LEASE
-    assert members.renew(5_000, renewal("b", 0), 1) == 100 + LEASE - 5_000  # no more than from the purge on
-    assert members.settle(6_000) == [] and members.behind(6_000, 1) == [("b", "live", 0)]
-    assert members.renew(20_300, renewal("b", 0), 1) == 0
-    end = members.latest(100)
-    assert members.due(20_000) <= end
-    assert members.settle(100 + members.span - 1) == []
+    followers = Followers(LEASE, SKEW, 20, 0)
+    assert followers.renew(0, renewal("a", 0), 0) == followers.renew(0, renewal("b", 0), 0) == LEASE
+    followers.accepted(100, [Purge(1, 1, 100, types.OBJECT, "x")])
+    assert followers.renew(200, renewal("a", 1), 1) == LEASE
+    assert followers.renew(5_000, renewal("b", 0), 1) == 100 + LEASE - 5_000  # no more than from the purge on
+    assert followers.settle(6_000) == [] and followers.behind(6_000, 1) == [("b", "live", 0)]
+    assert followers.renew(20_300, renewal("b", 0), 1) == 0
+    end = followers.latest(100)
+    assert followers.due(20_000) <= end
+    assert followers.settle(100 + followers.span - 1) == []
     # What the origin gives out meanwhile may bear an older time.
-    assert members.settle(100 + members.span) == []
-    assert members.settle(end) == [(1, 100, end)]
-    assert members.behind(end, 1) == [("b", "lapsed", 0)]
+    assert followers.settle(100 + followers.span) == []
+    assert followers.settle(end) == [(1, 100, end)]
+    assert followers.behind(end, 1) == [("b", "lapsed", 0)]
 
 
 def test_a_desk_that_started_anew_reckons_with_leases_of_its_former_life():
-    members = Members(LEASE, 0, 0, 1_000, [("a", 7)])
-    members.read_anew(1_000, [Purge(1, 1, 100, types.OBJECT, "x")])
-    assert members.settle(1_100) == [] and members.behind(1_100, 1) == [("a", "unheard", -1)]
-    assert members.renew(1_200, renewal("a", 0, 7), 1) == 0  # it may have been in effect before
-    assert members.renew(1_200, renewal("a", 1, 6), 1) is None  # an older life of the same router
-    assert members.renew(1_300, renewal("a", 1, 7), 1) == LEASE
-    assert members.settle(1_300) == [] and [n for n, _, _ in members.settle(1_700)] == [1]
-    assert members.renew(1_400, renewal("a", 0, 8), 1) == 0  # it starts again; its former life may go on
-    members.accepted(1_500, [Purge(2, 2, 1_500, types.OBJECT, "z")])
-    assert members.renew(1_600, renewal("a", 2, 8), 2) == LEASE
-    assert members.settle(1_600 + LEASE // 2) == []
-    assert members.renew(1_700, renewal("a", 2, 7), 2) is None
-    assert members.settle(1_400 + 2 * LEASE) == []
-    assert [n for n, _, _ in members.settle(1_800 + 2 * LEASE)] == [2]
-    assert members.renew(2_000 + 2 * LEASE, renewal("a", 2, 7), 2) == LEASE  # the later one's lease is over
-    members.left("a", 7)
+    followers = Followers(LEASE, 0, 0, 1_000, [("a", 7)])
+    followers.read_anew(1_000, [Purge(1, 1, 100, types.OBJECT, "x")])
+    assert followers.settle(1_100) == [] and followers.behind(1_100, 1) == [("a", "unheard", -1)]
+    assert followers.renew(1_200, renewal("a", 0, 7), 1) == 0  # it may have been in effect before
+    assert followers.renew(1_200, renewal("a", 1, 6), 1) is None  # an older life of the same router
+    assert followers.renew(1_300, renewal("a", 1, 7), 1) == LEASE
+    assert followers.settle(1_300) == [] and [n for n, _, _ in followers.settle(1_700)] == [1]
+    assert followers.renew(1_400, renewal("a", 0, 8), 1) == 0  # it starts again; its former life may go on
+    followers.accepted(1_500, [Purge(2, 2, 1_500, types.OBJECT, "z")])
+    assert followers.renew(1_600, renewal("a", 2, 8), 2) == LEASE
+    assert followers.settle(1_600 + LEASE // 2) == []
+    assert followers.renew(1_700, renewal("a", 2, 7), 2) is None
+    assert followers.settle(1_400 + 2 * LEASE) == []
+    assert [n for n, _, _ in followers.settle(1_800 + 2 * LEASE)] == [2]
+    assert followers.renew(2_000 + 2 * LEASE, renewal("a", 2, 7), 2) == LEASE  # the later one's lease is over
+    followers.left("a", 7)
     # Behind, and without a lease so far: waits for none.
-    assert members.renew(80_000, renewal("new", 0), 2) == 0
-    members.accepted(90_000, [Purge(2, 3, 90_000, types.OBJECT, "y")])
-    assert members.settle(90_000) == []  # nobody is left to wait for, but what the skew asks
-    assert members.settle(90_000 + 2 * SKEW) == [(3, 90_000, 90_000 + 2 * SKEW)]
+    assert followers.renew(80_000, renewal("new", 0), 2) == 0
+    followers.accepted(90_000, [Purge(2, 3, 90_000, types.OBJECT, "y")])
+    assert followers.settle(90_000) == []  # nobody is left to wait for, but what the skew asks
+    assert followers.settle(90_000 + 2 * SKEW) == [(3, 90_000, 90_000 + 2 * SKEW)]
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -103,7 +103,7 @@
     assert not log.part(3, b"0" * 16, 1)[3] and log.part(9, b"", 1) == (9, b"", [], True)
     log.close()
     log = PurgeLog(tmp_path / "p.db")
-    assert [p.n for p, _ in log.load().rows] == [3, 4, 5] and log.load().members == [("m", 3)]
+    assert [p.n for p, _ in log.load().rows] == [3, 4, 5] and log.load().followers == [("m", 3)]
     assert log.older(105, 10) == 4 and log.older(105, 1) == 3 and log.older(1, 10) == 0
     log.close()
 
@@ -311,7 +311,7 @@
     log.load()
     made_at = int(time.time() * 10_000)
     log.append([(Purge(77, n, made_at + n, "tag", f"t{n}"), f"key{n}") for n in range(1, 8)])
-    log.members([("edge-1", 5)], [])
+    log.update_followers([("edge-1", 5)], [])
     log.fold(3)
     log.close()
     made.start()
@@ -330,5 +330,5 @@
     rows = copies(made)
     assert {len(found) for found in rows.values()} == {5}
     log = PurgeLog(tmp_path / "k2-purges.db")
-    assert log.load().floor == 3 and ("edge-1", 5) in log.load().members
+    assert log.load().floor == 3 and ("edge-1", 5) in log.load().followers
     log.close()
