--- a/benchmarks/purges/desk.py
+++ b/benchmarks/purges/desk.py
@@ -4,11 +4,11 @@
 from hookrouter.purges.followers import Followers, Renewal
 from hookrouter.purges.tail import RESUME, Tail
 
-from .links import Above
+from .links import Publisher
 from .shapes import HOLD, LEASE, ROUNDING, SECOND, SKEW, Told
 
 
-class Desk(Above):
+class Desk(Publisher):
     def __init__(self, world):
         self.world, self.up, self.links = world, False, set()
         self.name = "desk"
@@ -54,7 +54,7 @@
         self.up, self.writing, self.links = False, None, set()
         self.life += 1
         for node in (*self.world.relays, *self.world.routers):
-            if node.link is not None and node.link.above is self:
+            if node.link is not None and node.link.upstream is self:
                 node.link.cut()
         if self.world.shape.restore:
             if self.kept is not None and dice.random() < 0.5:
@@ -75,7 +75,7 @@
     def kill_quietly(self):
         self.writing = None
         for node in (*self.world.relays, *self.world.routers):
-            if node.link is not None and node.link.above is self:
+            if node.link is not None and node.link.upstream is self:
                 node.link.cut()
 
     def submit(self, key, items):
--- a/benchmarks/purges/followers.py
+++ b/benchmarks/purges/followers.py
@@ -6,15 +6,15 @@
 from hookrouter.purges.followers import Followers, Renewal
 from hookrouter.purges.tail import RESUME, Tail
 
-from .links import Above, Link
+from .links import Link, Publisher
 from .shapes import GRACE, GROUPS, HOLD, KINDS, LEASE, OBJECTS, ROUNDING, SECOND, SKEW, TAGS
 
 
 class Follower:
     """What a relay and a router have in common: a place in the order, and a lease to renew."""
 
-    def setup(self, world, name, above):
-        self.world, self.name, self.above = world, name, above
+    def setup(self, world, name, upstream):
+        self.world, self.name, self.upstream = world, name, upstream
         self.link, self.generation, self.life, self.paused_until = None, 0, 0, 0
         self.off = world.dice.randint(-SKEW // 2, SKEW // 2)
 
@@ -29,7 +29,7 @@
     def restart(self):
         if self.link is not None:
             self.link.open = False
-            self.above.links.discard(self.link)
+            self.upstream.links.discard(self.link)
             self.link = None
         self.life += 1
         self.world.after(self.world.dice.randint(100, SECOND), self.start)
@@ -37,15 +37,15 @@
     def _connect(self, life):
         if life != self.life or self.link is not None:
             return
-        if not self.above.ready():
+        if not self.upstream.ready():
             self.world.after(500, self._connect, life)
             return
-        self.link = Link(self.world, self.above, self)
+        self.link = Link(self.world, self.upstream, self)
         self.world.after(self.world.delay(), self._hello, self.link)
 
     def _hello(self, link):
-        if link.open and self.above.ready():
-            self.above.serve(self.place.position, self.place.seen, link)
+        if link.open and self.upstream.ready():
+            self.upstream.serve(self.place.position, self.place.seen, link)
         else:
             link.cut()
 
@@ -105,7 +105,7 @@
         if self.world.dice.random() >= self.world.shape.loss:
             self.world.after(
                 self.world.delay(),
-                self.above.renew,
+                self.upstream.renew,
                 self.name,
                 self.generation,
                 self.place.position,
@@ -125,9 +125,9 @@
             self.grant(asked, span, clock)
 
 
-class Relay(Follower, Above):
-    def __init__(self, world, name, above):
-        self.setup(world, name, above)
+class Relay(Follower, Publisher):
+    def __init__(self, world, name, upstream):
+        self.setup(world, name, upstream)
         self.links, self.names = set(), {}
         self.fresh()
 
@@ -136,7 +136,7 @@
 
     def fresh(self):
         for router in getattr(self.world, "routers", ()):
-            if router.link is not None and router.link.above is self:
+            if router.link is not None and router.link.upstream is self:
                 router.link.cut()
         self.links = set()
         self.tail, self.fence = Tail(HOLD, 0), Fence(LEASE)
@@ -179,8 +179,8 @@
 
 
 class Router(Follower):
-    def __init__(self, world, name, above):
-        self.setup(world, name, above)
+    def __init__(self, world, name, upstream):
+        self.setup(world, name, upstream)
         self.fresh()
         world.after(0, self._lookup)
 
--- a/benchmarks/purges/links.py
+++ b/benchmarks/purges/links.py
@@ -4,10 +4,10 @@
 
 
 class Link:
-    """One connection of a follower to what is above: in order, until it is cut."""
+    """One connection of a follower to its desk or relay: in order, until it is cut."""
 
-    def __init__(self, world, above, follower):
-        self.world, self.above, self.follower = world, above, follower
+    def __init__(self, world, upstream, follower):
+        self.world, self.upstream, self.follower = world, upstream, follower
         self.open, self.last = True, 0
 
     def down(self, word, *args):
@@ -26,11 +26,11 @@
     def cut(self):
         if self.open:
             self.open = False
-            self.above.links.discard(self)
+            self.upstream.links.discard(self)
             self.world.after(self.world.delay(), self.follower.lost, self)
 
 
-class Above:
+class Publisher:
     """What the desk and a relay have in common: an order told to followers, and their leases."""
 
     def serve(self, position, seen, link):
--- a/hookrouter/desk/admission.py
+++ b/hookrouter/desk/admission.py
@@ -29,13 +29,13 @@
 
 
 class Admission:
-    def __init__(self, reactor, log, sections, above, name, elsewhere=None):
-        """above: the Desk or Relay; its rows of followers are those that will come. elsewhere: see Gate."""
+    def __init__(self, reactor, log, sections, publisher, name, elsewhere=None):
+        """publisher: the Desk or Relay; its followers are those that will come. elsewhere: see Gate."""
         section = sections["admission"]
         secret = section["secret"] or sections["purges"]["secret"]
         terms = Terms(name, int(time.time() * 1_000), tickets.key_of(secret.value), section["share"] / 100)
-        self.reactor, self.log, self.above = reactor, log, above
-        known = len(above.followers.rows)
+        self.reactor, self.log, self.publisher = reactor, log, publisher
+        known = len(publisher.followers.rows)
         self.gate = Gate(terms, steady(), known, Random(), elsewhere)
         self.conns, self.last = {}, 0  # number -> Waiting
         self.call = self.wake = None
@@ -56,9 +56,9 @@
 
     def comes(self, request, position, seen):
         """For a request of the feed; what render gives back."""
-        place = self.above.tail.place(position, seen)
+        place = self.publisher.tail.place(position, seen)
         if place == t.RAISE:
-            self.above.raise_epoch(seen)
+            self.publisher.raise_epoch(seen)
             return answer(request, 409, {"error": "come again"}, Retry_After=1)
         name = (request.getHeader(b"x-member") or request.getClientAddress().host.encode()).decode("latin-1")
         left = request.getHeader(b"x-lease")
@@ -74,7 +74,7 @@
 
     def _how(self, position, seen):
         """By what it costs: a long tail is no cheaper than a snapshot."""
-        tail = self.above.tail
+        tail = self.publisher.tail
         short = tail.newest.n - position.n <= SHORT
         return w.TAIL if short and tail.place(position, seen) == t.RESUME else w.SNAPSHOT
 
@@ -96,7 +96,7 @@
                 self._tell(waiting.request, effect)
             else:
                 del self.conns[effect.conn]
-                self.above.count("followers_shut")
+                self.publisher.count("followers_shut")
                 waiting.request.channel.forceAbortClient()
         now = steady()
         due = self.gate.wake(now)
@@ -110,10 +110,10 @@
 
     def _later(self, call, *args):
         """In the reactor's next turn: what was admitted may end before the gate has returned."""
-        self.reactor.callLater(0, lambda: self.above.stopped or self._carry(call(steady(), *args)))
+        self.reactor.callLater(0, lambda: self.publisher.stopped or self._carry(call(steady(), *args)))
 
     def _admit(self, conn, waiting):
-        above, now = self.above, steady()
+        publisher, now = self.publisher, steady()
         self.gate.began(now, self._how(waiting.position, waiting.seen))
         request = waiting.request
         request.setHeader(b"Content-Type", b"text/event-stream")
@@ -123,7 +123,7 @@
         def given():
             self._later(self.gate.ended, conn, steady() - now)
 
-        if not above.follow(request, waiting.position, waiting.seen, given):
+        if not publisher.follow(request, waiting.position, waiting.seen, given):
             del self.conns[conn]
             self._later(self.gate.ended, conn, 1)
             request.write(answer(request, 409, {"error": "come again"}, Retry_After=1))
@@ -150,9 +150,9 @@
 
     def _look(self):
         self.call = None
-        if not self.above.stopped:
+        if not self.publisher.stopped:
             self._carry(self.gate.tick(steady()))
 
     def _wake(self):
-        if not self.above.stopped:
+        if not self.publisher.stopped:
             self._carry(self.gate.pump(steady()))
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -8,7 +8,7 @@
 from ..purges import wire
 from ..purges.followers import Followers
 from ..purges.guard import ROUNDING
-from .above import Above, steady
+from .publisher import Publisher, steady
 
 SECOND = 10_000
 FOLD_EVERY = 10.0  # seconds between looks at what is older than the hold
@@ -29,7 +29,7 @@
         return self.at
 
 
-class Desk(Above):
+class Desk(Publisher):
     def __init__(self, reactor, log, purges, desk, store, read, most_batch=g.MOST_BATCH):
         """purges, desk: the sections of the operator's file. store: as own.Own; read: what its read gave."""
         super().__init__(reactor, log)
--- a/hookrouter/desk/paced.py
+++ b/hookrouter/desk/paced.py
@@ -3,10 +3,10 @@
 """
 
 
-def paced(above, sections, name, log):
-    """above: the Desk or Relay, given back."""
+def paced(publisher, sections, name, log):
+    """publisher: the Desk or Relay, given back."""
     if "admission" in sections:
         from .admission import Admission
 
-        above.admission = Admission(above.reactor, log, sections, above, name)
-    return above
+        publisher.admission = Admission(publisher.reactor, log, sections, publisher, name)
+    return publisher
--- a/hookrouter/desk/above.py
+++ b/hookrouter/desk/publisher.py
@@ -1,120 +1,18 @@
-"""What desk and relay have in common: an order told to followers, and leases that they renew."""
+"""What desk and relay have in common: an order published to followers, and leases that they renew."""
 
 from ..feed.purges import steady
 from ..purges import tail as t
 from ..purges import wire
 from ..purges.followers import Renewal
 from ..purges.types import Position
+from .stream import Stream
 
 BEAT = 0.5  # seconds between heartbeats: four in the shortest silence that a follower bears
-SLOW = 5.0  # seconds that a follower may leave what was written unread; then it is cut, and resumes
-EVENTS = 8  # events written to one follower before the others get their turn
-PAUSED = 0.02  # seconds that one who is being admitted may not read, until the next one's turn
 LOOK = 0.002  # seconds until a look whether purges are in effect
 MOST_STREAMS = 2_000  # followers of one desk or relay; more hang off relays
 
 
-class Stream:
-    """One follower's connection. Nothing is kept for it but its place: what it has not read stays in the
-    order.
-    """
-
-    def __init__(self, above, request, n, snapshot, given=None):
-        """given(): called once when it is up to date, or reads too slowly to be waited for."""
-        self.given = given
-        self.above, self.request, self.n = above, request, n
-        self.snapshot, self.end = snapshot, None
-        self.paused_since, self.pumping, self.over = None, False, False
-        if snapshot is not None:
-            newest = above.tail.newest
-            self.end = wire.Event("end", above.tail.epoch, n=newest.n, of=newest.epoch, count=len(snapshot))
-            self._write(wire.Event("begin", above.tail.epoch))
-        request.registerProducer(self, True)
-
-    # what the transport says
-
-    def pauseProducing(self):
-        self.paused_since = self.above.reactor.seconds()
-        if self.given is not None:
-            self.above.reactor.callLater(PAUSED, self._still_paused, self.paused_since)
-
-    def resumeProducing(self):
-        self.paused_since = None
-        self.pump()
-
-    def stopProducing(self):
-        self.close()
-
-    def close(self):
-        """The one end of it."""
-        if not self.over:
-            self.over = True
-            self.above.streams.pop(self, None)
-
-    def cut(self):
-        if not self.over:
-            self.close()
-            self.request.channel.forceAbortClient()
-
-    # what it is given
-
-    def _write(self, event):
-        self.request.write(self.above.encoded(event))
-
-    def _still_paused(self, since):
-        if self.paused_since == since:
-            self._is_given()
-
-    def _is_given(self):
-        given, self.given = self.given, None
-        if given is not None:
-            given()
-
-    def pump(self):
-        """Up to so many events now, the rest in the reactor's next turn, until it is up to date or paused."""
-        self.pumping = False
-        for _ in range(EVENTS):
-            if self.over or self.paused_since is not None:
-                return
-            event = self._next()
-            if event is None:
-                self._is_given()
-                return
-            self._write(event)
-        self.pumping = True
-        self.above.reactor.callLater(0, self._turn)
-
-    def _turn(self):
-        if self.pumping:
-            self.pump()
-
-    def _next(self):
-        tail = self.above.tail
-        if self.snapshot is not None:
-            if self.snapshot:
-                part, self.snapshot = self.snapshot[: wire.MOST_IN_EVENT], self.snapshot[wire.MOST_IN_EVENT :]
-                return wire.Event("purges", tail.epoch, purges=part)
-            self.snapshot, event = None, self.end
-            return event
-        if self.n >= tail.newest.n:
-            return None
-        if not tail.recent or self.n + 1 < tail.recent[0].n:
-            self.cut()  # too far behind: it comes again, for a snapshot
-            return None
-        purges = tail.after(self.n, wire.MOST_IN_EVENT)
-        self.n = purges[-1].n
-        return wire.Event("purges", tail.epoch, purges=purges)
-
-    def beat(self):
-        if self.paused_since is None and not self.pumping:
-            self._write(wire.Event("beat", self.above.tail.epoch, n=self.above.tail.newest.n))
-        elif self.paused_since is not None and self.above.reactor.seconds() - self.paused_since > SLOW:
-            self.above.log("follower does not read, cut; it resumes from its place")
-            self.above.count("followers_cut")
-            self.cut()
-
-
-class Above:
+class Publisher:
     """tail, followers: the decisions. Subclasses say what is theirs: span_left(), raise_epoch(),
     and noted() and follower_left(), which names outlive the process.
     """
--- a/hookrouter/desk/relay.py
+++ b/hookrouter/desk/relay.py
@@ -8,8 +8,8 @@
 from ..purges.followers import Followers
 from ..purges.guard import ROUNDING
 from ..purges.tail import Tail
-from .above import Above, steady
 from .desk import Clock
+from .publisher import Publisher, steady
 
 NOTE = 0.01  # seconds
 
@@ -38,7 +38,7 @@
         os.replace(f"{self.path}.new", self.path)
 
 
-class Relay(Above):
+class Relay(Publisher):
     """Its followers' leases end with its own at the latest; it reports the least of what they applied."""
 
     def __init__(self, reactor, deadlines, log, purges, relay, paced=False):
--- /dev/null
+++ b/hookrouter/desk/stream.py
@@ -0,0 +1,109 @@
+"""One follower's connection to a desk or relay: the order from its place on, no faster than it reads."""
+
+from ..purges import wire
+
+SLOW = 5.0  # seconds that a follower may leave what was written unread; then it is cut, and resumes
+EVENTS = 8  # events written to one follower before the others get their turn
+PAUSED = 0.02  # seconds that one who is being admitted may not read, until the next one's turn
+
+
+class Stream:
+    """One follower's connection. Nothing is kept for it but its place: what it has not read stays in the
+    order.
+    """
+
+    def __init__(self, publisher, request, n, snapshot, given=None):
+        """given(): called once when it is up to date, or reads too slowly to be waited for."""
+        self.given = given
+        self.publisher, self.request, self.n = publisher, request, n
+        self.snapshot, self.end = snapshot, None
+        self.paused_since, self.pumping, self.over = None, False, False
+        if snapshot is not None:
+            newest = publisher.tail.newest
+            self.end = wire.Event(
+                "end", publisher.tail.epoch, n=newest.n, of=newest.epoch, count=len(snapshot)
+            )
+            self._write(wire.Event("begin", publisher.tail.epoch))
+        request.registerProducer(self, True)
+
+    # what the transport says
+
+    def pauseProducing(self):
+        self.paused_since = self.publisher.reactor.seconds()
+        if self.given is not None:
+            self.publisher.reactor.callLater(PAUSED, self._still_paused, self.paused_since)
+
+    def resumeProducing(self):
+        self.paused_since = None
+        self.pump()
+
+    def stopProducing(self):
+        self.close()
+
+    def close(self):
+        """The one end of it."""
+        if not self.over:
+            self.over = True
+            self.publisher.streams.pop(self, None)
+
+    def cut(self):
+        if not self.over:
+            self.close()
+            self.request.channel.forceAbortClient()
+
+    # what it is given
+
+    def _write(self, event):
+        self.request.write(self.publisher.encoded(event))
+
+    def _still_paused(self, since):
+        if self.paused_since == since:
+            self._is_given()
+
+    def _is_given(self):
+        given, self.given = self.given, None
+        if given is not None:
+            given()
+
+    def pump(self):
+        """Up to so many events now, the rest in the reactor's next turn, until it is up to date or paused."""
+        self.pumping = False
+        for _ in range(EVENTS):
+            if self.over or self.paused_since is not None:
+                return
+            event = self._next()
+            if event is None:
+                self._is_given()
+                return
+            self._write(event)
+        self.pumping = True
+        self.publisher.reactor.callLater(0, self._turn)
+
+    def _turn(self):
+        if self.pumping:
+            self.pump()
+
+    def _next(self):
+        tail = self.publisher.tail
+        if self.snapshot is not None:
+            if self.snapshot:
+                part, self.snapshot = self.snapshot[: wire.MOST_IN_EVENT], self.snapshot[wire.MOST_IN_EVENT :]
+                return wire.Event("purges", tail.epoch, purges=part)
+            self.snapshot, event = None, self.end
+            return event
+        if self.n >= tail.newest.n:
+            return None
+        if not tail.recent or self.n + 1 < tail.recent[0].n:
+            self.cut()  # too far behind: it comes again, for a snapshot
+            return None
+        purges = tail.after(self.n, wire.MOST_IN_EVENT)
+        self.n = purges[-1].n
+        return wire.Event("purges", tail.epoch, purges=purges)
+
+    def beat(self):
+        if self.paused_since is None and not self.pumping:
+            self._write(wire.Event("beat", self.publisher.tail.epoch, n=self.publisher.tail.newest.n))
+        elif self.paused_since is not None and self.publisher.reactor.seconds() - self.paused_since > SLOW:
+            self.publisher.log("follower does not read, cut; it resumes from its place")
+            self.publisher.count("followers_cut")
+            self.cut()
--- a/tests/test_purge_follower.py
+++ b/tests/test_purge_follower.py
@@ -5,7 +5,8 @@
 from purging import SECOND, event, purges, site
 from scenes import BEGAN
 
-from hookrouter.desk.above import SLOW, Above, Stream
+from hookrouter.desk.publisher import Publisher
+from hookrouter.desk.stream import SLOW, Stream
 from hookrouter.feed.purges import PurgeFeed
 from hookrouter.purges import wire
 from hookrouter.purges.followers import Followers
@@ -179,7 +180,7 @@
         self.aborted = True
 
 
-class Lone(Above):
+class Lone(Publisher):
     def __init__(self, net, recent):
         super().__init__(net, lambda *args, **more: None)
         self.tail, self.followers = Tail(1 << 60, 5, recent=recent), Followers(SECOND, 0, 0, 0)
@@ -191,23 +192,23 @@
 
 
 def test_no_lease_is_given_before_its_name_would_outlive_a_crash():
-    above = Lone(Net(), 10)
+    publisher = Lone(Net(), 10)
     asked = wire.Renew("r1", 1, 0, 0, 0, 0, 0, 0)
-    assert above.renew(asked).span == 0 and above.followers.rows == {} and above.asked == ["r1"]
-    above.names.add("r1")
-    assert above.renew(asked).span == SECOND and list(above.followers.rows) == ["r1"]
-    assert above.renew(wire.Renew("r1", 0, 0, 0, 0, 0, 0, 0)) is None
+    assert publisher.renew(asked).span == 0 and publisher.followers.rows == {} and publisher.asked == ["r1"]
+    publisher.names.add("r1")
+    assert publisher.renew(asked).span == SECOND and list(publisher.followers.rows) == ["r1"]
+    assert publisher.renew(wire.Renew("r1", 0, 0, 0, 0, 0, 0, 0)) is None
 
 
 def test_a_follower_that_does_not_read_holds_no_more_than_it_was_given_and_is_cut(tmp_path):
     net = Net()
-    above, request = Lone(net, 2_000), Request()
-    stream = Stream(above, request, 0, None)
-    above.streams[stream] = True
+    publisher, request = Lone(net, 2_000), Request()
+    stream = Stream(publisher, request, 0, None)
+    publisher.streams[stream] = True
     stream.pauseProducing()
     for n in range(1, 1_501):
-        above.tail.add(purges(n)[0])
-        above.tell()
+        publisher.tail.add(purges(n)[0])
+        publisher.tell()
     assert request.written == []
     stream.resumeProducing()
     net.advance(0)
@@ -216,9 +217,9 @@
     stream.pauseProducing()
     net.advance(SLOW + 1)
     stream.beat()
-    assert request.aborted and above.streams == {}
-    late = Stream(above, Request(), 100, None)
+    assert request.aborted and publisher.streams == {}
+    late = Stream(publisher, Request(), 100, None)
     for n in range(1_501, 5_000):
-        above.tail.add(purges(n)[0])
+        publisher.tail.add(purges(n)[0])
     late.pump()
     assert late.request.aborted  # too far behind: it comes again, for a snapshot
