--- a/hookrouter/command/purges.py
+++ b/hookrouter/command/purges.py
@@ -86,14 +86,14 @@
     """
     sections = sections_of(site_file, "purges", "desk")
     from ..desk.desk import Desk
-    from ..desk.own import Own
+    from ..desk.local_store import LocalStore
     from ..desk.paced import paced
     from ..log import Log
 
     log = Log(form=sections.get("log", {}).get("format", "text"))
 
     def made(reactor):
-        store = Own(reactor, sections["desk"]["store"], sections["purges"]["hold"])
+        store = LocalStore(reactor, sections["desk"]["store"], sections["purges"]["hold"])
         try:
             desk = Desk(reactor, log, sections["purges"], sections["desk"], store, store.read(0))
             return paced(desk, sections, "desk", log)
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -31,7 +31,7 @@
 
 class Desk(Publisher):
     def __init__(self, reactor, log, purges, desk, store, read, most_batch=g.MOST_BATCH):
-        """purges, desk: the sections of the operator's file. store: as own.Own; read: what its read gave."""
+        """purges, desk: sections of the operator's file. store: a LocalStore or alike; read: what it read."""
         super().__init__(reactor, log)
         self.clock = Clock()
         self.limits = g.Limits(desk["most live"], desk["most patterns"], most_batch)
--- a/hookrouter/desk/own.py
+++ b/hookrouter/desk/local_store.py
@@ -10,7 +10,7 @@
 from ..stores import PurgeLog, Unusable
 
 
-def taken(loaded, hold, epoch):
+def replayed(loaded, hold, epoch):
     """(Tail, keys) of what a store held, for a life of that epoch."""
     tail, keys = Tail(hold, epoch, loaded.floor), {}
     for purge, key in loaded.rows:
@@ -19,7 +19,7 @@
     return tail, keys
 
 
-class Own:
+class LocalStore:
     """What keeps a desk's order: read or reopen, append, fold, update_followers, close. The other one is
     fleet/member/purges.py.
     """
@@ -42,7 +42,7 @@
         except BaseException:
             self.store.close()
             raise
-        return *taken(loaded, self.hold, epoch), loaded
+        return *replayed(loaded, self.hold, epoch), loaded
 
     def _threaded(self, call, *args):
         return deferToThreadPool(self.reactor, self.pool, call, *args)
--- a/hookrouter/fleet/member/purges.py
+++ b/hookrouter/fleet/member/purges.py
@@ -33,7 +33,7 @@
 
 
 class Kept:
-    """What the desk writes to, as desk.own.Own; here each batch is an entry of the fleet's log."""
+    """What the desk writes to, like a LocalStore; here each batch is an entry of the fleet's log."""
 
     def __init__(self, duty):
         self.duty = duty
--- a/hookrouter/fleet/member/records.py
+++ b/hookrouter/fleet/member/records.py
@@ -9,7 +9,7 @@
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
 
-from ...desk.own import taken
+from ...desk.local_store import replayed
 from ...stores import PurgeLog, Unusable
 from ...stores.purge_log import Damaged, Differs
 from ..decisions.owners import words as w
@@ -176,11 +176,11 @@
         return self.copy.state == c.WHOLE
 
     def read(self, hold, epoch):
-        """A Deferred of (tail, keys, loaded), as own.Own gives it."""
+        """A Deferred of (tail, keys, loaded), as LocalStore gives it."""
 
         def reading():
             loaded = self.store.load()
-            return *taken(loaded, hold, epoch), loaded
+            return *replayed(loaded, hold, epoch), loaded
 
         return self._threaded(reading)
 
