--- a/benchmarks/purges/desk.py
+++ b/benchmarks/purges/desk.py
@@ -92,9 +92,9 @@
                 self.world.after(self.world.dice.randint(5, 300), self._written, self.life)
             elif isinstance(effect, g.Accepted):
                 self.world.acknowledged(effect.purges, effect.repeated)
-            elif isinstance(effect, g.Tell):
+            elif isinstance(effect, g.Publish):
                 self.followers.accepted(self.world.now, effect.purges)
-                self.tell(effect.purges)
+                self.publish(effect.purges)
                 for purge in effect.purges:
                     told = self.world.told[purge.epoch, purge.n]
                     self.world.in_effect.append((self.followers.latest(self.world.now), told))
--- a/benchmarks/purges/followers.py
+++ b/benchmarks/purges/followers.py
@@ -145,7 +145,7 @@
     def apply(self, purge):
         self.tail.epoch = max(self.tail.epoch, self.place.seen)
         self.tail.add(purge)
-        self.tell([purge])
+        self.publish([purge])
 
     def snapshot(self, parts):
         self.tail.epoch = self.place.seen
--- a/benchmarks/purges/links.py
+++ b/benchmarks/purges/links.py
@@ -50,7 +50,7 @@
                 link.down("purge", self.tail.epoch, purge)
         self.links.add(link)
 
-    def tell(self, purges):
+    def publish(self, purges):
         for link in sorted(self.links, key=lambda link: link.follower.name):
             for purge in purges:
                 link.down("purge", self.tail.epoch, purge)
--- a/hookrouter/desk/admission.py
+++ b/hookrouter/desk/admission.py
@@ -93,7 +93,7 @@
                 self._admit(effect.conn, waiting)
             elif isinstance(effect, w.Tell):
                 del self.conns[effect.conn]
-                self._tell(waiting.request, effect)
+                self._turn_away(waiting.request, effect)
             else:
                 del self.conns[effect.conn]
                 self.publisher.count("followers_shut")
@@ -129,17 +129,17 @@
             request.write(answer(request, 409, {"error": "come again"}, Retry_After=1))
             request.finish()
 
-    def _tell(self, request, told):
+    def _turn_away(self, request, reply):
         fields = {
-            "Retry_After": -(-told.wait // SECOND),
-            "X_Wait": told.wait,
-            "X_Fleet": told.fleet,
-            "X_Late": int(told.late),
+            "Retry_After": -(-reply.wait // SECOND),
+            "X_Wait": reply.wait,
+            "X_Fleet": reply.fleet,
+            "X_Late": int(reply.late),
         }
-        if told.ticket:
-            fields["X_Ticket"] = told.ticket
-        if told.elsewhere:
-            fields["X_Elsewhere"] = told.elsewhere
+        if reply.ticket:
+            fields["X_Ticket"] = reply.ticket
+        if reply.elsewhere:
+            fields["X_Elsewhere"] = reply.elsewhere
         request.write(answer(request, 503, {"error": "come when told"}, **fields))
         request.finish()
 
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -1,4 +1,4 @@
-"""The desk: takes purges, makes them durable, tells them in order, and says from when each is in effect."""
+"""The desk: takes purges, makes them durable, publishes them in order, says from when each is in effect."""
 
 import time
 
@@ -13,7 +13,7 @@
 SECOND = 10_000
 FOLD_EVERY = 10.0  # seconds between looks at what is older than the hold
 REOPEN_EVERY = 1.0  # seconds between tries to read a store that failed
-MOST_LATEST = 10_000  # purges whose numbers and times are told on request
+MOST_LATEST = 10_000  # purges whose numbers and times are shown on request
 
 
 class Clock:
@@ -112,8 +112,8 @@
         for effect in effects:
             if isinstance(effect, g.Write):
                 self.store.append(effect.batch).addCallbacks(self._written, self._failed)
-            elif isinstance(effect, g.Tell):
-                self._tell(effect.purges, effect.keys)
+            elif isinstance(effect, g.Publish):
+                self._publish(effect.purges, effect.keys)
             elif isinstance(effect, g.Reopen):
                 self._reopen(least)
             else:
@@ -133,7 +133,7 @@
         self.count("batches_failed")
         self._carry(self.ledger.failed())
 
-    def _tell(self, purges, keys):
+    def _publish(self, purges, keys):
         now, wall = steady(), self.clock()
         self.followers.accepted(now, purges)
         for purge, key in zip(purges, keys):
@@ -144,7 +144,7 @@
             n = next(iter(self.accepted))
             del self.accepted[n]
             self.effects.pop(n, None)
-        self.tell()
+        self.publish()
         self.settle()
 
     def in_effect(self, n, accepted, at):
--- a/hookrouter/desk/local_store.py
+++ b/hookrouter/desk/local_store.py
@@ -1,4 +1,4 @@
-"""The desk's order on a disk of its own; what blocks runs in a thread, in the order of the calls."""
+"""The desk's order on the local disk; what blocks runs in a thread, in the order of the calls."""
 
 import sqlite3
 import time
--- a/hookrouter/desk/publisher.py
+++ b/hookrouter/desk/publisher.py
@@ -79,7 +79,7 @@
         stream.pump()
         return True
 
-    def tell(self):
+    def publish(self):
         for stream in list(self.streams):
             if not stream.pumping:
                 stream.pump()
@@ -120,7 +120,7 @@
         return wire.Granted(span, self.tail.epoch, self.clock(), self.followers.settling())
 
     def span_left(self):
-        """What of an own lease bounds those of the followers; None: nothing does."""
+        """The rest of the lease held here, which bounds those of the followers; None: nothing does."""
         return None
 
     def settle(self):
--- a/hookrouter/desk/relay.py
+++ b/hookrouter/desk/relay.py
@@ -1,4 +1,4 @@
-"""A relay: follows the desk, passes on what it is told, and reports upwards for the followers below."""
+"""A relay: follows the desk, passes on what it hears, and reports upwards for the followers below."""
 
 import json
 import os
@@ -42,7 +42,7 @@
     """Its followers' leases end with its own at the latest; it reports the least of what they applied."""
 
     def __init__(self, reactor, deadlines, log, purges, relay, paced=False):
-        """paced: with [admission], it comes back as it is told."""
+        """paced: with [admission], it comes back when the gate says so."""
         super().__init__(reactor, log)
         self.clock = Clock()
         self.fence = Fence(purges["lease"])
@@ -72,7 +72,7 @@
     def ready(self):
         return self.tail.epoch > 0
 
-    # ---- from above
+    # ---- from upstream
 
     def heard(self, epoch):
         self.tail.epoch = max(self.tail.epoch, epoch)
@@ -81,7 +81,7 @@
         # How long a purge has been in effect is not known here: who lacks one gets no lease until it has it.
         for purge in purges:
             self.tail.add(purge)
-        self.tell()
+        self.publish()
         self.settle()
 
     def whole(self, purges, newest):
--- a/hookrouter/purges/fence.py
+++ b/hookrouter/purges/fence.py
@@ -15,7 +15,7 @@
         self.state, self.until, self.now = JOINING, 0, 0
 
     def at(self, now):
-        """The steady clock, told before each decision: a process that was paused learns here that it was."""
+        """The steady clock, read before each decision: a process that was paused learns here that it was."""
         self.now = max(self.now, now)
         if self.now >= self.until:
             self._step(LAPSED)
--- a/hookrouter/purges/followers.py
+++ b/hookrouter/purges/followers.py
@@ -59,7 +59,7 @@
         self.undone = deque()
         self.reached = deque()  # (Undone, when all had it): in effect once it has settled
 
-    # ---- told
+    # ---- events
 
     def accepted(self, now, purges):
         """In order, none left out."""
@@ -74,7 +74,7 @@
     def renew(self, now, renewal, newest, most=None):
         """The span granted, 0 where it is behind; None where it is an older life of a follower, or too many.
 
-        most: at a relay, what is left of its own lease: those below cannot be granted more.
+        most: at a relay, what is left of the lease it holds: those below cannot be granted more.
         """
         row = self.rows.get(renewal.name)
         # An earlier life only once the later one's lease is over: its clock may have been set back between.
@@ -122,7 +122,7 @@
         if row is not None and row.generation == generation:
             del self.rows[name]
 
-    # ---- asked
+    # ---- queries
 
     def settling(self):
         return 2 * max([self.skew, *(row.skew for row in self.rows.values())]) + self.rounding
@@ -163,7 +163,7 @@
         return settled
 
     def due(self, now):
-        """When settle() may have something to say by time alone; None: not before something is told."""
+        """When settle() may have something to say by time alone; None: not before the next event."""
         times = [at + self.settling() for _, at in list(self.reached)[:1]]
         if self.undone:
             times.append(self.undone[0].at + self.span)
--- a/hookrouter/purges/ledger.py
+++ b/hookrouter/purges/ledger.py
@@ -1,7 +1,7 @@
-"""The desk's decisions on submissions: refused, known, or numbered, written and told, in one total order.
+"""The desk's decisions on submissions: refused, known, or numbered, written, published; one total order.
 
 One batch is written at a time; what comes meanwhile makes up the next one, so a slow disk makes batches
-larger and not the wait longer by each. Nothing is answered or told before its batch is durable.
+larger and not the wait longer by each. Nothing is answered or published before its batch is durable.
 """
 
 from collections import deque
@@ -49,7 +49,7 @@
     batch: tuple  # of (Purge, key)
 
 
-class Tell(NamedTuple):
+class Publish(NamedTuple):
     purges: tuple
     keys: tuple  # of their submissions, one for each
 
@@ -65,7 +65,7 @@
 
 
 class Ledger:
-    """tail: what is durable and told. keys: idempotency key -> its purges, of all not folded away."""
+    """tail: what is durable and published. keys: idempotency key -> its purges, of all not folded away."""
 
     def __init__(self, tail, keys, limits):
         self.tail, self.keys, self.limits = tail, keys, limits
@@ -191,17 +191,17 @@
         ]
 
     def _done(self):
-        effects, told, keys = [], [], []
+        effects, published, keys = [], [], []
         for submission, purges in self.batch:
             tokens = self._close(submission, purges)
             self.keys[submission.key] = purges
-            told.extend(purges)
+            published.extend(purges)
             keys.extend([submission.key] * len(purges))
             effects.append(Accepted(submission.token, purges, False))
             effects.extend(Accepted(token, purges, True) for token in tokens)
-        for purge in told:
+        for purge in published:
             self.tail.add(purge)
-        return [*effects, Tell(tuple(told), tuple(keys)), *self._write()]
+        return [*effects, Publish(tuple(published), tuple(keys)), *self._write()]
 
     def _break(self):
         """All that was not durable is refused; what of it is on disk is found when the store is next read."""
--- a/hookrouter/purges/tail.py
+++ b/hookrouter/purges/tail.py
@@ -34,7 +34,7 @@
         self.hold, self.epoch, self.most = hold, epoch, recent
         self.firsts = []  # (n of the first entry, epoch), for each epoch that has entries
         self.recent = deque()
-        self.live = {}  # (kind, what) -> the newest Purge, the last told last
+        self.live = {}  # (kind, what) -> the newest Purge, the last added last
         self.newest = types.Position(0, floor)
         self.last_timestamp = 0
 
@@ -50,7 +50,7 @@
         self.last_timestamp = max(self.last_timestamp, purge.timestamp)
 
     def take(self, purges, newest):
-        """A snapshot from above in place of what was here; what was live stays live, which is safe."""
+        """A snapshot of the upstream in place of what was here; what was live stays live, which is safe."""
         self.recent.clear()
         self.firsts = [(newest.n, newest.epoch)]
         for purge in purges:
--- a/hookrouter/purges/types.py
+++ b/hookrouter/purges/types.py
@@ -38,7 +38,7 @@
 
     lease: int  # without word of the desk for that long, the router fences itself
     hold: int  # purges older than that are folded away; no copy older than that may answer
-    grace: int  # from that long after it was told, a purge binds answers of sends that were out, too
+    grace: int  # from that long after a router heard of it, a purge binds answers of sends that were out, too
     skew: int  # between the desk's clock, the origin's and this router's, at most
     fenced: str  # YOUNG or NACK
     most_names: int  # objects and tags each; beyond it names share bounds, which is safe and costs fills
--- a/tests/test_purge_follower.py
+++ b/tests/test_purge_follower.py
@@ -208,7 +208,7 @@
     stream.pauseProducing()
     for n in range(1, 1_501):
         publisher.tail.add(purges(n)[0])
-        publisher.tell()
+        publisher.publish()
     assert request.written == []
     stream.resumeProducing()
     net.advance(0)
