--- a/hookrouter/purges/followers.py
+++ b/hookrouter/purges/followers.py
@@ -9,8 +9,11 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 from typing import NamedTuple
 
+from .types import Purge
+
 DRIFT = 0.01  # share by which the clocks of followers may run slower: quartz is a thousand times better
 STRUCK_OFF = 200  # leases without word and a follower is none; by FORGOTTEN it knows that long before
 MOST_FOLLOWERS = 10_000  # of one desk or relay; more hang off relays
@@ -20,6 +23,8 @@
 
 
 class Renewal(NamedTuple):
+    """What a follower says when it asks for its lease. skew: of its clock, in tenths of a millisecond."""
+
     name: str
     generation: int  # of this life of the follower; a later one ends those before
     on_branch: bool  # its position is one of this order
@@ -30,15 +35,20 @@
 
 
 class Undone(NamedTuple):
+    """A purge that is not in effect yet. Times are of the steady clock, in tenths of a millisecond."""
+
     n: int
     at: int  # accepted, or read from the store by this life
     lease_from: int  # who lacks it may have a lease from then on; NEVER: it may be in effect already
 
 
 class Follower:
+    """What is known of one. until: when its lease ends; heard: when it last asked, None for never."""
+
     __slots__ = ("name", "generation", "n", "all", "until", "skew", "relay", "heard", "had_lease")
 
-    def __init__(self, name, generation, until, had_lease=True):
+    def __init__(self, name: str, generation: int, until: int, had_lease: bool = True) -> None:
+        """Its position is not known before it asks for a lease."""
         self.had_lease = had_lease  # one that never had takes nothing but what the origin gives out anew
         self.name, self.generation, self.until = name, generation, until
         self.n = self.all = -1  # nothing known: it may lack all
@@ -46,32 +56,48 @@
 
 
 class Followers:
-    """names: (name, generation) of those that a former life knew. assumed: for how long their leases may
-    still run; 0 at a relay, since the desk goes on counting what it granted to the relay's former life."""
-
-    def __init__(self, lease, skew, rounding, now, names=(), assumed=None):
+    """All followers of a desk or relay, and the purges that are not in effect yet.
+
+    Times are of the steady clock; these and spans are in whole tenths of a millisecond.
+    """
+
+    def __init__(
+        self,
+        lease: int,
+        skew: int,
+        rounding: int,
+        now: int,
+        names: Iterable[tuple[str, int]] = (),
+        assumed: int | None = None,
+    ) -> None:
+        """names: (name, generation) of those that a former life knew. assumed: for how long their leases may
+        still run; 0 at a relay, since the desk goes on counting what it granted to the relay's former life.
+        """
         self.lease, self.skew, self.rounding = lease, skew, rounding
         self.span = int(lease * (1 + DRIFT)) + 1
         until = now + (self.span if assumed is None else assumed)
         self.rows = {name: Follower(name, generation, until) for name, generation in names}
-        self.ghosts = []  # (until, n): leases of former lives, each for a lease at most
-        self.struck = set()
-        self.undone = deque()
-        self.reached = deque()  # (Undone, when all had it): in effect once it has settled
+        self.ghosts: list[
+            tuple[int, int]
+        ] = []  # (until, n): leases of former lives, each for a lease at most
+        self.struck: set[str] = set()
+        self.undone: deque[Undone] = deque()
+        # (Undone, when all had it): in effect once it has settled.
+        self.reached: deque[tuple[Undone, int]] = deque()
 
     # ---- events
 
-    def accepted(self, now, purges):
-        """In order, none left out."""
+    def accepted(self, now: int, purges: Iterable[Purge]) -> None:
+        """The next purges of the order, none left out."""
         self.undone.extend(Undone(purge.n, now, now) for purge in purges)
 
-    def read_anew(self, now, purges):
+    def read_anew(self, now: int, purges: Iterable[Purge]) -> None:
         """After the order was read from the store: the newest purges, those that may not be in effect yet."""
         self.undone.clear()
         self.reached.clear()
         self.undone.extend(Undone(purge.n, now, NEVER) for purge in purges)
 
-    def renew(self, now, renewal, newest, most=None):
+    def renew(self, now: int, renewal: Renewal, newest: int, most: int | None = None) -> int | None:
         """The span granted, 0 where it is behind; None where it is an older life of a follower, or too many.
 
         most: at a relay, what is left of the lease it holds: those below cannot be granted more.
@@ -102,7 +128,7 @@
         row.until = max(row.until, now + int(granted * (1 + DRIFT)) + 1)
         return granted
 
-    def _granted(self, now, row, newest):
+    def _granted(self, now: int, row: Follower, newest: int) -> int:
         """One that lacks a purge gets no more than the lease from when that was accepted."""
         if row.n >= newest:
             return self.lease
@@ -111,12 +137,12 @@
             return 0  # it lacks one that is in effect
         return self.undone[lacks].lease_from + self.lease - now
 
-    def other_branch(self):
+    def other_branch(self) -> None:
         """What followers have applied is not of this order: nothing is known until they say so again."""
         for row in self.rows.values():
             row.n = row.all = -1
 
-    def left(self, name, generation):
+    def left(self, name: str, generation: int) -> None:
         """It answers nothing any more, and said so."""
         row = self.rows.get(name)
         if row is not None and row.generation == generation:
@@ -124,15 +150,17 @@
 
     # ---- queries
 
-    def settling(self):
+    def settling(self) -> int:
+        """From when all followers have a purge until it is stated as in effect."""
         return 2 * max([self.skew, *(row.skew for row in self.rows.values())]) + self.rounding
 
-    def state(self, now, row):
+    def state(self, now: int, row: Follower) -> str:
+        """LIVE, LAPSED or UNHEARD."""
         if row.heard is None:
             return UNHEARD
         return LIVE if row.until > now else LAPSED
 
-    def least(self, now):
+    def least(self, now: int) -> tuple[int | None, int | None]:
         """(what all live followers have, what all followers have); None where there are none."""
         live = [row.n for row in self.rows.values() if row.until > now]
         self.ghosts = [(until, n) for until, n in self.ghosts if until > now]
@@ -141,7 +169,7 @@
         every.extend(n for _, n in self.ghosts)
         return min(live, default=None), min(every, default=None)
 
-    def settle(self, now):
+    def settle(self, now: int) -> list[tuple[int, int, int]]:
         """Purges that are in effect from now on, in order, as (n, accepted, in effect)."""
         if not self.undone and not self.reached:
             return []
@@ -162,7 +190,7 @@
             settled.append((undone.n, undone.at, at + settling))
         return settled
 
-    def due(self, now):
+    def due(self, now: int) -> int | None:
         """When settle() may have something to say by time alone; None: not before the next event."""
         times = [at + self.settling() for _, at in list(self.reached)[:1]]
         if self.undone:
@@ -171,11 +199,11 @@
             times.extend(until for until, _ in self.ghosts if until > now)
         return min(times, default=None)
 
-    def latest(self, accepted):
+    def latest(self, accepted: int) -> int:
         """By when a purge accepted then is in effect, whoever is behind."""
         return accepted + self.span + self.settling()
 
-    def behind(self, now, n):
+    def behind(self, now: int, n: int) -> list[tuple[str, str, int]]:
         """Followers that lack this purge, as (name, state, position), the farthest behind first."""
         rows = [
             (row.name, self.state(now, row), row.all)
@@ -184,13 +212,13 @@
         ]
         return sorted(rows, key=lambda row: (row[2], row[0]))
 
-    def _strike_off(self, now):
+    def _strike_off(self, now: int) -> None:
         gone = [row.name for row in self.rows.values() if now >= row.until + STRUCK_OFF * self.lease]
         for name in gone:
             del self.rows[name]
         self.struck.update(gone)
 
-    def struck_off(self):
+    def struck_off(self) -> list[str]:
         """Names struck off since the last call."""
         struck, self.struck = self.struck, set()
         return sorted(struck)
--- a/hookrouter/purges/place.py
+++ b/hookrouter/purges/place.py
@@ -21,29 +21,34 @@
 
 
 class Place:
-    """position: of the newest purge applied; seen: the highest epoch heard of."""
+    """Where one follower stands.
 
-    def __init__(self):
+    position: of the newest purge applied. seen: the highest epoch heard of. parts: the purges of a snapshot
+    under way, None outside of one.
+    """
+
+    def __init__(self) -> None:
+        """Before the first purge."""
         self.position, self.seen = types.START, 0
-        self.parts = None  # of a snapshot under way
+        self.parts: list[types.Purge] | None = None
 
-    def epoch(self, epoch):
-        """Each word of the desk carries its epoch. False: it is one that must not be heard."""
+    def epoch(self, epoch: int) -> bool:
+        """Each message of the desk carries its epoch. False: it is one that must not be heard."""
         if epoch < self.seen:
             return False
         self.seen = epoch
         return True
 
-    def purge(self, purge):
+    def purge(self, purge: types.Purge) -> str:
         """What is done with it: PASS, APPLY, CUT or KEEP."""
-        word = TABLE[self._relation(purge)]
-        if word == APPLY:
+        action = TABLE[self._relation(purge)]
+        if action == APPLY:
             self.position = types.Position(purge.epoch, purge.n)
-        elif word == KEEP:
+        elif action == KEEP:
             self.parts.append(purge)
-        return word
+        return action
 
-    def _relation(self, purge):
+    def _relation(self, purge: types.Purge) -> str:
         if self.parts is not None:
             return SNAPSHOT_PART
         if purge.n <= self.position.n and purge.epoch <= self.position.epoch:
@@ -52,11 +57,11 @@
             return LOWER_EPOCH
         return NEXT if purge.n == self.position.n + 1 else GAP
 
-    def begin(self):
+    def begin(self) -> None:
         """A snapshot begins; what of it has come is worth nothing until it has ended."""
         self.parts = []
 
-    def end(self, position, count):
+    def end(self, position: types.Position, count: int) -> list[types.Purge] | None:
         """The snapshot's purges, or None where it is not whole.
 
         The place may go back: to where a store that was restored ends. What was applied stays applied.
@@ -67,6 +72,6 @@
         self.position = position
         return parts
 
-    def broken(self):
+    def broken(self) -> None:
         """The connection is over: half a snapshot is none."""
         self.parts = None
--- a/hookrouter/purges/tail.py
+++ b/hookrouter/purges/tail.py
@@ -4,6 +4,7 @@
 
 from bisect import bisect_right
 from collections import deque
+from collections.abc import Iterable
 
 from . import types
 
@@ -28,17 +29,21 @@
 
 
 class Tail:
-    """hold: as in PurgeTerms. epoch: of the present life; numbers go on over epochs, entries keep theirs."""
+    """The order as a desk or relay holds it. Numbers go on over epochs, entries keep the epoch of theirs."""
 
-    def __init__(self, hold, epoch=0, floor=0, recent=RECENT):
+    def __init__(self, hold: int, epoch: int = 0, floor: int = 0, recent: int = RECENT) -> None:
+        """hold: as in PurgeTerms. epoch: of the present life of the desk. floor: the number up to which all
+        is folded away. recent: purges kept one by one, at most.
+        """
         self.hold, self.epoch, self.most = hold, epoch, recent
-        self.firsts = []  # (n of the first entry, epoch), for each epoch that has entries
-        self.recent = deque()
-        self.live = {}  # (kind, what) -> the newest Purge, the last added last
+        self.firsts: list[tuple[int, int]] = []  # (n of the first entry, epoch), by epoch that has entries
+        self.recent: deque[types.Purge] = deque()
+        self.live: dict[tuple[str, str], types.Purge] = {}  # (kind, what) -> the newest, the last added last
         self.newest = types.Position(0, floor)
         self.last_timestamp = 0
 
-    def add(self, purge):
+    def add(self, purge: types.Purge) -> None:
+        """The next purge of the order."""
         if not self.firsts or self.firsts[-1][1] != purge.epoch:
             self.firsts.append((purge.n, purge.epoch))
         self.recent.append(purge)
@@ -49,7 +54,7 @@
         self.newest = types.Position(purge.epoch, purge.n)
         self.last_timestamp = max(self.last_timestamp, purge.timestamp)
 
-    def take(self, purges, newest):
+    def take(self, purges: Iterable[types.Purge], newest: types.Position) -> None:
         """A snapshot of the upstream in place of what was here; what was live stays live, which is safe."""
         self.recent.clear()
         self.firsts = [(newest.n, newest.epoch)]
@@ -59,11 +64,11 @@
             self.last_timestamp = max(self.last_timestamp, purge.timestamp)
         self.newest = newest
 
-    def place(self, position, seen):
-        """What a follower is given that stands there and has heard of that epoch."""
+    def place(self, position: types.Position, seen: int) -> str:
+        """RESUME, SNAPSHOT or RAISE, for a follower that stands there and has heard of the epoch seen."""
         return TABLE[self._relation(position, seen)]
 
-    def _relation(self, position, seen):
+    def _relation(self, position: types.Position, seen: int) -> str:
         if seen > self.epoch:
             return NEWER_EPOCH
         if position == self.newest:
@@ -81,13 +86,13 @@
         # The entry before the first that is kept: its epoch is not known any more.
         return OLD if position.n == first - 1 else OTHER_BRANCH
 
-    def after(self, n, most):
+    def after(self, n: int, most: int) -> list[types.Purge]:
         """Up to so many purges from behind n on; n must not be older than what is kept."""
         first = self.recent[0].n if self.recent else 0
         start = n + 1 - first
         return [self.recent[k] for k in range(start, min(len(self.recent), start + most))]
 
-    def fold(self, now):
+    def fold(self, now: int) -> int:
         """Drops what no copy can be older than; the number up to which all has gone, or 0."""
         before, gone = now - self.hold, 0
         while self.live:
--- a/hookrouter/purges/wire.py
+++ b/hookrouter/purges/wire.py
@@ -1,6 +1,7 @@
 """What goes between desk, relays, routers and submitters: JSON, read into types, whatever the bytes."""
 
-from typing import Annotated, Literal
+from collections.abc import Callable
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
@@ -29,6 +30,8 @@
 
 
 class Renew(msgspec.Struct, forbid_unknown_fields=True):
+    """What a follower asks of its upstream: its lease renewed, with what it has applied."""
+
     name: Name
     generation: Whole
     epoch: Whole  # of the position
@@ -43,6 +46,8 @@
 
 
 class Granted(msgspec.Struct):
+    """The answer to a Renew."""
+
     span: Whole  # tenths of a millisecond from when it was asked for; 0: behind
     epoch: Whole
     at: Whole  # the desk's clock
@@ -50,20 +55,30 @@
 
 
 class Item(msgspec.Struct, forbid_unknown_fields=True):
+    """One purge of a submission."""
+
     kind: str = msgspec.field(name="sort")  # the key that submitters and stores know
     what: str
 
 
 class Submit(msgspec.Struct, forbid_unknown_fields=True):
+    """A submission: all of it is accepted, or none. key: the same for all tries. everything: a pattern may
+    match every name.
+    """
+
     key: str
     purges: list[Item]
     everything: bool = False
 
 
-def reader(kind):
-    decoder = msgspec.json.Decoder(kind)
+Message = TypeVar("Message", bound=msgspec.Struct)
+
+
+def reader(message: type[Message]) -> Callable[[bytes], Message]:
+    """A function from bytes to that message; it raises Malformed with what is wrong."""
+    decoder = msgspec.json.Decoder(message)
 
-    def read(data):
+    def read(data: bytes) -> Message:
         if len(data) > MOST_BODY:
             raise Malformed(f"{len(data)} bytes, {MOST_BODY} at most")
         try:
@@ -78,21 +93,23 @@
 write = msgspec.json.encode
 
 
-def purges_of(event):
+def purges_of(event: Event) -> list[types.Purge]:
+    """The rows of an event, typed."""
     return [types.Purge(*row) for row in event.purges]
 
 
-def number(position):
-    """How operators name a purge."""
+def number(position: types.Position | types.Purge) -> str:
+    """How operators name a purge: EPOCH.N."""
     return f"{position.epoch}.{position.n}"
 
 
-def read_number(text):
+def read_number(text: str) -> types.Position:
+    """The position that EPOCH.N names; Malformed where it names none."""
     epoch, _, n = text.partition(".")
     return types.Position(read_whole(epoch, text), read_whole(n, text))
 
 
-def read_ending(text):
+def read_ending(text: str) -> tuple[str, int]:
     """(ending of an epoch, n) of a number that may lack its beginning, as "42" and "123.42"."""
     epoch, _, n = text.rpartition(".")
     if epoch:
@@ -100,7 +117,8 @@
     return epoch, read_whole(n, text)
 
 
-def read_whole(digits, text):
+def read_whole(digits: str, text: str) -> int:
+    """A whole number of up to 16 digits; Malformed quotes text where it is none."""
     if not (digits.isascii() and digits.isdecimal() and len(digits) <= 16 and int(digits) <= MOST):
         raise Malformed(f"{text[:60]!r} is no number of a purge; wanted is EPOCH.N")
     return int(digits)
