--- a/benchmarks/purges/desk.py
+++ b/benchmarks/purges/desk.py
@@ -2,6 +2,7 @@
 
 from hookrouter.purges import ledger as g
 from hookrouter.purges.followers import Followers, Renewal
+from hookrouter.purges.submissions import Accepted, Submission
 from hookrouter.purges.tail import RESUME, Tail
 
 from .links import Publisher
@@ -81,7 +82,7 @@
     def submit(self, key, items):
         if self.up:
             self.asked[key] = self.world.now
-            self._carry(self.ledger.submit(self.clock(), g.Submission(0, key, items, False)))
+            self._carry(self.ledger.submit(self.clock(), Submission(0, key, items, False)))
 
     def _carry(self, effects):
         for effect in effects:
@@ -90,7 +91,7 @@
                 for purge, key in effect.batch:
                     self.world.told[purge.epoch, purge.n] = Told(purge.kind, purge.what, self.asked[key])
                 self.world.after(self.world.dice.randint(5, 300), self._written, self.life)
-            elif isinstance(effect, g.Accepted):
+            elif isinstance(effect, Accepted):
                 self.world.acknowledged(effect.purges, effect.repeated)
             elif isinstance(effect, g.Publish):
                 self.followers.accepted(self.world.now, effect.purges)
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -8,6 +8,7 @@
 from ..purges import wire
 from ..purges.followers import Followers
 from ..purges.guard import ROUNDING
+from ..purges.submissions import Accepted, Submission
 from .publisher import Publisher, steady
 
 SECOND = 10_000
@@ -102,10 +103,10 @@
     # ---- submissions
 
     def submit(self, key, items, everything):
-        """A Deferred of g.Accepted or g.Refused."""
+        """A Deferred of Accepted or Refused."""
         self.token += 1
         answer = self.waiting[self.token] = Deferred()
-        self._carry(self.ledger.submit(self.clock(), g.Submission(self.token, key, items, everything)))
+        self._carry(self.ledger.submit(self.clock(), Submission(self.token, key, items, everything)))
         return answer
 
     def _carry(self, effects, least=0):
@@ -117,7 +118,7 @@
             elif isinstance(effect, g.Reopen):
                 self._reopen(least)
             else:
-                accepted = isinstance(effect, g.Accepted)
+                accepted = isinstance(effect, Accepted)
                 self.count("submissions_accepted" if accepted else "submissions_refused")
                 self.waiting.pop(effect.token).callback(effect)
 
--- a/hookrouter/desk/web.py
+++ b/hookrouter/desk/web.py
@@ -14,8 +14,8 @@
 
 from twisted.web import resource, server
 
-from ..purges import ledger as g
 from ..purges import wire
+from ..purges.submissions import Refused
 
 IDLE = 30.0  # seconds that a connection without a request under way may last
 MOST_SHOWN = 1_000  # purges in one list
@@ -118,7 +118,7 @@
     def _answered(self, ended, request, gone):
         if gone:
             return  # it asks again under the same key
-        if isinstance(ended, g.Refused):
+        if isinstance(ended, Refused):
             fields = {"Retry_After": -(-ended.retry // 10_000)} if ended.retry else {}
             body = answer(request, STATUS[ended.why], {"error": ended.reason}, **fields)
         else:
--- a/hookrouter/purges/ledger.py
+++ b/hookrouter/purges/ledger.py
@@ -5,80 +5,72 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from typing import NamedTuple
 
-from . import patterns, types
+from . import submissions, types
+from .submissions import Accepted, Refused, Submission
+from .tail import Tail
 
-MOST_ITEMS = 1_000  # purges in one submission: a batch stays well under what a follower takes in at once
 MOST_WAITING = 20_000  # purges that wait for the disk; beyond it a submission is turned away at once
 MOST_BATCH = 4_096  # purges in one batch: some tens of milliseconds of the disk
-LONGEST_KEY = 128  # characters of an idempotency key
-LONGEST_NAME = 256  # characters of an object or tag
 RETRY = 10_000  # 1 s: until what waits for the disk has gone, or the store was opened again
-MOST_GROUPS = 256
 
 IDLE, WRITING, BROKEN = "idle", "writing", "broken"
 SUBMITTED, WRITTEN, FAILED, REOPENED = "submitted", "written", "failed", "reopened"
 
 
-class Submission(NamedTuple):
-    token: int  # names who asked; given back with the answer
-    key: str  # the same for all tries of one submission
-    items: tuple  # of (kind, what)
-    everything: bool  # a pattern may match every name
-
-
-class Refused(NamedTuple):
-    """why: form: never to be taken; key: used for another; busy: again after that span."""
-
-    token: int
-    why: str
-    reason: str
-    retry: int = 0
-
-
-class Accepted(NamedTuple):
-    """Durable. purges: their numbers and times; repeated: they were before this submission."""
-
-    token: int
-    purges: tuple
-    repeated: bool
-
-
 class Write(NamedTuple):
-    batch: tuple  # of (Purge, key)
+    """To be made durable, then written() or failed() is called."""
+
+    batch: tuple[tuple[types.Purge, str], ...]  # (Purge, key)
 
 
 class Publish(NamedTuple):
-    purges: tuple
-    keys: tuple  # of their submissions, one for each
+    """Durable now: to be sent to followers."""
+
+    purges: tuple[types.Purge, ...]
+    keys: tuple[str, ...]  # of their submissions, one for each
 
 
 class Reopen(NamedTuple):
     """What is on disk is not known: the store has to be read again, under a new epoch."""
 
 
+Effect = Refused | Accepted | Write | Publish | Reopen
+Keys = dict[str, tuple[types.Purge, ...]]  # idempotency key -> its purges
+
+
 class Limits(NamedTuple):
+    """What is refused as too much."""
+
     most_live: int  # distinct objects, groups and tags that followers must keep
     most_patterns: int
     most_batch: int = MOST_BATCH
 
 
 class Ledger:
-    """tail: what is durable and published. keys: idempotency key -> its purges, of all not folded away."""
+    """The order as it grows: numbers purges, and says what is to be written, published and answered.
+
+    Each method that takes an event gives back the effects in the order in which they have to happen.
+    """
 
-    def __init__(self, tail, keys, limits):
+    def __init__(self, tail: Tail, keys: Keys, limits: Limits) -> None:
+        """tail: what is durable and published. keys: of all purges that are not folded away."""
         self.tail, self.keys, self.limits = tail, keys, limits
         self.state, self.next, self.last_timestamp = IDLE, tail.newest.n + 1, tail.last_timestamp
-        self.batch, self.waiting = [], deque()  # (Submission, its purges) that are written, and that wait
+        # (Submission, its purges) that are written, and that wait.
+        self.batch: list[tuple[Submission, tuple]] = []
+        self.waiting: deque[tuple[Submission, tuple]] = deque()
         self.open = {}  # key -> [its purges, further tokens that asked for the same]
         self.pending = 0
         self.patterns = sum(kind in types.PATTERN_KINDS for kind, _ in tail.live)
 
-    def submit(self, now, submission):
-        refusal = self._refusal(submission)
-        if refusal is not None:
-            return [refusal]
+    def submit(self, now: int, submission: Submission) -> list[Effect]:
+        """A submission has come. now: the desk's clock, in tenths of a millisecond."""
+        reason = submissions.malformed(submission)
+        if reason is not None:
+            return [Refused(submission.token, "form", reason)]
         known = self.keys.get(submission.key) or self.open.get(submission.key, [None])[0]
         if known is not None:
             if tuple((p.kind, p.what) for p in known) != submission.items:
@@ -102,24 +94,26 @@
         self.waiting.append((submission, purges))
         return self._step(SUBMITTED)
 
-    def written(self):
+    def written(self) -> list[Effect]:
+        """The batch of the last Write is durable."""
         return self._step(WRITTEN)
 
-    def failed(self):
+    def failed(self) -> list[Effect]:
+        """The last Write failed; whether any of it is on disk is not known."""
         return self._step(FAILED)
 
-    def reopened(self, tail, keys):
+    def reopened(self, tail: Tail, keys: Keys) -> list[Effect]:
         """The store as it was read again; what it holds of the batch that failed counts."""
         self.tail, self.keys = tail, keys
         self.next, self.last_timestamp = tail.newest.n + 1, max(self.last_timestamp, tail.last_timestamp)
         self.patterns = sum(kind in types.PATTERN_KINDS for kind, _ in tail.live)
         return self._step(REOPENED)
 
-    def restored(self):
+    def restored(self) -> list[Effect]:
         """The store was found to be an older copy: a new life has to begin above what followers know."""
         return self._step(FAILED)
 
-    def fold(self, upto):
+    def fold(self, upto: int) -> None:
         """Forgets the keys of purges up to there: a repeat after that is a new purge, which is harmless."""
         for key in [key for key, purges in self.keys.items() if purges[-1].n <= upto]:
             del self.keys[key]
@@ -127,20 +121,7 @@
 
     # ---- what can be refused
 
-    def _refusal(self, submission):
-        if not submission.key or len(submission.key) > LONGEST_KEY or not submission.key.isprintable():
-            return Refused(submission.token, "form", f"a key of 1 to {LONGEST_KEY} characters is wanted")
-        if not 0 < len(submission.items) <= MOST_ITEMS:
-            return Refused(submission.token, "form", f"1 to {MOST_ITEMS} purges in one submission are wanted")
-        if len(set(submission.items)) != len(submission.items):
-            return Refused(submission.token, "form", "the same purge twice in one submission")
-        for kind, what in submission.items:
-            wrong = refusal(kind, what, submission.everything)
-            if wrong is not None:
-                return Refused(submission.token, "form", f"{kind} {what[:LONGEST_NAME]!r}: {wrong}")
-        return None
-
-    def _full(self, submission):
+    def _full(self, submission: Submission) -> Refused | None:
         if self.state == BROKEN:
             return Refused(submission.token, "busy", "the store cannot be written", RETRY)
         if self.pending + len(submission.items) > MOST_WAITING:
@@ -169,14 +150,14 @@
 
     # ---- the table, and the loop that reads it
 
-    def _step(self, word):
-        self.state, effect = TABLE[self.state, word]
-        return effect(self)
+    def _step(self, event: str) -> list[Effect]:
+        self.state, action = TABLE[self.state, event]
+        return action(self)
 
-    def _nothing(self):
+    def _nothing(self) -> list[Effect]:
         return []
 
-    def _write(self):
+    def _write(self) -> list[Effect]:
         """The next batch, or none where nothing waits."""
         self.batch, size = [], 0
         while self.waiting and (not self.batch or size + len(self.waiting[0][1]) <= self.limits.most_batch):
@@ -190,7 +171,7 @@
             Write(tuple((purge, submission.key) for submission, purges in self.batch for purge in purges))
         ]
 
-    def _done(self):
+    def _done(self) -> list[Effect]:
         effects, published, keys = [], [], []
         for submission, purges in self.batch:
             tokens = self._close(submission, purges)
@@ -203,7 +184,7 @@
             self.tail.add(purge)
         return [*effects, Publish(tuple(published), tuple(keys)), *self._write()]
 
-    def _break(self):
+    def _break(self) -> list[Effect]:
         """All that was not durable is refused; what of it is on disk is found when the store is next read."""
         effects = []
         for submission, purges in (*self.batch, *self.waiting):
@@ -212,27 +193,14 @@
         self.batch, self.waiting = [], deque()
         return [*effects, Reopen()]
 
-    def _close(self, submission, purges):
+    def _close(self, submission: Submission, purges: tuple[types.Purge, ...]) -> list[int]:
+        """The further tokens that asked for the same."""
         self.pending -= len(purges)
         return self.open.pop(submission.key)[1]
 
 
-def refusal(kind, what, everything):
-    """Why this cannot be purged, or None."""
-    if kind not in types.KINDS:
-        return f"no sort of purge; {', '.join(types.KINDS)} are"
-    if kind in types.PATTERN_KINDS:
-        return patterns.refusal(kind, what, everything)
-    if kind == types.GROUP:
-        plain = what.isascii() and what.isdigit() and what == str(int(what)) and int(what) < MOST_GROUPS
-        return None if plain else f"a whole number from 0 to {MOST_GROUPS - 1} is wanted"
-    if not what or len(what) > LONGEST_NAME or not what.isascii() or not what.isprintable() or " " in what:
-        return f"1 to {LONGEST_NAME} characters of printable ASCII without spaces are wanted"
-    return None
-
-
-# state, input -> next state, effect; where nothing waits the effect goes back to IDLE
-TABLE = {
+# state, event -> next state, action; where nothing waits the action goes back to IDLE
+TABLE: dict[tuple[str, str], tuple[str, Callable[[Ledger], list[Effect]]]] = {
     (IDLE, SUBMITTED): (WRITING, Ledger._write),
     (WRITING, SUBMITTED): (WRITING, Ledger._nothing),
     (WRITING, WRITTEN): (WRITING, Ledger._done),
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -6,7 +6,7 @@
 
 from benchmarks.purges.shapes import GRACE, LEASE, SKEW
 from benchmarks.purges.world import World
-from hookrouter.purges import Guard, Position, Purge, PurgeTerms, patterns, types
+from hookrouter.purges import Guard, Position, Purge, PurgeTerms, patterns, submissions, types
 from hookrouter.purges import ledger as g
 from hookrouter.purges import place as p
 from hookrouter.purges import tail as t
@@ -167,7 +167,7 @@
     ],
 )
 def test_the_desk_refuses_with_the_reason(kind, what, said):
-    assert said in g.refusal(kind, what, False)
+    assert said in submissions.refusal(kind, what, False)
     assert patterns.refusal(types.GLOB, "*", True) is None
 
 
@@ -248,7 +248,7 @@
     desk = g.Ledger(tail, {}, g.Limits(10, 2))
 
     def ask(token, key, *items, now=100):
-        return desk.submit(now, g.Submission(token, key, items or ((types.OBJECT, key),), False))
+        return desk.submit(now, submissions.Submission(token, key, items or ((types.OBJECT, key),), False))
 
     [first] = ask(1, "a")
     assert [purge.n for purge, _ in first.batch] == [1]
