--- a/hookrouter/desk/admission.py
+++ b/hookrouter/desk/admission.py
@@ -4,16 +4,24 @@
 the order moves on while it waits.
 """
 
+from __future__ import annotations
+
 import time
+from collections.abc import Callable, Mapping
 from random import Random
+from typing import Any, NamedTuple
 
+from twisted.internet.interfaces import IReactorTime
 from twisted.web import server
 
 from ..feed.purges import steady
 from ..fleet.decisions.admission import Come, Gate, Terms, tickets
 from ..fleet.decisions.admission import words as w
+from ..log import Log
 from ..purges import tail as t
 from ..purges import wire
+from ..purges.types import Position
+from .publisher import Publisher
 from .web import answer
 
 TICK = 0.01  # seconds between looks while anybody waits
@@ -21,15 +29,26 @@
 SECOND = 10_000
 
 
-class Waiting:
-    __slots__ = ("request", "position", "seen", "admitted")
+class Waiting(NamedTuple):
+    """A request of the feed that has not been admitted. seen: the highest epoch that it has heard of."""
 
-    def __init__(self, request, position, seen):
-        self.request, self.position, self.seen, self.admitted = request, position, seen, None
+    request: server.Request
+    position: Position
+    seen: int
 
 
 class Admission:
-    def __init__(self, reactor, log, sections, publisher, name, elsewhere=None):
+    """The gate's host: requests in, its effects carried out on them."""
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        log: Log,
+        sections: Mapping[str, Any],
+        publisher: Publisher,
+        name: str,
+        elsewhere: Callable[[int, int, float], str] | None = None,
+    ) -> None:
         """publisher: the Desk or Relay; its followers are those that will come. elsewhere: see Gate."""
         section = sections["admission"]
         secret = section["secret"] or sections["purges"]["secret"]
@@ -37,25 +56,28 @@
         self.reactor, self.log, self.publisher = reactor, log, publisher
         known = len(publisher.followers.rows)
         self.gate = Gate(terms, steady(), known, Random(), elsewhere)
-        self.conns, self.last = {}, 0  # number -> Waiting
+        self.conns: dict[int, Waiting] = {}  # by a number of its own, the last of which is last
+        self.last = 0
         self.call = self.wake = None
         self.state = self.gate.state
         if known:
             log("admission: returns are paced", known=known)
             self._look_in(TICK)
 
-    def facts(self):
+    def facts(self) -> dict[str, Any]:
+        """What /v1/status shows of the gate."""
         return self.gate.facts()
 
-    def stop(self):
+    def stop(self) -> None:
+        """Cancels its calls."""
         for call in (self.call, self.wake):
             if call is not None and call.active():
                 call.cancel()
 
     # ---- what comes
 
-    def comes(self, request, position, seen):
-        """For a request of the feed; what render gives back."""
+    def comes(self, request: server.Request, position: Position, seen: int) -> bytes | int:
+        """For a request of the feed; what render gives back. Malformed where its X-Lease is no number."""
         place = self.publisher.tail.place(position, seen)
         if place == t.RAISE:
             self.publisher.raise_epoch(seen)
@@ -72,19 +94,19 @@
         self._carry(self.gate.comes(steady(), Come(conn, name[:64], how, left, ticket)))
         return server.NOT_DONE_YET
 
-    def _how(self, position, seen):
+    def _how(self, position: Position, seen: int) -> str:
         """By what it costs: a long tail is no cheaper than a snapshot."""
         tail = self.publisher.tail
         short = tail.newest.n - position.n <= SHORT
         return w.TAIL if short and tail.place(position, seen) == t.RESUME else w.SNAPSHOT
 
-    def _gone(self, conn):
+    def _gone(self, conn: int) -> None:
         if self.conns.pop(conn, None) is not None:
             self._carry(self.gate.gone(steady(), conn))
 
     # ---- what is done
 
-    def _carry(self, effects):
+    def _carry(self, effects: list) -> None:
         for effect in effects:
             waiting = self.conns.get(effect.conn)
             if waiting is None:
@@ -108,11 +130,11 @@
             before, self.state = self.state, self.gate.state
             self.log(f"admission: {self.state}", was=before, waiting=len(self.gate.queue))
 
-    def _later(self, call, *args):
+    def _later(self, call: Callable, *args: object) -> None:
         """In the reactor's next turn: what was admitted may end before the gate has returned."""
         self.reactor.callLater(0, lambda: self.publisher.stopped or self._carry(call(steady(), *args)))
 
-    def _admit(self, conn, waiting):
+    def _admit(self, conn: int, waiting: Waiting) -> None:
         publisher, now = self.publisher, steady()
         self.gate.began(now, self._how(waiting.position, waiting.seen))
         request = waiting.request
@@ -120,7 +142,7 @@
         request.setHeader(b"Cache-Control", b"no-store")
         request.setHeader(b"X-Fleet", b"%d" % max(self.gate.known, len(self.gate.back)))
 
-        def given():
+        def given() -> None:
             self._later(self.gate.ended, conn, steady() - now)
 
         if not publisher.follow(request, waiting.position, waiting.seen, given):
@@ -129,7 +151,7 @@
             request.write(answer(request, 409, {"error": "come again"}, Retry_After=1))
             request.finish()
 
-    def _turn_away(self, request, reply):
+    def _turn_away(self, request: server.Request, reply: w.Tell) -> None:
         fields = {
             "Retry_After": -(-reply.wait // SECOND),
             "X_Wait": reply.wait,
@@ -145,14 +167,14 @@
 
     # ---- time
 
-    def _look_in(self, seconds):
+    def _look_in(self, seconds: float) -> None:
         self.call = self.reactor.callLater(seconds, self._look)
 
-    def _look(self):
+    def _look(self) -> None:
         self.call = None
         if not self.publisher.stopped:
             self._carry(self.gate.tick(steady()))
 
-    def _wake(self):
+    def _wake(self) -> None:
         if not self.publisher.stopped:
             self._carry(self.gate.pump(steady()))
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -1,48 +1,56 @@
 """The desk: takes purges, makes them durable, publishes them in order, says from when each is in effect."""
 
-import time
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
+from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
 
+from ..feed.purges import steady
+from ..log import Log
 from ..purges import ledger as g
-from ..purges import wire
 from ..purges.followers import Followers
 from ..purges.guard import ROUNDING
-from ..purges.submissions import Accepted, Submission
-from .publisher import Publisher, steady
+from ..purges.submissions import Accepted, Refused, Submission
+from ..purges.types import Purge
+from ..stores.purge_log import Loaded
+from .clock import Clock
+from .publisher import Publisher
+from .recent import MOST_LATEST, RecentPurges
+from .store import Read, Store
 
-SECOND = 10_000
 FOLD_EVERY = 10.0  # seconds between looks at what is older than the hold
 REOPEN_EVERY = 1.0  # seconds between tries to read a store that failed
-MOST_LATEST = 10_000  # purges whose numbers and times are shown on request
-
-
-class Clock:
-    """The wall's time in tenths of a millisecond, never back: steps back of the wall are not followed."""
-
-    def __init__(self, wall=time.time, steady=steady):
-        self.wall, self.steady = wall, steady
-        self.at, self.since = int(wall() * SECOND), steady()
-
-    def __call__(self):
-        since = self.steady()
-        self.at, self.since = max(self.at + since - self.since, int(self.wall() * SECOND)), since
-        return self.at
 
 
 class Desk(Publisher):
-    def __init__(self, reactor, log, purges, desk, store, read, most_batch=g.MOST_BATCH):
-        """purges, desk: sections of the operator's file. store: a LocalStore or alike; read: what it read."""
+    """Takes submissions; carries out the ledger's effects on store and followers."""
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        log: Log,
+        purges: Mapping[str, Any],
+        desk: Mapping[str, Any],
+        store: Store,
+        read: Read,
+        most_batch: int = g.MOST_BATCH,
+    ) -> None:
+        """purges, desk: sections of the operator's file. read: what the store held, under its new epoch."""
         super().__init__(reactor, log)
         self.clock = Clock()
         self.limits = g.Limits(desk["most live"], desk["most patterns"], most_batch)
-        self.waiting, self.token = {}, 0  # token -> its Deferred
+        self.waiting: dict[int, Deferred] = {}  # by the token of the submission
+        self.token = 0
         self.store, (self.tail, keys, loaded) = store, read
         # Names to be noted in the store, and struck.
-        self.joined, self.gone, self.noting = {}, set(), False
-        # n -> (Purge, wall time accepted, steady time; None: by a former life, key), the newest last
-        self.accepted = {}
-        self.effects = {}  # n -> wall time from which it is in effect
+        self.joined: dict[str, int] = {}
+        self.gone: set[str] = set()
+        self.noting = False
+        self.recent = RecentPurges()
         now = steady()
         self.ledger = g.Ledger(self.tail, keys, self.limits)
         self.followers = Followers(purges["lease"], purges["skew"], ROUNDING, now, loaded.followers)
@@ -52,28 +60,23 @@
 
     # ---- the store
 
-    def _doubtful(self, now):
+    def _doubtful(self, now: int) -> None:
         """What a former life took lately may not be in effect yet; its clock may have been another's."""
         self.recalled = self.clock()  # from when this life counts what those before took
-        since = self.recalled - 2 * self.followers.span - self.followers.skew
+        since = self.recalled - self.followers.doubt()
         self.followers.read_anew(now, [purge for purge in self.tail.recent if purge.timestamp >= since])
 
-    def _recall(self, loaded):
-        """What is shown of purges that the store holds: those of this life stay as they are known."""
+    def _recall(self, loaded: Loaded) -> None:
+        """What is shown of purges that the store holds."""
         self.floor = loaded.floor  # all up to there is folded away
-        known, self.accepted = self.accepted, {}
-        for purge, key in loaded.rows[-MOST_LATEST:]:
-            row = known.get(purge.n)
-            # The time of the order stands in for that of the acceptance, which is after it by one write.
-            self.accepted[purge.n] = row if row and row[0] == purge else (purge, purge.timestamp, None, key)
-        self.effects = {n: at for n, at in self.effects.items() if self.accepted.get(n) == known.get(n)}
-
-    def _reopen(self, least=0):
+        self.recent.recall(loaded.rows[-MOST_LATEST:])
+
+    def _reopen(self, least: int = 0) -> None:
         """Reads the store again under a new epoch; tried until it can be read."""
         if not self.stopped:
             self.store.reopen(least).addCallbacks(self._reopened, self._not_reopened, errbackArgs=(least,))
 
-    def _reopened(self, read):
+    def _reopened(self, read: Read) -> None:
         self.tail, keys, loaded = read
         self._carry(self.ledger.reopened(self.tail, keys))
         self._doubtful(steady())
@@ -82,12 +85,12 @@
         for stream in list(self.streams):
             stream.cut()  # each goes on from its place in the order as it is now
 
-    def _not_reopened(self, failure, least):
+    def _not_reopened(self, failure: Failure, least: int) -> None:
         self.log("store cannot be read, purges are refused", failure.getErrorMessage(), level="error")
         if not self.stopped:
             self.reactor.callLater(REOPEN_EVERY, self._reopen, least)
 
-    def raise_epoch(self, seen):
+    def raise_epoch(self, seen: int) -> None:
         """A follower has heard of a later life: this store is an older copy. Once for all that say so."""
         if self.ledger.state == g.BROKEN:
             return
@@ -102,14 +105,16 @@
 
     # ---- submissions
 
-    def submit(self, key, items, everything):
-        """A Deferred of Accepted or Refused."""
+    def submit(
+        self, key: str, items: tuple[tuple[str, str], ...], everything: bool
+    ) -> Deferred[Accepted | Refused]:
+        """The fields of a Submission; fires once it is durable, or refused."""
         self.token += 1
         answer = self.waiting[self.token] = Deferred()
         self._carry(self.ledger.submit(self.clock(), Submission(self.token, key, items, everything)))
         return answer
 
-    def _carry(self, effects, least=0):
+    def _carry(self, effects: list[g.Effect], least: int = 0) -> None:
         for effect in effects:
             if isinstance(effect, g.Write):
                 self.store.append(effect.batch).addCallbacks(self._written, self._failed)
@@ -122,10 +127,10 @@
                 self.count("submissions_accepted" if accepted else "submissions_refused")
                 self.waiting.pop(effect.token).callback(effect)
 
-    def _written(self, _):
+    def _written(self, _: object) -> None:
         self._carry(self.ledger.written())
 
-    def _failed(self, failure):
+    def _failed(self, failure: Failure) -> None:
         self.log(
             "store cannot be written, what was to be written is refused",
             failure.getErrorMessage(),
@@ -134,31 +139,25 @@
         self.count("batches_failed")
         self._carry(self.ledger.failed())
 
-    def _publish(self, purges, keys):
+    def _publish(self, purges: Sequence[Purge], keys: Sequence[str]) -> None:
         now, wall = steady(), self.clock()
         self.followers.accepted(now, purges)
-        for purge, key in zip(purges, keys):
-            self.accepted.pop(purge.n, None)  # of before a store was restored
-            self.effects.pop(purge.n, None)
-            self.accepted[purge.n] = purge, wall, now, key
-        while len(self.accepted) > MOST_LATEST:
-            n = next(iter(self.accepted))
-            del self.accepted[n]
-            self.effects.pop(n, None)
+        self.recent.add(now, wall, purges, keys)
         self.publish()
         self.settle()
 
-    def in_effect(self, n, accepted, at):
-        if n in self.accepted:
-            self.effects[n] = self.clock() + at - steady()
+    def in_effect(self, n: int, accepted: int, at: int) -> None:
+        """Purge n is in effect from at on, by the steady clock: it is shown by the desk's."""
+        self.recent.in_effect(n, self.clock() + at - steady())
 
     # ---- now and then
 
-    def start(self):
+    def start(self) -> None:
+        """Heartbeats and folding begin."""
         super().start()
         self._fold()
 
-    def _fold(self):
+    def _fold(self) -> None:
         if self.stopped:
             return
         upto = self.tail.fold(self.clock())
@@ -168,7 +167,7 @@
             self.store.fold(upto).addErrback(self._not_noted)
         self.reactor.callLater(FOLD_EVERY, self._fold)
 
-    def noted(self, name, generation):
+    def noted(self, name: str, generation: int) -> bool:
         """Whether the store knows this follower; if not, it does soon."""
         if name in self.names:
             return True
@@ -177,17 +176,19 @@
         self._note()
         return False
 
-    def follower_left(self, name):
+    def follower_left(self, name: str) -> None:
+        """Strikes it from the store."""
         self.joined.pop(name, None)
         self.gone.add(name)
         self._note()
 
-    def tick(self):
+    def tick(self) -> None:
+        """Strikes those off that have had no lease for long, and looks what is in effect."""
         self.gone.update(name for name in self.followers.struck_off() if name not in self.followers.rows)
         self._note()
         self.settle()
 
-    def _note(self):
+    def _note(self) -> None:
         """One write at a time; a name counts as noted once it is on disk, and as struck before."""
         if self.noting or not (self.joined or self.gone) or self.ledger.state == g.BROKEN:
             return
@@ -199,15 +200,15 @@
             lambda _: self.names.update(name for name, _ in joined), self._not_noted
         ).addCallback(self._noted)
 
-    def _noted(self, _):
+    def _noted(self, _: object) -> None:
         self.noting = False
         self._note()
 
-    def _not_noted(self, failure):
+    def _not_noted(self, failure: Failure) -> None:
         self.log("store cannot be written", failure.getErrorMessage(), level="error")
 
-    def stop(self):
-        """A Deferred: fires once the store is closed."""
+    def stop(self) -> Deferred[None]:
+        """Fires once the store is closed."""
         super().stop()
         done = self.store.close() if self.ledger.state != g.BROKEN else succeed(None)
         done.addErrback(lambda _: None)
@@ -215,43 +216,17 @@
 
     # ---- what is shown
 
-    def purge_facts(self, n):
-        """What is known of one of the newest purges, or None. With `by` it was in effect by in_effect_ms."""
-        if n not in self.accepted:
-            return None
-        purge, wall, at, key = self.accepted[n]
-        now, former, effect = steady(), at is None, self.effects.get(n)
-        if former:
-            latest = self.recalled + self.followers.latest(0)
-            # Not doubtful at the start of this life: in effect by the span that the doubt has, see _doubtful.
-            if effect is None and wall < self.recalled - 2 * self.followers.span - self.followers.skew:
-                effect = latest = wall + 2 * self.followers.span + self.followers.settling()
-        else:
-            latest = wall + self.followers.latest(at) - at
-        return {
-            "number": wire.number(purge),
-            "sort": purge.kind,
-            "what": purge.what,
-            "key": key,
-            "accepted_ms": wall // 10,
-            "in_effect_ms": effect // 10 if effect is not None else None,
-            "by": former,
-            "latest_ms": latest // 10,
-            "members": len(self.followers.rows),
-            "behind": []
-            if former and effect is not None
-            else [
-                {"name": name, "state": state, "n": place}
-                for name, state, place in self.followers.behind(now, n)[:100]
-            ],
-        }
+    def purge_facts(self, n: int) -> dict[str, Any] | None:
+        """What is known of one of the newest purges, or None; see RecentPurges.facts."""
+        return self.recent.facts(n, steady(), self.recalled, self.followers)
 
-    def newest(self, most):
+    def newest(self, most: int) -> tuple[list[dict[str, Any]], int]:
         """(facts of so many of the newest purges, how many the store holds in all)."""
-        numbers = list(self.accepted)[-most:]
-        return [self.purge_facts(n) | {"behind": None} for n in numbers], self.tail.newest.n - self.floor
+        rows = [self.purge_facts(n) | {"behind": None} for n in self.recent.newest(most)]
+        return rows, self.tail.newest.n - self.floor
 
-    def facts(self):
+    def facts(self) -> dict[str, Any]:
+        """What /v1/status answers at a desk."""
         return {
             **super().facts(),
             "patterns": self.ledger.patterns,
--- a/hookrouter/desk/local_store.py
+++ b/hookrouter/desk/local_store.py
@@ -2,36 +2,44 @@
 
 import sqlite3
 import time
+from collections.abc import Callable
 
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorThreads
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
 
 from ..purges.tail import Tail
+from ..purges.types import Purge
 from ..stores import PurgeLog, Unusable
+from ..stores.purge_log import Loaded
+from .store import Read
 
 
-def replayed(loaded, hold, epoch):
-    """(Tail, keys) of what a store held, for a life of that epoch."""
+def replayed(loaded: Loaded, hold: int, epoch: int) -> Read:
+    """What a store held, for a life of that epoch. hold: as in PurgeTerms."""
     tail, keys = Tail(hold, epoch, loaded.floor), {}
     for purge, key in loaded.rows:
         tail.add(purge)
         keys[key] = (*keys.get(key, ()), purge)
-    return tail, keys
+    return Read(tail, keys, loaded)
 
 
 class LocalStore:
-    """What keeps a desk's order: read or reopen, append, fold, update_followers, close. The other one is
-    fleet/member/purges.py.
+    """What keeps a desk's order; where the fleet's log does, fleet/member/purges.py stands in its place.
+
+    Each Deferred fires once what was asked is on disk; it fails with sqlite3.Error, or Unusable on reopen.
     """
 
-    def __init__(self, reactor, path, hold):
+    def __init__(self, reactor: IReactorThreads, path: str, hold: int) -> None:
+        """Nothing is opened before read(). hold: as in PurgeTerms."""
         self.reactor, self.path, self.hold = reactor, path, hold
-        self.store = None
+        self.store: PurgeLog | None = None
         self.pool = ThreadPool(1, 1, "store")  # one thread: what it is given happens in order
         self.pool.start()
 
-    def read(self, least):
-        """(tail, keys, loaded) under a new epoch; blocks."""
+    def read(self, least: int) -> Read:
+        """All of it under a new epoch, not below least; blocks. Unusable names the file and what is wrong."""
         self.store = PurgeLog(self.path)
         try:
             loaded = self.store.load()
@@ -42,31 +50,35 @@
         except BaseException:
             self.store.close()
             raise
-        return *replayed(loaded, self.hold, epoch), loaded
+        return replayed(loaded, self.hold, epoch)
 
-    def _threaded(self, call, *args):
+    def _threaded(self, call: Callable, *args: object) -> Deferred:
         return deferToThreadPool(self.reactor, self.pool, call, *args)
 
-    def reopen(self, least):
+    def reopen(self, least: int) -> Deferred[Read]:
         """As read, in the thread: behind what is being written."""
         return self._threaded(self._reread, least)
 
-    def _reread(self, least):
+    def _reread(self, least: int) -> Read:
         self.store.close()
         return self.read(least)
 
-    def append(self, batch):
+    def append(self, batch: tuple[tuple[Purge, str], ...]) -> Deferred[None]:
+        """The next purges of the order, each with the key of its submission."""
         return self._threaded(self.store.append, batch)
 
-    def fold(self, upto):
+    def fold(self, upto: int) -> Deferred[None]:
+        """Forgets all up to that number."""
         return self._threaded(self.store.fold, upto)
 
-    def update_followers(self, joined, left):
+    def update_followers(self, joined: list[tuple[str, int]], left: list[str]) -> Deferred[None]:
+        """joined: (name, generation) of those to be remembered; left: names of those to be forgotten."""
         return self._threaded(self.store.update_followers, joined, left)
 
-    def close(self):
+    def close(self) -> Deferred[None]:
+        """Closes the file behind all that was asked before."""
         return self._threaded(self.store.close)
 
-    def end(self):
+    def end(self) -> None:
         """After close has fired, or where nothing was read."""
         self.pool.stop()
--- a/hookrouter/desk/paced.py
+++ b/hookrouter/desk/paced.py
@@ -2,9 +2,17 @@
 is loaded.
 """
 
+from collections.abc import Mapping
+from typing import TypeVar
 
-def paced(publisher, sections, name, log):
-    """publisher: the Desk or Relay, given back."""
+from ..log import Log
+from .publisher import Publisher
+
+AnyPublisher = TypeVar("AnyPublisher", bound=Publisher)
+
+
+def paced(publisher: AnyPublisher, sections: Mapping, name: str, log: Log) -> AnyPublisher:
+    """That publisher, with its admission where sections, those of the operator's file, have one."""
     if "admission" in sections:
         from .admission import Admission
 
--- a/hookrouter/desk/publisher.py
+++ b/hookrouter/desk/publisher.py
@@ -1,50 +1,71 @@
 """What desk and relay have in common: an order published to followers, and leases that they renew."""
 
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.server import Request
+
 from ..feed.purges import steady
+from ..log import Log
 from ..purges import tail as t
 from ..purges import wire
-from ..purges.followers import Renewal
+from ..purges.followers import Followers, Renewal
 from ..purges.types import Position
 from .stream import Stream
 
+if TYPE_CHECKING:
+    from .admission import Admission
+
 BEAT = 0.5  # seconds between heartbeats: four in the shortest silence that a follower bears
 LOOK = 0.002  # seconds until a look whether purges are in effect
 MOST_STREAMS = 2_000  # followers of one desk or relay; more hang off relays
 
 
 class Publisher:
-    """tail, followers: the decisions. Subclasses say what is theirs: span_left(), raise_epoch(),
-    and noted() and follower_left(), which names outlive the process.
+    """Base of Desk and Relay, which set tail, followers (the decisions) and clock (the desk's, in tenths of a
+    millisecond), and override what differs between them.
     """
 
-    def __init__(self, reactor, log):
+    tail: t.Tail
+    followers: Followers
+    clock: Callable[[], int]
+
+    def __init__(self, reactor: IReactorTime, log: Log) -> None:
+        """Nothing is served before start()."""
         self.reactor, self.log = reactor, log
-        self.streams = {}  # Stream -> True, in the order in which they came
-        self.counters, self.last = {}, (None, b"")
+        self.streams: dict[Stream, bool] = {}  # Stream -> True, in the order in which they came
+        self.counters: dict[str, int] = {}
+        self.last: tuple[wire.Event | None, bytes] = None, b""  # the event written last, and as bytes
         self.settle_call, self.settling = None, False  # settling: a look is due in a moment
         self.stopped = False
-        self.admission = None  # with [admission]: what paces those that come
+        self.admission: Admission | None = None  # with [admission]: what paces those that come
 
-    def encoded(self, event):
+    def encoded(self, event: wire.Event) -> bytes:
         """The event as it is written; most followers are written the same one after the other."""
         if event != self.last[0]:
             self.last = event, b"data: " + wire.write(event) + b"\n\n"
         return self.last[1]
 
-    def count(self, name):
+    def count(self, name: str) -> None:
+        """One more of that counter."""
         self.counters[name] = self.counters.get(name, 0) + 1
 
-    def start(self):
+    def start(self) -> None:
+        """Heartbeats begin."""
         self._beat()
 
-    def stop(self):
+    def stop(self) -> None:
+        """Cuts all followers and admits none."""
         self.stopped = True
         if self.admission is not None:
             self.admission.stop()
         for stream in list(self.streams):
             stream.cut()
 
-    def _beat(self):
+    def _beat(self) -> None:
         if self.stopped:
             return
         for stream in list(self.streams):
@@ -52,15 +73,25 @@
         self.tick()
         self.reactor.callLater(BEAT, self._beat)
 
-    def tick(self):
-        """Twice a second."""
+    def tick(self) -> None:
+        """Twice a second; for subclasses."""
 
-    def ready(self):
+    def ready(self) -> bool:
+        """Whether followers can be served yet."""
         return True
 
+    def noted(self, name: str, generation: int) -> bool:
+        """Whether that name would outlive a crash of this process; if not, it soon does."""
+        raise NotImplementedError
+
+    def follower_left(self, name: str) -> None:
+        """That name need not outlive this process any more; for subclasses."""
+
     # ---- followers
 
-    def follow(self, request, position, seen, given=None):
+    def follow(
+        self, request: Request, position: Position, seen: int, given: Callable[[], None] | None = None
+    ) -> bool:
         """A follower's connection from that place on; False where it has to come again. given: see Stream."""
         place = self.tail.place(position, seen)
         if place == t.RAISE:
@@ -79,12 +110,13 @@
         stream.pump()
         return True
 
-    def publish(self):
+    def publish(self) -> None:
+        """Writes what the order has gained to all that keep up."""
         for stream in list(self.streams):
             if not stream.pumping:
                 stream.pump()
 
-    def renew(self, asked):
+    def renew(self, asked: wire.Renew) -> wire.Granted | None:
         """wire.Granted, or None where the follower is not one to be had."""
         now = steady()
         if asked.leave:
@@ -116,25 +148,25 @@
         self.settle()
         return self._granted(span)
 
-    def _granted(self, span):
+    def _granted(self, span: int) -> wire.Granted:
         return wire.Granted(span, self.tail.epoch, self.clock(), self.followers.settling())
 
-    def span_left(self):
+    def span_left(self) -> int | None:
         """The rest of the lease held here, which bounds those of the followers; None: nothing does."""
         return None
 
-    def settle(self):
+    def settle(self) -> None:
         """Looks what is in effect in a moment: many answer for one purge at once, and each look asks all."""
         if not self.settling:
             self.settling = True
             self._settle_in(LOOK)
 
-    def _settle_in(self, seconds):
+    def _settle_in(self, seconds: float) -> None:
         if self.settle_call is not None and self.settle_call.active():
             self.settle_call.cancel()
         self.settle_call = self.reactor.callLater(seconds, self._settle)
 
-    def _settle(self):
+    def _settle(self) -> None:
         self.settling = False
         now = steady()
         for n, accepted, at in self.followers.settle(now):
@@ -143,12 +175,13 @@
         if due is not None and not self.stopped:
             self._settle_in(max(LOOK, (due - now) / 10_000))
 
-    def in_effect(self, n, accepted, at):
-        """A purge is in effect from then on."""
+    def in_effect(self, n: int, accepted: int, at: int) -> None:
+        """Purge n, accepted then, is in effect from at on, by the steady clock; for subclasses."""
 
     # ---- what is shown
 
-    def facts(self):
+    def facts(self) -> dict[str, Any]:
+        """What /v1/status answers; operators know its keys."""
         now = steady()
         rows = self.followers.rows.values()
         return {
--- /dev/null
+++ b/hookrouter/desk/store.py
@@ -0,0 +1,40 @@
+"""What a desk needs of what keeps its order: on a disk of its own, or in the fleet's log."""
+
+from typing import NamedTuple, Protocol
+
+from twisted.internet.defer import Deferred
+
+from ..purges.ledger import Keys
+from ..purges.tail import Tail
+from ..purges.types import Purge
+from ..stores.purge_log import Loaded
+
+
+class Read(NamedTuple):
+    """What a store held, for a life of the desk that begins with it."""
+
+    tail: Tail
+    keys: Keys
+    loaded: Loaded
+
+
+class Store(Protocol):
+    """What keeps a desk's order: LocalStore, or the Kept of fleet/member/purges.py."""
+
+    def append(self, batch: tuple[tuple[Purge, str], ...]) -> Deferred[None]:
+        """The next purges of the order, each with the key of its submission."""
+
+    def reopen(self, least: int) -> Deferred[Read]:
+        """All of it under a new epoch, not below least."""
+
+    def fold(self, upto: int) -> Deferred[None]:
+        """Forgets all up to that number."""
+
+    def update_followers(self, joined: list[tuple[str, int]], left: list[str]) -> Deferred[None]:
+        """joined: (name, generation) of those to be remembered; left: names of those to be forgotten."""
+
+    def close(self) -> Deferred[None]:
+        """No more is written."""
+
+    def end(self) -> None:
+        """After close has fired."""
--- a/hookrouter/desk/stream.py
+++ b/hookrouter/desk/stream.py
@@ -1,6 +1,17 @@
 """One follower's connection to a desk or relay: the order from its place on, no faster than it reads."""
 
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from twisted.web.server import Request
+
 from ..purges import wire
+from ..purges.types import Purge
+
+if TYPE_CHECKING:
+    from .publisher import Publisher
 
 SLOW = 5.0  # seconds that a follower may leave what was written unread; then it is cut, and resumes
 EVENTS = 8  # events written to one follower before the others get their turn
@@ -8,12 +19,22 @@
 
 
 class Stream:
-    """One follower's connection. Nothing is kept for it but its place: what it has not read stays in the
-    order.
+    """One follower's connection: a push producer of its request.
+
+    Nothing is kept for it but its place: what it has not read stays in the order.
     """
 
-    def __init__(self, publisher, request, n, snapshot, given=None):
-        """given(): called once when it is up to date, or reads too slowly to be waited for."""
+    def __init__(
+        self,
+        publisher: Publisher,
+        request: Request,
+        n: int,
+        snapshot: list[Purge] | None,
+        given: Callable[[], None] | None = None,
+    ) -> None:
+        """n: the number of the last purge that it has, or has once snapshot is written; snapshot: None where
+        it goes on from n. given(): called once when it is up to date, or reads too slowly to be waited for.
+        """
         self.given = given
         self.publisher, self.request, self.n = publisher, request, n
         self.snapshot, self.end = snapshot, None
@@ -28,44 +49,48 @@
 
     # what the transport says
 
-    def pauseProducing(self):
+    def pauseProducing(self) -> None:
+        """The connection's buffer is full: nothing more is written until the follower has read."""
         self.paused_since = self.publisher.reactor.seconds()
         if self.given is not None:
             self.publisher.reactor.callLater(PAUSED, self._still_paused, self.paused_since)
 
-    def resumeProducing(self):
+    def resumeProducing(self) -> None:
+        """The buffer has room again."""
         self.paused_since = None
         self.pump()
 
-    def stopProducing(self):
+    def stopProducing(self) -> None:
+        """The connection is over."""
         self.close()
 
-    def close(self):
-        """The one end of it."""
+    def close(self) -> None:
+        """Ends it here; the connection is left to its own end."""
         if not self.over:
             self.over = True
             self.publisher.streams.pop(self, None)
 
-    def cut(self):
+    def cut(self) -> None:
+        """Ends it and the connection at once; the follower comes again from its place."""
         if not self.over:
             self.close()
             self.request.channel.forceAbortClient()
 
     # what it is given
 
-    def _write(self, event):
+    def _write(self, event: wire.Event) -> None:
         self.request.write(self.publisher.encoded(event))
 
-    def _still_paused(self, since):
+    def _still_paused(self, since: float) -> None:
         if self.paused_since == since:
             self._is_given()
 
-    def _is_given(self):
+    def _is_given(self) -> None:
         given, self.given = self.given, None
         if given is not None:
             given()
 
-    def pump(self):
+    def pump(self) -> None:
         """Up to so many events now, the rest in the reactor's next turn, until it is up to date or paused."""
         self.pumping = False
         for _ in range(EVENTS):
@@ -79,11 +104,11 @@
         self.pumping = True
         self.publisher.reactor.callLater(0, self._turn)
 
-    def _turn(self):
+    def _turn(self) -> None:
         if self.pumping:
             self.pump()
 
-    def _next(self):
+    def _next(self) -> wire.Event | None:
         tail = self.publisher.tail
         if self.snapshot is not None:
             if self.snapshot:
@@ -100,7 +125,8 @@
         self.n = purges[-1].n
         return wire.Event("purges", tail.epoch, purges=purges)
 
-    def beat(self):
+    def beat(self) -> None:
+        """Twice a second: a heartbeat where nothing else is written; who does not read for SLOW is cut."""
         if self.paused_since is None and not self.pumping:
             self._write(wire.Event("beat", self.publisher.tail.epoch, n=self.publisher.tail.newest.n))
         elif self.paused_since is not None and self.publisher.reactor.seconds() - self.paused_since > SLOW:
--- a/hookrouter/desk/web.py
+++ b/hookrouter/desk/web.py
@@ -15,7 +15,9 @@
 from twisted.web import resource, server
 
 from ..purges import wire
-from ..purges.submissions import Refused
+from ..purges.submissions import Accepted, Refused
+from ..site import Secret
+from .publisher import Publisher
 
 IDLE = 30.0  # seconds that a connection without a request under way may last
 MOST_SHOWN = 1_000  # purges in one list
@@ -26,7 +28,8 @@
 class Request(server.Request):
     """One whose body is neither endless nor large."""
 
-    def gotLength(self, length):
+    def gotLength(self, length: int | None) -> None:
+        """Cuts the connection where the body would be larger than MOST_BODY, or says no length."""
         if length is None or length > wire.MOST_BODY:
             self.content = BytesIO()
             self.channel.forceAbortClient()
@@ -34,7 +37,8 @@
         super().gotLength(length)
 
 
-def answer(request, status, body, **fields):
+def answer(request: server.Request, status: int, body: object, **fields: object) -> bytes:
+    """The body as JSON, for render to give back; sets the status and the header fields (_ stands for -)."""
     request.setResponseCode(status)
     request.setHeader(b"Content-Type", b"application/json")
     for name, value in fields.items():
@@ -43,13 +47,15 @@
 
 
 class Face(resource.Resource):
-    """One path. desk: the Desk or Relay; secret: of those who may ask."""
+    """One path, for those who know the secret."""
 
-    def __init__(self, desk, secret):
+    def __init__(self, desk: Publisher, secret: Secret) -> None:
+        """desk: the Desk or Relay."""
         super().__init__()
         self.desk, self.secret = desk, secret
 
-    def render(self, request):
+    def render(self, request: server.Request) -> bytes | int:
+        """401 without the secret, 400 where what came is malformed, else as the method says."""
         given = request.getHeader(b"authorization") or b""
         if not hmac.compare_digest(given, b"Bearer " + self.secret.value):
             self.desk.count("requests_unauthorized")
@@ -64,9 +70,12 @@
 
 
 class Feed(Face):
+    """/v1/feed: the order from a place on."""
+
     isLeaf = True
 
-    def render_GET(self, request):
+    def render_GET(self, request: server.Request) -> bytes | int:
+        """An endless stream of events, or an answer that says when to come again."""
         position = wire.read_number((request.getHeader(b"x-position") or b"").decode("latin-1"))
         epoch = (request.getHeader(b"x-epoch") or b"").decode("latin-1")
         seen = wire.read_whole(epoch, f"X-Epoch {epoch}")
@@ -82,9 +91,12 @@
 
 
 class Renew(Face):
+    """/v1/renew: the lease of a follower."""
+
     isLeaf = True
 
-    def render_POST(self, request):
+    def render_POST(self, request: server.Request) -> bytes:
+        """wire.Granted; 409 to an earlier life of a follower."""
         if not self.desk.ready():
             return answer(request, 503, {"error": "nothing has been heard from above yet"}, Retry_After=1)
         granted = self.desk.renew(wire.read_renew(request.content.read()))
@@ -96,10 +108,14 @@
 
 
 class Purges(Face):
-    def getChild(self, path, request):
+    """/v1/purges: submissions, and the newest purges. Only where desk is a Desk."""
+
+    def getChild(self, path: bytes, request: server.Request) -> "OnePurge":
+        """/v1/purges/NUMBER."""
         return OnePurge(self.desk, self.secret, path)
 
-    def render_GET(self, request):
+    def render_GET(self, request: server.Request) -> bytes:
+        """The newest, and how many there are."""
         last = request.args.get(b"last", [str(MOST_SHOWN).encode()])[-1].decode("latin-1")
         most = wire.read_whole(last, f"last={last}")
         if not 1 <= most <= MOST_SHOWN:
@@ -107,7 +123,8 @@
         rows, held = self.desk.newest(most)
         return answer(request, 200, {"purges": rows, "of": held})
 
-    def render_POST(self, request):
+    def render_POST(self, request: server.Request) -> int:
+        """A submission; answered once it is durable, or refused."""
         asked = wire.read_submit(request.content.read())
         items = tuple((item.kind, item.what) for item in asked.purges)
         gone = []
@@ -115,7 +132,7 @@
         self.desk.submit(asked.key, items, asked.everything).addCallback(self._answered, request, gone)
         return server.NOT_DONE_YET
 
-    def _answered(self, ended, request, gone):
+    def _answered(self, ended: Accepted | Refused, request: server.Request, gone: list) -> None:
         if gone:
             return  # it asks again under the same key
         if isinstance(ended, Refused):
@@ -143,13 +160,17 @@
 
 
 class OnePurge(Face):
+    """/v1/purges/NUMBER: one of the newest."""
+
     isLeaf = True
 
-    def __init__(self, desk, secret, number):
+    def __init__(self, desk: Publisher, secret: Secret, number: bytes) -> None:
+        """number: EPOCH.N, an ending of it, or N."""
         super().__init__(desk, secret)
         self.number = number
 
-    def render_GET(self, request):
+    def render_GET(self, request: server.Request) -> bytes:
+        """From when it is in effect, and who is behind; 404 where it is none of the newest."""
         epoch, n = wire.read_ending(self.number.decode("latin-1"))
         facts = self.desk.purge_facts(n)
         if facts is None or not facts["number"].partition(".")[0].endswith(epoch):
@@ -158,13 +179,16 @@
 
 
 class Status(Face):
+    """/v1/status: followers, positions, counters."""
+
     isLeaf = True
 
-    def render_GET(self, request):
+    def render_GET(self, request: server.Request) -> bytes:
+        """See facts() of Desk and Relay."""
         return answer(request, 200, self.desk.facts())
 
 
-def tree(desk, secret, submits):
+def tree(desk: Publisher, secret: Secret, submits: bool) -> resource.Resource:
     """submits: whether purges are taken here."""
     root, v1 = resource.Resource(), resource.Resource()
     root.putChild(b"v1", v1)
@@ -176,9 +200,11 @@
     return root
 
 
-def serving(root):
+def serving(root: resource.Resource) -> server.Site:
+    """A factory of bounded requests and idle connections."""
     return server.Site(root, requestFactory=Request, timeout=IDLE)
 
 
-def site(desk, secret, submits):
+def site(desk: Publisher, secret: Secret, submits: bool) -> server.Site:
+    """tree(), served."""
     return serving(tree(desk, secret, submits))
--- a/hookrouter/fleet/member/records.py
+++ b/hookrouter/fleet/member/records.py
@@ -176,11 +176,11 @@
         return self.copy.state == c.WHOLE
 
     def read(self, hold, epoch):
-        """A Deferred of (tail, keys, loaded), as LocalStore gives it."""
+        """A Deferred of Read, as LocalStore gives it."""
 
         def reading():
             loaded = self.store.load()
-            return *replayed(loaded, hold, epoch), loaded
+            return replayed(loaded, hold, epoch)
 
         return self._threaded(reading)
 
--- a/hookrouter/purges/followers.py
+++ b/hookrouter/purges/followers.py
@@ -199,6 +199,10 @@
             times.extend(until for until, _ in self.ghosts if until > now)
         return min(times, default=None)
 
+    def doubt(self) -> int:
+        """Purges of a former life of the desk that are younger than this may not be in effect yet."""
+        return 2 * self.span + self.skew
+
     def latest(self, accepted: int) -> int:
         """By when a purge accepted then is in effect, whoever is behind."""
         return accepted + self.span + self.settling()
--- a/tests/test_purge_processes.py
+++ b/tests/test_purge_processes.py
@@ -13,7 +13,7 @@
 from processes import Cache, Standing, ask, free_port
 from purging import NAME, site
 
-from hookrouter.desk.desk import Clock
+from hookrouter.desk.clock import Clock
 
 
 class Run:
