A relay asked for an epoch it has not heard of says come again

It raised AttributeError, answered as a status 500 with a traceback in the log: only the desk had raise_epoch. The test fails without the method.

--- a/hookrouter/desk/publisher.py
+++ b/hookrouter/desk/publisher.py
@@ -80,6 +80,9 @@
         """Whether followers can be served yet."""
         return True
 
+    def raise_epoch(self, seen: int) -> None:
+        """A follower has heard of the epoch seen, a later life of the desk; only the desk can do anything."""
+
     def noted(self, name: str, generation: int) -> bool:
         """Whether that name would outlive a crash of this process; if not, it soon does."""
         raise NotImplementedError
--- a/tests/test_purge_follower.py
+++ b/tests/test_purge_follower.py
@@ -11,6 +11,7 @@
 from hookrouter.purges import wire
 from hookrouter.purges.followers import Followers
 from hookrouter.purges.tail import Tail
+from hookrouter.purges.types import Position
 from hookrouter.tables.deadlines import Deadlines
 
 
@@ -200,6 +201,12 @@
     assert publisher.renew(wire.Renew("r1", 0, 0, 0, 0, 0, 0, 0)) is None
 
 
+def test_a_follower_that_knows_a_later_epoch_than_its_relay_comes_again(tmp_path):
+    publisher, request = Lone(Net(), 10), Request()
+    assert publisher.follow(request, Position(6, 3), 6) is False
+    assert publisher.streams == {} and request.written == []
+
+
 def test_a_follower_that_does_not_read_holds_no_more_than_it_was_given_and_is_cut(tmp_path):
     net = Net()
     publisher, request = Lone(net, 2_000), Request()
