The fleet's decisions are a floor of their own: hookrouter/decisions

desk, stores and feed imported them from hookrouter/fleet, which stands above them by its folder. Modules move as they are.

--- a/benchmarks/admission/gateway.py
+++ b/benchmarks/admission/gateway.py
@@ -1,8 +1,8 @@
 """A gateway of the made-up fleet: connections, the gate (or none), what its reactor has to do for each."""
 
-from hookrouter.fleet.decisions.admission import Come, Terms, tickets
-from hookrouter.fleet.decisions.admission import words as w
-from hookrouter.fleet.decisions.admission.overflow import Overflow, Queue
+from hookrouter.decisions.admission import Come, Terms, tickets
+from hookrouter.decisions.admission import words as w
+from hookrouter.decisions.admission.overflow import Overflow, Queue
 
 KNOCK, SHUT, RENEW = 3, 1, 1  # 0.3 ms for a call that is answered, 0.1 ms to close one, 0.1 ms for a renewal
 TICK = 100  # 10 ms
--- a/benchmarks/admission/judge.py
+++ b/benchmarks/admission/judge.py
@@ -1,8 +1,8 @@
 """What must hold in every made-up storm, in plain words and slow lines, judged from outside the gate."""
 
+from hookrouter.decisions.admission import tickets
+from hookrouter.decisions.admission import words as w
 from hookrouter.errors.wire import Unsealed
-from hookrouter.fleet.decisions.admission import tickets
-from hookrouter.fleet.decisions.admission import words as w
 
 from .gateway import KEY
 
--- a/benchmarks/admission/model.py
+++ b/benchmarks/admission/model.py
@@ -8,8 +8,8 @@
 from collections import deque
 from typing import NamedTuple
 
-from hookrouter.fleet.decisions.admission import Come, Gate, Terms, tickets
-from hookrouter.fleet.decisions.admission import words as w
+from hookrouter.decisions.admission import Come, Gate, Terms, tickets
+from hookrouter.decisions.admission import words as w
 
 from .gateway import KEY
 
--- a/benchmarks/admission/scenes.py
+++ b/benchmarks/admission/scenes.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from hookrouter.fleet.decisions.admission import Come, Comer, Gate, Terms, tickets
-from hookrouter.fleet.decisions.admission import comer as c
-from hookrouter.fleet.decisions.admission import words as w
-from hookrouter.fleet.decisions.admission.overflow import Overflow, Queue
+from hookrouter.decisions.admission import Come, Comer, Gate, Terms, tickets
+from hookrouter.decisions.admission import comer as c
+from hookrouter.decisions.admission import words as w
+from hookrouter.decisions.admission.overflow import Overflow, Queue
 
 from .gateway import KEY
 from .schedule import fall
--- a/benchmarks/admission/schedule.py
+++ b/benchmarks/admission/schedule.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from hookrouter.fleet.decisions.admission import Comer, Gate
+from hookrouter.decisions.admission import Comer, Gate
 
 from .world import SECOND, Faults, World
 
--- a/benchmarks/admission/subscriber.py
+++ b/benchmarks/admission/subscriber.py
@@ -1,6 +1,6 @@
 """A subscriber of the made-up fleet: a place in the order, a lease, and its way back."""
 
-from hookrouter.fleet.decisions.admission import comer as c
+from hookrouter.decisions.admission import comer as c
 from hookrouter.purges.fence import CURRENT, Fence
 
 from .gateway import RENEW, Conn
--- a/benchmarks/admission/world.py
+++ b/benchmarks/admission/world.py
@@ -5,8 +5,8 @@
 from random import Random
 from typing import NamedTuple
 
-from hookrouter.fleet.decisions.admission import Comer, Gate
-from hookrouter.fleet.decisions.admission import words as w
+from hookrouter.decisions.admission import Comer, Gate
+from hookrouter.decisions.admission import words as w
 from hookrouter.lab.engine import Engine
 
 from .gateway import Gateway
--- a/benchmarks/owners/checks.py
+++ b/benchmarks/owners/checks.py
@@ -1,6 +1,6 @@
 """A plain model of what must hold of keepers, members and what they act on."""
 
-from hookrouter.fleet.decisions.owners.duties import DECLARE, DONE
+from hookrouter.decisions.owners.duties import DECLARE, DONE
 
 
 class Checks:
--- a/benchmarks/owners/costs.py
+++ b/benchmarks/owners/costs.py
@@ -16,7 +16,7 @@
     """Seconds of each of so many commands, one after the other, until the log has agreed on it."""
     from twisted.internet import reactor
 
-    from hookrouter.fleet.decisions.owners import words as w
+    from hookrouter.decisions.owners import words as w
     from hookrouter.fleet.wire import Peers
 
     who, spans, state = "bench", [], {"n": 0, "began": 0.0, "to": None}
@@ -62,7 +62,7 @@
 
 def durable_spans(folder, count):
     """The same of one write of a keeper's store, in one process."""
-    from hookrouter.fleet.decisions.owners import words as w
+    from hookrouter.decisions.owners import words as w
     from hookrouter.stores.keeper_log import KeeperLog
 
     log, spans = KeeperLog(Path(folder) / "one.db", "one"), []
--- a/benchmarks/owners/model.py
+++ b/benchmarks/owners/model.py
@@ -9,9 +9,9 @@
 from collections import deque
 from typing import NamedTuple
 
-from hookrouter.fleet.decisions.owners import Keeper
-from hookrouter.fleet.decisions.owners import words as w
-from hookrouter.fleet.decisions.owners.duties import DECLARE
+from hookrouter.decisions.owners import Keeper
+from hookrouter.decisions.owners import words as w
+from hookrouter.decisions.owners.duties import DECLARE
 
 from .processes import Disk
 
--- a/benchmarks/owners/processes.py
+++ b/benchmarks/owners/processes.py
@@ -4,9 +4,9 @@
 from an older copy.
 """
 
-from hookrouter.fleet.decisions.owners import Holder
-from hookrouter.fleet.decisions.owners import words as w
-from hookrouter.fleet.decisions.owners.duties import DONE
+from hookrouter.decisions.owners import Holder
+from hookrouter.decisions.owners import words as w
+from hookrouter.decisions.owners.duties import DONE
 
 SECOND = 10_000
 FLUSH = 20  # 2 ms
--- a/benchmarks/owners/schedules.py
+++ b/benchmarks/owners/schedules.py
@@ -1,8 +1,8 @@
 """Schedules of faults at random, and two that are written by hand."""
 
-from hookrouter.fleet.decisions.owners import Keeper
-from hookrouter.fleet.decisions.owners import words as w
-from hookrouter.fleet.decisions.owners.duties import DECLARE
+from hookrouter.decisions.owners import Keeper
+from hookrouter.decisions.owners import words as w
+from hookrouter.decisions.owners.duties import DECLARE
 
 from .processes import SECOND
 from .world import World
--- a/benchmarks/owners/world.py
+++ b/benchmarks/owners/world.py
@@ -5,9 +5,9 @@
 
 from random import Random
 
-from hookrouter.fleet.decisions.owners import Keeper
-from hookrouter.fleet.decisions.owners import words as w
-from hookrouter.fleet.decisions.owners.duties import DECLARE
+from hookrouter.decisions.owners import Keeper
+from hookrouter.decisions.owners import words as w
+from hookrouter.decisions.owners.duties import DECLARE
 from hookrouter.lab.engine import Engine
 
 from .checks import Checks
--- a/benchmarks/replicas/processes.py
+++ b/benchmarks/replicas/processes.py
@@ -2,9 +2,9 @@
 
 from msgspec.structs import replace
 
-from hookrouter.fleet.decisions.owners import words as w
-from hookrouter.fleet.decisions.owners.duties import FIRST_SEAL, KEEP, NAMES, OPEN
-from hookrouter.fleet.decisions.replicas import copy as c
+from hookrouter.decisions.owners import words as w
+from hookrouter.decisions.owners.duties import FIRST_SEAL, KEEP, NAMES, OPEN
+from hookrouter.decisions.replicas import copy as c
 
 from ..owners.processes import KeeperProcess, MemberProcess
 from .store import DUTY, Differs, PlainStore
--- a/benchmarks/replicas/store.py
+++ b/benchmarks/replicas/store.py
@@ -1,8 +1,8 @@
 """What a keeper's copy of a duty's records has on disk, as a plain list."""
 
-from hookrouter.fleet.decisions.owners import words as w
-from hookrouter.fleet.decisions.owners.duties import FIRST_SEAL, sealed
-from hookrouter.fleet.decisions.replicas import copy as c
+from hookrouter.decisions.owners import words as w
+from hookrouter.decisions.owners.duties import FIRST_SEAL, sealed
+from hookrouter.decisions.replicas import copy as c
 
 DUTY = "purges"
 PART = 200  # bytes sent to one that fetches: a few records, so catching up takes many parts
--- a/benchmarks/replicas/world.py
+++ b/benchmarks/replicas/world.py
@@ -4,10 +4,10 @@
 and one list of what was agreed.
 """
 
-from hookrouter.fleet.decisions.owners import Keeper
-from hookrouter.fleet.decisions.owners import words as w
-from hookrouter.fleet.decisions.owners.duties import DECLARE, KEEP, NAMES, OPEN, SWEEP
-from hookrouter.fleet.decisions.replicas import copy as c
+from hookrouter.decisions.owners import Keeper
+from hookrouter.decisions.owners import words as w
+from hookrouter.decisions.owners.duties import DECLARE, KEEP, NAMES, OPEN, SWEEP
+from hookrouter.decisions.replicas import copy as c
 
 from ..owners.processes import SECOND
 from ..owners.world import World
--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -5,8 +5,8 @@
 from random import Random
 from sys import getsizeof
 
-from hookrouter.fleet.decisions.sharing import Board
-from hookrouter.fleet.decisions.sharing import words as w
+from hookrouter.decisions.sharing import Board
+from hookrouter.decisions.sharing import words as w
 
 from . import seeded
 from .sharing_world import SECOND, Node, World, bound, encode, found, lied, sayings, taken_over, trial
--- a/benchmarks/sharing_world.py
+++ b/benchmarks/sharing_world.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from hookrouter.fleet.decisions.sharing import soft
-from hookrouter.fleet.decisions.sharing import words as w
-from hookrouter.fleet.decisions.sharing.bounds import share_of
-from hookrouter.fleet.decisions.sharing.exchange import Exchange
-from hookrouter.fleet.decisions.sharing.speakers import speakers_of
+from hookrouter.decisions.sharing import soft
+from hookrouter.decisions.sharing import words as w
+from hookrouter.decisions.sharing.bounds import share_of
+from hookrouter.decisions.sharing.exchange import Exchange
+from hookrouter.decisions.sharing.speakers import speakers_of
 from hookrouter.lab.engine import Engine
 
 SECOND = 10_000
--- a/benchmarks/spread/checks.py
+++ b/benchmarks/spread/checks.py
@@ -3,10 +3,10 @@
 import msgspec
 
 from hookrouter import interface as i
-from hookrouter.fleet.decisions.spread import Spread, SpreadTerms
-from hookrouter.fleet.decisions.spread.busy import MOST_MOVE, Busy
-from hookrouter.fleet.decisions.spread.shares import Shares
-from hookrouter.fleet.decisions.spread.trickle import MOST_WAIT, STEP, Trickle
+from hookrouter.decisions.spread import Spread, SpreadTerms
+from hookrouter.decisions.spread.busy import MOST_MOVE, Busy
+from hookrouter.decisions.spread.shares import Shares
+from hookrouter.decisions.spread.trickle import MOST_WAIT, STEP, Trickle
 
 from . import shares_model, shares_world
 from .world import Summary
--- a/benchmarks/spread/shares_model.py
+++ b/benchmarks/spread/shares_model.py
@@ -7,8 +7,8 @@
 from collections import deque
 from typing import NamedTuple
 
-from hookrouter.fleet.decisions.spread.shares import Shares
-from hookrouter.fleet.decisions.spread.words import ColdTerms, SpreadTerms
+from hookrouter.decisions.spread.shares import Shares
+from hookrouter.decisions.spread.words import ColdTerms, SpreadTerms
 
 NAMES = ("a", "b", "c")
 LEASE = 3  # ticks
--- a/benchmarks/spread/shares_world.py
+++ b/benchmarks/spread/shares_world.py
@@ -2,8 +2,8 @@
 
 from random import Random
 
-from hookrouter.fleet.decisions.spread.shares import Shares
-from hookrouter.fleet.decisions.spread.words import ColdTerms, SpreadTerms
+from hookrouter.decisions.spread.shares import Shares
+from hookrouter.decisions.spread.words import ColdTerms, SpreadTerms
 from hookrouter.lab.engine import Engine
 
 SECOND = 10_000
--- a/benchmarks/spread/ways.py
+++ b/benchmarks/spread/ways.py
@@ -3,8 +3,8 @@
 from math import exp
 
 from hookrouter.control.placing import LEAD, Placing
-from hookrouter.fleet.decisions.spread import Spread
-from hookrouter.fleet.decisions.spread.busy import MOST_MOVE, Busy
+from hookrouter.decisions.spread import Spread
+from hookrouter.decisions.spread.busy import MOST_MOVE, Busy
 
 IDEAL_LEAD = 1.1  # times busier: it levels better than with 1.0, 1.5 or the design's 2.0
 TURNOVER = 10_000  # 1 s: what was out then has come back
--- a/benchmarks/spread/world.py
+++ b/benchmarks/spread/world.py
@@ -9,7 +9,7 @@
 
 from hookrouter import interface as i
 from hookrouter.control import Control
-from hookrouter.fleet.decisions.spread import spread_terms
+from hookrouter.decisions.spread import spread_terms
 from hookrouter.lab.engine import Engine
 
 from . import measures, ways
--- a/benchmarks/view/baselines.py
+++ b/benchmarks/view/baselines.py
@@ -4,8 +4,8 @@
 
 from msgspec.structs import replace
 
-from hookrouter.fleet.decisions.view import View
-from hookrouter.fleet.decisions.view import words as w
+from hookrouter.decisions.view import View
+from hookrouter.decisions.view import words as w
 
 
 class PlainSwim(View):
--- a/benchmarks/view/bench.py
+++ b/benchmarks/view/bench.py
@@ -5,7 +5,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from random import Random
 
-from hookrouter.fleet.decisions.view import View
+from hookrouter.decisions.view import View
 from standins.rig import Rig
 
 from .. import seeded
--- a/benchmarks/view/nodes.py
+++ b/benchmarks/view/nodes.py
@@ -1,7 +1,7 @@
 """A member of a made-up fleet: its clock, its pauses, what it sends."""
 
-from hookrouter.fleet.decisions.view import Row
-from hookrouter.fleet.decisions.view import words as w
+from hookrouter.decisions.view import Row
+from hookrouter.decisions.view import words as w
 
 SECOND = 10_000
 HEAD = 90  # bytes of a datagram beside its rows: seal, names, numbers
--- a/benchmarks/view/trials.py
+++ b/benchmarks/view/trials.py
@@ -2,8 +2,8 @@
 
 from msgspec.structs import replace
 
-from hookrouter.fleet.decisions.view import Row, View
-from hookrouter.fleet.decisions.view import words as w
+from hookrouter.decisions.view import Row, View
+from hookrouter.decisions.view import words as w
 
 from .nodes import SECOND
 from .orders import explore, sums_tell, wakes_late
--- a/benchmarks/view/world.py
+++ b/benchmarks/view/world.py
@@ -3,8 +3,8 @@
 from collections import Counter
 from random import Random
 
-from hookrouter.fleet.decisions.view import Terms, View
-from hookrouter.fleet.decisions.view import words as w
+from hookrouter.decisions.view import Terms, View
+from hookrouter.decisions.view import words as w
 from hookrouter.lab.engine import Engine
 
 from .nodes import SECOND, Node, size
--- a/benchmarks/warming/laws.py
+++ b/benchmarks/warming/laws.py
@@ -3,9 +3,9 @@
 from collections import Counter
 from random import Random
 
-from hookrouter.fleet.decisions.warming import Allowance, Borrowed, Sketch, merge
-from hookrouter.fleet.decisions.warming import words as w
-from hookrouter.fleet.decisions.warming.pace import Cold
+from hookrouter.decisions.warming import Allowance, Borrowed, Sketch, merge
+from hookrouter.decisions.warming import words as w
+from hookrouter.decisions.warming.pace import Cold
 
 LEAST = 1e-6
 
--- a/benchmarks/warming/location.py
+++ b/benchmarks/warming/location.py
@@ -6,9 +6,9 @@
 
 from random import Random
 
-from hookrouter.fleet.decisions.warming import Allowance, Sketch
-from hookrouter.fleet.decisions.warming.pace import Cold
-from hookrouter.fleet.decisions.warming.rank import hashed, rank
+from hookrouter.decisions.warming import Allowance, Sketch
+from hookrouter.decisions.warming.pace import Cold
+from hookrouter.decisions.warming.rank import hashed, rank
 from hookrouter.lab.engine import Engine
 from hookrouter.lab.stations import Copies, Link
 from hookrouter.lab.theory import zipf
--- a/benchmarks/warming/owner.py
+++ b/benchmarks/warming/owner.py
@@ -2,11 +2,11 @@
 
 from collections import Counter
 
-from hookrouter.fleet.decisions.warming import Borrowed, Doors, Lender, Purged, Scene, Strain, Warming
-from hookrouter.fleet.decisions.warming import steps as s
-from hookrouter.fleet.decisions.warming import words as w
-from hookrouter.fleet.decisions.warming.plan import Kind
-from hookrouter.fleet.decisions.warming.rank import rank
+from hookrouter.decisions.warming import Borrowed, Doors, Lender, Purged, Scene, Strain, Warming
+from hookrouter.decisions.warming import steps as s
+from hookrouter.decisions.warming import words as w
+from hookrouter.decisions.warming.plan import Kind
+from hookrouter.decisions.warming.rank import rank
 
 from .location import FLOW
 
--- a/benchmarks/warming/stage.py
+++ b/benchmarks/warming/stage.py
@@ -7,11 +7,11 @@
 from collections import Counter
 from typing import NamedTuple
 
-from hookrouter.fleet.decisions.owners.fence import Fence
-from hookrouter.fleet.decisions.warming import Borrowed, Doors, Lender, Purged, Scene, Sketch, Warming
-from hookrouter.fleet.decisions.warming import steps as s
-from hookrouter.fleet.decisions.warming import words as w
-from hookrouter.fleet.decisions.warming.plan import Kind
+from hookrouter.decisions.owners.fence import Fence
+from hookrouter.decisions.warming import Borrowed, Doors, Lender, Purged, Scene, Sketch, Warming
+from hookrouter.decisions.warming import steps as s
+from hookrouter.decisions.warming import words as w
+from hookrouter.decisions.warming.plan import Kind
 from hookrouter.purges.types import OBJECT, Purge
 
 DUTY, TARGET, NEIGHBOURS, PARENT = "warm/n", "n", ("a", "b"), "p"
--- a/hookrouter/command/fleet/asking.py
+++ b/hookrouter/command/fleet/asking.py
@@ -21,7 +21,7 @@
     """
     from twisted.internet import reactor
 
-    from ...fleet.decisions.owners import words as w
+    from ...decisions.owners import words as w
     from ...fleet.wire import Peers
 
     who, answers = f"cmd-{os.getpid()}", {}
@@ -69,7 +69,7 @@
 
 
 def looked(section):
-    from ...fleet.decisions.owners import words as w
+    from ...decisions.owners import words as w
 
     return ask(section, lambda who, life: w.Look(f"{who}#{life}/1"), True)
 
@@ -81,7 +81,7 @@
 
 
 def commanded(site_file, command, fields):
-    from ...fleet.decisions.owners import words as w
+    from ...decisions.owners import words as w
 
     section = section_of(site_file)
     answer = ask(section, lambda who, life: w.Ask(f"{who}#{life}/1", command, fields)).get("answer")
--- a/hookrouter/command/fleet/records.py
+++ b/hookrouter/command/fleet/records.py
@@ -130,7 +130,7 @@
 
     Example: hookrouter fleet import --site site.ini
     """
-    from ...fleet.decisions.owners import words as w
+    from ...decisions.owners import words as w
 
     wrong, held = [], []
 
--- a/hookrouter/command/fleet/rehearsal.py
+++ b/hookrouter/command/fleet/rehearsal.py
@@ -58,7 +58,7 @@
     """The exit code: 0 where every duty has an owner at the end."""
     from twisted.internet import reactor, task
 
-    from ...fleet.decisions.owners import words as w
+    from ...decisions.owners import words as w
     from ...fleet.wire import Peers
 
     watch, count, life = Watch(list(section["keepers"])), [0], int(time.time() * 1_000)
--- a/hookrouter/command/fleet/showing.py
+++ b/hookrouter/command/fleet/showing.py
@@ -63,7 +63,7 @@
 
     Example: hookrouter fleet members --site site.ini
     """
-    from ...fleet.decisions.owners import words as w
+    from ...decisions.owners import words as w
 
     section = section_of(site_file)
     if watch:
@@ -108,7 +108,7 @@
 
     Example: hookrouter fleet explain k2 --site site.ini
     """
-    from ...fleet.decisions.owners import words as w
+    from ...decisions.owners import words as w
 
     found = ask(section_of(site_file), lambda who, life: w.Roster(f"{who}#{life}/1", name), True)
     rows = sorted((at, teller, *rest) for teller, told in found.items() for at, *rest in told)
--- a/hookrouter/fleet/decisions/admission/tickets.py
+++ b/hookrouter/decisions/admission/tickets.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ....errors.wire import Unsealed
+from ...errors.wire import Unsealed
 
 SEAL = 16  # bytes of HMAC-SHA256: a guess costs a connection
 MOST = 400  # characters: two names of 64, three numbers and the seal are below it
--- a/hookrouter/fleet/decisions/owners/duties.py
+++ b/hookrouter/decisions/owners/duties.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ....tables.seals import FIRST_SEAL, SEAL, sealed
+from ...tables.seals import FIRST_SEAL, SEAL, sealed
 
 DECLARE, GRANT, DROP, DONE = "declare", "grant", "drop", "done"
 # Of a duty that keeps an order of records: an owner begins, appends, notes names, and folds what is too old.
--- a/hookrouter/fleet/decisions/spread/spread.py
+++ b/hookrouter/decisions/spread/spread.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ....control.cold import COLD_BURST, COLD_PACE
+from ...control.cold import COLD_BURST, COLD_PACE
 from .busy import Busy
 from .shares import Shares
 from .trickle import Trickle
--- a/hookrouter/fleet/decisions/spread/turns.py
+++ b/hookrouter/decisions/spread/turns.py
@@ -1,6 +1,6 @@
 """The turns of a cold cache, as Control hands them out: by the wall clock, since its start is told by it."""
 
-from ....tables.turns import place
+from ...tables.turns import place
 
 
 def handed(row, wall):
--- a/hookrouter/fleet/decisions/warming/lists.py
+++ b/hookrouter/decisions/warming/lists.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ....errors.wire import Unfit
+from ...errors.wire import Unfit
 from . import words as w
 
 MOST_BYTES = 400_000  # of one list
--- a/hookrouter/fleet/decisions/warming/purged.py
+++ b/hookrouter/decisions/warming/purged.py
@@ -2,8 +2,8 @@
 
 from collections import deque
 
-from ....purges import types
-from ....purges.patterns import Patterns
+from ...purges import types
+from ...purges.patterns import Patterns
 
 KEPT = 20_000  # purges, a minute's burst; a list from before them is of no use
 
--- a/hookrouter/desk/admission.py
+++ b/hookrouter/desk/admission.py
@@ -14,9 +14,9 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.web import server
 
+from ..decisions.admission import Come, Gate, Terms, tickets
+from ..decisions.admission import words as w
 from ..feed.purges import steady
-from ..fleet.decisions.admission import Come, Gate, Terms, tickets
-from ..fleet.decisions.admission import words as w
 from ..log import Log
 from ..purges import tail as t
 from ..purges import wire
--- a/hookrouter/feed/paced.py
+++ b/hookrouter/feed/paced.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from ..fleet.decisions.admission import comer as c
+from ..decisions.admission import comer as c
 from ..terms import SECOND
 
 ELSEWHERE = 500  # 50 ms: sent to where there is room, it goes there soon
--- a/hookrouter/fleet/__init__.py
+++ b/hookrouter/fleet/__init__.py
@@ -1,1 +1,3 @@
-"""What routers do as a fleet: member/ (one process), wire/ (bytes among members), decisions/ (no I/O)."""
+"""What routers do as a fleet: member/ (one process), wire/ (bytes among members). Decides nothing itself:
+see hookrouter/decisions.
+"""
--- a/hookrouter/fleet/member/asker.py
+++ b/hookrouter/fleet/member/asker.py
@@ -4,8 +4,8 @@
 
 from twisted.internet.defer import Deferred
 
+from ...decisions.owners import words as w
 from ...errors.wire import Lost
-from ..decisions.owners import words as w
 
 ASK_AGAIN = 0.3  # seconds until a command without an answer is asked again
 MOST_WAITING = 1_000
--- a/hookrouter/fleet/member/lists.py
+++ b/hookrouter/fleet/member/lists.py
@@ -3,8 +3,8 @@
 import msgspec
 from twisted.internet.defer import Deferred, succeed
 
-from ..decisions.sharing import words as w
-from ..decisions.sharing.pulls import Lender, Puller
+from ...decisions.sharing import words as w
+from ...decisions.sharing.pulls import Lender, Puller
 
 MOST_PULLS = 16  # under way at once
 
--- a/hookrouter/fleet/member/purges.py
+++ b/hookrouter/fleet/member/purges.py
@@ -11,13 +11,13 @@
 from twisted.internet.defer import fail, gatherResults, succeed
 from twisted.web import resource, server
 
+from ...decisions.owners.duties import DECLARE, KEEP, NAMES, OPEN, SWEEP
 from ...desk import web
 from ...desk.desk import Desk
 from ...desk.paced import paced
 from ...feed.caller import Caller
 from ...stores.purge_log import pack
 from ...tables.deadlines import Deadlines
-from ..decisions.owners.duties import DECLARE, KEEP, NAMES, OPEN, SWEEP
 from .asker import Lost
 from .records import DUTY
 
--- a/hookrouter/fleet/member/records.py
+++ b/hookrouter/fleet/member/records.py
@@ -9,12 +9,12 @@
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
 
+from ...decisions.owners import words as w
+from ...decisions.owners.duties import FIRST_SEAL
+from ...decisions.replicas import copy as c
 from ...desk.local_store import replayed
 from ...stores import PurgeLog, Unusable
 from ...stores.purge_log import Damaged, Differs
-from ..decisions.owners import words as w
-from ..decisions.owners.duties import FIRST_SEAL
-from ..decisions.replicas import copy as c
 
 DUTY = "purges"
 PART = 400_000  # bytes of records sent to one that fetches, at a time: a frame takes them
--- a/hookrouter/fleet/member/roster.py
+++ b/hookrouter/fleet/member/roster.py
@@ -4,9 +4,9 @@
 import time
 from collections import deque
 
-from ..decisions.view import Row, View
-from ..decisions.view import Terms as ViewTerms
-from ..decisions.view import words as v
+from ...decisions.view import Row, View
+from ...decisions.view import Terms as ViewTerms
+from ...decisions.view import words as v
 from ..wire.datagrams import Datagrams
 from ..wire.post import Post
 
--- a/hookrouter/fleet/member/service.py
+++ b/hookrouter/fleet/member/service.py
@@ -6,14 +6,14 @@
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
 
+from ...decisions.owners import Holder, Keeper, Terms
+from ...decisions.owners import words as w
+from ...decisions.owners.duties import DONE
+from ...decisions.owners.keeper import BROKEN
 from ...feed.purges import steady
 from ...stores import Unusable
 from ...stores.keeper_log import KeeperLog
 from ...terms import SECOND
-from ..decisions.owners import Holder, Keeper, Terms
-from ..decisions.owners import words as w
-from ..decisions.owners.duties import DONE
-from ..decisions.owners.keeper import BROKEN
 from ..wire import Peers
 from ..wire.post import Parcel
 from .asker import Asker
--- a/hookrouter/fleet/member/sharing.py
+++ b/hookrouter/fleet/member/sharing.py
@@ -3,12 +3,12 @@
 import msgspec
 from twisted.internet.defer import DeferredList
 
+from ...decisions.sharing import soft
+from ...decisions.sharing import words as w
+from ...decisions.sharing.exchange import Exchange
+from ...decisions.view.words import DEAD
 from ...errors.wire import TooLong
 from ...feed.purges import steady
-from ..decisions.sharing import soft
-from ..decisions.sharing import words as w
-from ..decisions.sharing.exchange import Exchange
-from ..decisions.view.words import DEAD
 from ..wire.post import Parcel
 from .lists import Lists
 from .roster import SHARES
--- a/hookrouter/fleet/member/spread.py
+++ b/hookrouter/fleet/member/spread.py
@@ -3,9 +3,9 @@
 import msgspec
 
 from ... import interface as i
+from ...decisions.spread import Spread, spread_terms
+from ...decisions.spread.words import TOPIC, Started
 from ...feed.purges import steady
-from ..decisions.spread import Spread, spread_terms
-from ..decisions.spread.words import TOPIC, Started
 
 TICK = 0.2  # seconds: the list is looked at, shares are asked for, what was found is told
 encode = msgspec.msgpack.Encoder().encode
--- a/hookrouter/fleet/member/warmed.py
+++ b/hookrouter/fleet/member/warmed.py
@@ -2,11 +2,11 @@
 
 from ... import interface as i
 from ...caches.errands import Errand
-from ..decisions.warming import Allowance, Borrowed, Doors, Scene, Strain, Warming
-from ..decisions.warming import steps as s
-from ..decisions.warming import words as w
-from ..decisions.warming.pace import Cold
-from ..decisions.warming.plan import Kind
+from ...decisions.warming import Allowance, Borrowed, Doors, Scene, Strain, Warming
+from ...decisions.warming import steps as s
+from ...decisions.warming import words as w
+from ...decisions.warming.pace import Cold
+from ...decisions.warming.plan import Kind
 
 TICK = 0.02  # seconds
 FILL_WITHIN = 40_000  # 4 s: what takes longer helps nobody
--- a/hookrouter/fleet/member/warming.py
+++ b/hookrouter/fleet/member/warming.py
@@ -2,12 +2,12 @@
 
 import msgspec
 
+from ...decisions.owners.duties import DECLARE, DONE, DROP
+from ...decisions.warming import Lender, lists
+from ...decisions.warming import words as w
+from ...decisions.warming.rank import rank
 from ...errors.wire import Lost, Unfit
 from ...feed.purges import steady
-from ..decisions.owners.duties import DECLARE, DONE, DROP
-from ..decisions.warming import Lender, lists
-from ..decisions.warming import words as w
-from ..decisions.warming.rank import rank
 from .asker import Asker
 from .warmed import Warmed
 
--- a/hookrouter/node/heed.py
+++ b/hookrouter/node/heed.py
@@ -4,8 +4,8 @@
 """
 
 from .. import interface as i
-from ..fleet.decisions.warming import Purged, Sketch
-from ..fleet.decisions.warming.sketch import HALVED_EVERY
+from ..decisions.warming import Purged, Sketch
+from ..decisions.warming.sketch import HALVED_EVERY
 from ..terms import SECOND
 
 BYTES = 1_000  # of a KB as clients tell sizes
--- a/hookrouter/node/told.py
+++ b/hookrouter/node/told.py
@@ -3,8 +3,8 @@
 Decides nothing: it copies rows out of the decisions' arrays and, at a start, into them.
 """
 
-from ..fleet.decisions.sharing import soft
-from ..fleet.decisions.sharing import words as w
+from ..decisions.sharing import soft
+from ..decisions.sharing import words as w
 from .tally import Tally
 
 HALF = 0.5  # of what is told counts at a start, beside what stands here
--- a/hookrouter/stores/keeper_log.py
+++ b/hookrouter/stores/keeper_log.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
+from ..decisions.owners.words import Entry, Stored
 from ..errors.stores import Foreign
-from ..fleet.decisions.owners.words import Entry, Stored
 from ..tables.seals import sealed as seal
 from .sqlite import BUSY, create, empty, not_opened, transaction
 
--- a/tests/admission_mistakes.py
+++ b/tests/admission_mistakes.py
@@ -2,11 +2,11 @@
 
 import msgspec
 
-from hookrouter.fleet.decisions.admission import Comer, Gate, tickets
-from hookrouter.fleet.decisions.admission import words as w
-from hookrouter.fleet.decisions.admission.gate import TOKENS
-from hookrouter.fleet.decisions.admission.overflow import Overflow
-from hookrouter.fleet.decisions.admission.queue import FORMER, URGENT
+from hookrouter.decisions.admission import Comer, Gate, tickets
+from hookrouter.decisions.admission import words as w
+from hookrouter.decisions.admission.gate import TOKENS
+from hookrouter.decisions.admission.overflow import Overflow
+from hookrouter.decisions.admission.queue import FORMER, URGENT
 
 
 class TwoForOneSlot(Gate):
--- a/tests/owners_mistakes.py
+++ b/tests/owners_mistakes.py
@@ -1,7 +1,7 @@
 """Mistakes seeded on purpose, a keeper each: what a check of safety must find."""
 
-from hookrouter.fleet.decisions.owners import Keeper
-from hookrouter.fleet.decisions.owners import words as w
+from hookrouter.decisions.owners import Keeper
+from hookrouter.decisions.owners import words as w
 
 
 class VoteNotOnDisk(Keeper):
--- a/tests/replicas_mistakes.py
+++ b/tests/replicas_mistakes.py
@@ -5,10 +5,10 @@
 
 from collections import deque
 
-from hookrouter.fleet.decisions.owners import Keeper
-from hookrouter.fleet.decisions.owners import words as w
-from hookrouter.fleet.decisions.owners.duties import Duties, Record, sealed
-from hookrouter.fleet.decisions.replicas import copy as c
+from hookrouter.decisions.owners import Keeper
+from hookrouter.decisions.owners import words as w
+from hookrouter.decisions.owners.duties import Duties, Record, sealed
+from hookrouter.decisions.replicas import copy as c
 
 
 def with_duties(made):
--- a/tests/sharing_mistakes.py
+++ b/tests/sharing_mistakes.py
@@ -1,9 +1,9 @@
 """Mistakes seeded on purpose into what members share: a check that finds none of them is no check."""
 
-from hookrouter.fleet.decisions.sharing import words as w
-from hookrouter.fleet.decisions.sharing.board import Board
-from hookrouter.fleet.decisions.sharing.exchange import Exchange
-from hookrouter.fleet.decisions.sharing.soft import Adopted
+from hookrouter.decisions.sharing import words as w
+from hookrouter.decisions.sharing.board import Board
+from hookrouter.decisions.sharing.exchange import Exchange
+from hookrouter.decisions.sharing.soft import Adopted
 
 
 class AddsTwiceBoard(Board):
--- a/tests/spread_mistakes.py
+++ b/tests/spread_mistakes.py
@@ -1,8 +1,8 @@
 """Mistakes seeded on purpose into spread: a check that finds none of them is no check."""
 
-from hookrouter.fleet.decisions.spread import Spread, shares, sources, trickle
-from hookrouter.fleet.decisions.spread.busy import Busy
-from hookrouter.fleet.decisions.spread.shares import HELD, LENT, Shares, Unit
+from hookrouter.decisions.spread import Spread, shares, sources, trickle
+from hookrouter.decisions.spread.busy import Busy
+from hookrouter.decisions.spread.shares import HELD, LENT, Shares, Unit
 
 
 class LapsedStillSpent(Shares):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -12,9 +12,9 @@
 from benchmarks.admission.model import Bounds, search
 from benchmarks.admission.scenes import KEY, scenes_of
 from benchmarks.admission.schedule import play
+from hookrouter.decisions.admission import Comer, tickets
+from hookrouter.decisions.admission import comer as c
 from hookrouter.errors.wire import Unsealed
-from hookrouter.fleet.decisions.admission import Comer, tickets
-from hookrouter.fleet.decisions.admission import comer as c
 from hookrouter.site import Refused, read_text
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,8 +15,8 @@
 from fleet import configuration, endpoint, members, message
 from processes import Cache, FeedStandIn, Standing, ask
 
-from hookrouter.fleet.decisions.owners import Keeper, Terms
-from hookrouter.fleet.decisions.owners import words as w
+from hookrouter.decisions.owners import Keeper, Terms
+from hookrouter.decisions.owners import words as w
 from hookrouter.stores import Unusable
 from hookrouter.stores.keeper_log import KeeperLog
 from standins.rig import Rig, free_port, holder
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -6,9 +6,9 @@
 from benchmarks.owners.model import Bounds, explore
 from benchmarks.owners.schedules import granted_away, older_term_counted, schedule, split
 from benchmarks.owners.world import World
-from hookrouter.fleet.decisions.owners import Fence, Holder, Keeper, Stored, Terms
-from hookrouter.fleet.decisions.owners import words as w
-from hookrouter.fleet.decisions.owners.duties import DECLARE, DONE, GRANT, Duties
+from hookrouter.decisions.owners import Fence, Holder, Keeper, Stored, Terms
+from hookrouter.decisions.owners import words as w
+from hookrouter.decisions.owners.duties import DECLARE, DONE, GRANT, Duties
 
 NAMES = ("a", "b", "c")
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -12,7 +12,7 @@
 from replicas_mistakes import MISTAKES
 
 from benchmarks.replicas.world import CopyWorld, broken_by, standing
-from hookrouter.fleet.decisions.owners.duties import FIRST_SEAL, KEEP, Duties, sealed
+from hookrouter.decisions.owners.duties import FIRST_SEAL, KEEP, Duties, sealed
 from hookrouter.purges import Purge
 from hookrouter.stores import PurgeLog
 from hookrouter.stores.purge_log import Differs, pack, unpack
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -19,15 +19,15 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 from benchmarks.sharing_world import found, lied, sayings, taken_over, trial  # noqa: E402
 from hookrouter import interface as i  # noqa: E402
-from hookrouter.fleet.decisions.sharing import (  # noqa: E402
+from hookrouter.decisions.sharing import (  # noqa: E402
     Board,
     Terms,
     soft,  # noqa: E402
 )
-from hookrouter.fleet.decisions.sharing import words as w  # noqa: E402
-from hookrouter.fleet.decisions.sharing.board import rank  # noqa: E402
-from hookrouter.fleet.decisions.sharing.bounds import cut  # noqa: E402
-from hookrouter.fleet.decisions.sharing.pulls import PIECE, Lender, Puller  # noqa: E402
+from hookrouter.decisions.sharing import words as w  # noqa: E402
+from hookrouter.decisions.sharing.board import rank  # noqa: E402
+from hookrouter.decisions.sharing.bounds import cut  # noqa: E402
+from hookrouter.decisions.sharing.pulls import PIECE, Lender, Puller  # noqa: E402
 from hookrouter.node.tally import Tally  # noqa: E402
 from hookrouter.node.told import Told  # noqa: E402
 from hookrouter.site import Refused, read_text  # noqa: E402
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -7,8 +7,8 @@
 from benchmarks.spread import checks, shares_model, shares_world, world
 from hookrouter import interface as i
 from hookrouter.control import Control
-from hookrouter.fleet.decisions.spread import Spread, spread_terms
-from hookrouter.fleet.decisions.spread.words import Ask, Cede, Started, Word
+from hookrouter.decisions.spread import Spread, spread_terms
+from hookrouter.decisions.spread.words import Ask, Cede, Started, Word
 from hookrouter.site import Refused, read_text
 
 NOW = 1_000_000
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -14,9 +14,9 @@
 from benchmarks.view.orders import explore, wakes_late
 from benchmarks.view.trials import found, trial
 from benchmarks.view.world import World, joined
-from hookrouter.fleet.decisions.view import Row, Terms, View
-from hookrouter.fleet.decisions.view import words as w
-from hookrouter.fleet.decisions.view.members import holds
+from hookrouter.decisions.view import Row, Terms, View
+from hookrouter.decisions.view import words as w
+from hookrouter.decisions.view.members import holds
 from hookrouter.fleet.wire import datagrams
 from standins.rig import Rig
 
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -9,8 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hookrouter.errors.wire import Unfit
-from hookrouter.fleet.decisions.warming import (
+from hookrouter.decisions.warming import (
     Allowance,
     Borrowed,
     Purged,
@@ -21,10 +20,11 @@
     make,
     merge,
 )
-from hookrouter.fleet.decisions.warming import words as w
-from hookrouter.fleet.decisions.warming.pace import Cold
-from hookrouter.fleet.decisions.warming.plan import STEP, Kind, gains
-from hookrouter.fleet.decisions.warming.rank import hashed, rank
+from hookrouter.decisions.warming import words as w
+from hookrouter.decisions.warming.pace import Cold
+from hookrouter.decisions.warming.plan import STEP, Kind, gains
+from hookrouter.decisions.warming.rank import hashed, rank
+from hookrouter.errors.wire import Unfit
 from hookrouter.purges.types import Purge
 
 NAMES = [("page", f"o{n}", 0) for n in range(40)]
--- a/tests/test_warming_member.py
+++ b/tests/test_warming_member.py
@@ -9,8 +9,8 @@
 
 from hookrouter import interface as i
 from hookrouter.caches.errands import Ended, request
-from hookrouter.fleet.decisions.owners.holder import Warrant
-from hookrouter.fleet.decisions.warming import words as w
+from hookrouter.decisions.owners.holder import Warrant
+from hookrouter.decisions.warming import words as w
 from hookrouter.fleet.member.warmed import Warmed
 from hookrouter.node.heed import Heed
 
--- a/tests/view_mistakes.py
+++ b/tests/view_mistakes.py
@@ -1,8 +1,8 @@
 """Mistakes seeded on purpose into the decisions on the view: a check that finds none of them is no check."""
 
-from hookrouter.fleet.decisions.view import View
-from hookrouter.fleet.decisions.view import words as w
-from hookrouter.fleet.decisions.view.members import mark
+from hookrouter.decisions.view import View
+from hookrouter.decisions.view import words as w
+from hookrouter.decisions.view.members import mark
 
 
 class IncarnationNotRaised(View):
--- a/tests/warming_mistakes.py
+++ b/tests/warming_mistakes.py
@@ -1,9 +1,9 @@
 """Mistakes seeded on purpose in warming, each in the place of one part: what a check of safety must find."""
 
-from hookrouter.fleet.decisions import warming as d
-from hookrouter.fleet.decisions.owners.fence import Fence
-from hookrouter.fleet.decisions.warming import steps as s
-from hookrouter.fleet.decisions.warming import words as w
+from hookrouter.decisions import warming as d
+from hookrouter.decisions.owners.fence import Fence
+from hookrouter.decisions.warming import steps as s
+from hookrouter.decisions.warming import words as w
 
 
 class FillWithoutNumber(d.Warming):
