--- a/benchmarks/purges/followers.py
+++ b/benchmarks/purges/followers.py
@@ -3,18 +3,18 @@
 from hookrouter.purges import PurgeTerms
 from hookrouter.purges import place as p
 from hookrouter.purges.fence import Fence
-from hookrouter.purges.members import Members, Renewal
+from hookrouter.purges.followers import Followers, Renewal
 from hookrouter.purges.tail import RESUME, Tail
 
-from .links import Above, Link
+from .links import Link, Publisher
 from .shapes import GRACE, GROUPS, HOLD, KINDS, LEASE, OBJECTS, ROUNDING, SECOND, SKEW, TAGS
 
 
 class Follower:
     """What a relay and a router have in common: a place in the order, and a lease to renew."""
 
-    def setup(self, world, name, above):
-        self.world, self.name, self.above = world, name, above
+    def setup(self, world, name, upstream):
+        self.world, self.name, self.upstream = world, name, upstream
         self.link, self.generation, self.life, self.paused_until = None, 0, 0, 0
         self.off = world.dice.randint(-SKEW // 2, SKEW // 2)
 
@@ -29,7 +29,7 @@
     def restart(self):
         if self.link is not None:
             self.link.open = False
-            self.above.links.discard(self.link)
+            self.upstream.links.discard(self.link)
             self.link = None
         self.life += 1
         self.world.after(self.world.dice.randint(100, SECOND), self.start)
@@ -37,15 +37,15 @@
     def _connect(self, life):
         if life != self.life or self.link is not None:
             return
-        if not self.above.ready():
+        if not self.upstream.ready():
             self.world.after(500, self._connect, life)
             return
-        self.link = Link(self.world, self.above, self)
+        self.link = Link(self.world, self.upstream, self)
         self.world.after(self.world.delay(), self._hello, self.link)
 
     def _hello(self, link):
-        if link.open and self.above.ready():
-            self.above.serve(self.place.position, self.place.seen, link)
+        if link.open and self.upstream.ready():
+            self.upstream.serve(self.place.position, self.place.seen, link)
         else:
             link.cut()
 
@@ -105,7 +105,7 @@
         if self.world.dice.random() >= self.world.shape.loss:
             self.world.after(
                 self.world.delay(),
-                self.above.renew,
+                self.upstream.renew,
                 self.name,
                 self.generation,
                 self.place.position,
@@ -125,9 +125,9 @@
             self.grant(asked, span, clock)
 
 
-class Relay(Follower, Above):
-    def __init__(self, world, name, above):
-        self.setup(world, name, above)
+class Relay(Follower, Publisher):
+    def __init__(self, world, name, upstream):
+        self.setup(world, name, upstream)
         self.links, self.names = set(), {}
         self.fresh()
 
@@ -136,21 +136,21 @@
 
     def fresh(self):
         for router in getattr(self.world, "routers", ()):
-            if router.link is not None and router.link.above is self:
+            if router.link is not None and router.link.upstream is self:
                 router.link.cut()
         self.links = set()
         self.tail, self.fence = Tail(HOLD, 0), Fence(LEASE)
-        self.members = Members(LEASE, SKEW, ROUNDING, self.world.now, tuple(self.names.items()), 0)
+        self.followers = Followers(LEASE, SKEW, ROUNDING, self.world.now, tuple(self.names.items()), 0)
 
     def apply(self, purge):
         self.tail.epoch = max(self.tail.epoch, self.place.seen)
         self.tail.add(purge)
-        self.tell([purge])
+        self.publish([purge])
 
     def snapshot(self, parts):
         self.tail.epoch = self.place.seen
         self.tail.take(parts, self.place.position)
-        self.members.other_branch()
+        self.followers.other_branch()
         for link in sorted(self.links, key=lambda link: link.follower.name):
             link.cut()
 
@@ -160,27 +160,27 @@
         self.fence.granted(asked, span)
 
     def every(self):
-        _, every = self.members.least(self.world.now)
+        _, every = self.followers.least(self.world.now)
         return self.place.position.n if every is None else every
 
     def least(self):
-        live, _ = self.members.least(self.world.now)
+        live, _ = self.followers.least(self.world.now)
         return self.place.position.n if live is None else min(live, self.place.position.n)
 
-    def renew(self, member, generation, position, seen, least, every, relay, answer):
+    def renew(self, follower, generation, position, seen, least, every, relay, answer):
         self.fence.at(self.world.now)
         left = self.fence.left()
         on_branch = self.tail.place(position, seen) == RESUME
-        renewal = Renewal(member, generation, on_branch, least, every, SKEW, relay)
-        span = self.members.renew(self.world.now, renewal, self.tail.newest.n, left)
+        renewal = Renewal(follower, generation, on_branch, least, every, SKEW, relay)
+        span = self.followers.renew(self.world.now, renewal, self.tail.newest.n, left)
         if span is not None:
-            self.names[member] = generation
+            self.names[follower] = generation
             answer(span, self.tail.epoch, self.world.now + self.off)
 
 
 class Router(Follower):
-    def __init__(self, world, name, above):
-        self.setup(world, name, above)
+    def __init__(self, world, name, upstream):
+        self.setup(world, name, upstream)
         self.fresh()
         world.after(0, self._lookup)
 
--- a/hookrouter/desk/paced.py
+++ b/hookrouter/desk/paced.py
@@ -2,11 +2,19 @@
 is loaded.
 """
 
+from collections.abc import Mapping
+from typing import TypeVar
 
-def paced(above, sections, name, log):
-    """above: the Desk or Relay, given back."""
+from ..log import Log
+from .publisher import Publisher
+
+AnyPublisher = TypeVar("AnyPublisher", bound=Publisher)
+
+
+def paced(publisher: AnyPublisher, sections: Mapping, name: str, log: Log) -> AnyPublisher:
+    """That publisher, with its admission where sections, those of the operator's file, have one."""
     if "admission" in sections:
         from .admission import Admission
 
-        above.admission = Admission(above.reactor, log, sections, above, name)
-    return above
+        publisher.admission = Admission(publisher.reactor, log, sections, publisher, name)
+    return publisher
--- /dev/null
+++ b/hookrouter/desk/publisher.py
@@ -0,0 +1,210 @@
+"""What desk and relay have in common: an order published to followers, and leases that they renew."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.server import Request
+
+from ..feed.purges import steady
+from ..log import Log
+from ..purges import tail as t
+from ..purges import wire
+from ..purges.followers import Followers, Renewal
+from ..purges.types import Position
+from .stream import Stream
+
+if TYPE_CHECKING:
+    from .admission import Admission
+
+BEAT = 0.5  # seconds between heartbeats: four in the shortest silence that a follower bears
+LOOK = 0.002  # seconds until a look whether purges are in effect
+MOST_STREAMS = 2_000  # followers of one desk or relay; more hang off relays
+
+
+class Publisher:
+    """Base of Desk and Relay, which set tail, followers (the decisions) and clock (the desk's, in tenths of a
+    millisecond), and override what differs between them.
+    """
+
+    tail: t.Tail
+    followers: Followers
+    clock: Callable[[], int]
+
+    def __init__(self, reactor: IReactorTime, log: Log) -> None:
+        """Nothing is served before start()."""
+        self.reactor, self.log = reactor, log
+        self.streams: dict[Stream, bool] = {}  # Stream -> True, in the order in which they came
+        self.counters: dict[str, int] = {}
+        self.last: tuple[wire.Event | None, bytes] = None, b""  # the event written last, and as bytes
+        self.settle_call, self.settling = None, False  # settling: a look is due in a moment
+        self.stopped = False
+        self.admission: Admission | None = None  # with [admission]: what paces those that come
+
+    def encoded(self, event: wire.Event) -> bytes:
+        """The event as it is written; most followers are written the same one after the other."""
+        if event != self.last[0]:
+            self.last = event, b"data: " + wire.write(event) + b"\n\n"
+        return self.last[1]
+
+    def count(self, name: str) -> None:
+        """One more of that counter."""
+        self.counters[name] = self.counters.get(name, 0) + 1
+
+    def start(self) -> None:
+        """Heartbeats begin."""
+        self._beat()
+
+    def stop(self) -> None:
+        """Cuts all followers and admits none."""
+        self.stopped = True
+        if self.admission is not None:
+            self.admission.stop()
+        for stream in list(self.streams):
+            stream.cut()
+
+    def _beat(self) -> None:
+        if self.stopped:
+            return
+        for stream in list(self.streams):
+            stream.beat()
+        self.tick()
+        self.reactor.callLater(BEAT, self._beat)
+
+    def tick(self) -> None:
+        """Twice a second; for subclasses."""
+
+    def ready(self) -> bool:
+        """Whether followers can be served yet."""
+        return True
+
+    def raise_epoch(self, seen: int) -> None:
+        """A follower has heard of the epoch seen, a later life of the desk; only the desk can do anything."""
+
+    def noted(self, name: str, generation: int) -> bool:
+        """Whether that name would outlive a crash of this process; if not, it soon does."""
+        raise NotImplementedError
+
+    def follower_left(self, name: str) -> None:
+        """That name need not outlive this process any more; for subclasses."""
+
+    # ---- followers
+
+    def follow(
+        self, request: Request, position: Position, seen: int, given: Callable[[], None] | None = None
+    ) -> bool:
+        """A follower's connection from that place on; False where it has to come again. given: see Stream."""
+        place = self.tail.place(position, seen)
+        if place == t.RAISE:
+            self.raise_epoch(seen)
+            return False
+        if len(self.streams) >= MOST_STREAMS:
+            self.log("more followers than one can tell, turned away")
+            return False
+        snapshot = None if place == t.RESUME else list(self.tail.live.values())
+        self.count("followers_resumed" if snapshot is None else "followers_given_snapshots")
+        stream = Stream(
+            self, request, position.n if snapshot is None else self.tail.newest.n, snapshot, given
+        )
+        self.streams[stream] = True
+        request.notifyFinish().addBoth(lambda _: stream.close())
+        stream.pump()
+        return True
+
+    def publish(self) -> None:
+        """Writes what the order has gained to all that keep up."""
+        for stream in list(self.streams):
+            if not stream.pumping:
+                stream.pump()
+
+    def renew(self, asked: wire.Renew) -> wire.Granted | None:
+        """wire.Granted, or None where the follower is not one to be had."""
+        now = steady()
+        if asked.leave:
+            self.followers.left(asked.name, asked.generation)
+            self.follower_left(asked.name)
+            self.settle()
+            return self._granted(0)
+        # Else a crash would leave a lease behind of which nobody knows.
+        if not self.noted(asked.name, asked.generation):
+            return self._granted(0)
+        on_branch = self.tail.place(Position(asked.epoch, asked.n), asked.seen) == t.RESUME
+        known = self.followers.rows.get(asked.name)
+        before = None if known is None else known.generation
+        renewal = Renewal(
+            asked.name,
+            asked.generation,
+            on_branch,
+            min(asked.n, asked.least),
+            asked.all,
+            asked.skew,
+            asked.relay,
+        )
+        span = self.followers.renew(now, renewal, self.tail.newest.n, self.span_left())
+        if span is None:
+            self.count("members_refused")
+            return None
+        if before != asked.generation:
+            self.log("member joined", name=asked.name, generation=asked.generation)
+        self.settle()
+        return self._granted(span)
+
+    def _granted(self, span: int) -> wire.Granted:
+        return wire.Granted(span, self.tail.epoch, self.clock(), self.followers.settling())
+
+    def span_left(self) -> int | None:
+        """The rest of the lease held here, which bounds those of the followers; None: nothing does."""
+        return None
+
+    def settle(self) -> None:
+        """Looks what is in effect in a moment: many answer for one purge at once, and each look asks all."""
+        if not self.settling:
+            self.settling = True
+            self._settle_in(LOOK)
+
+    def _settle_in(self, seconds: float) -> None:
+        if self.settle_call is not None and self.settle_call.active():
+            self.settle_call.cancel()
+        self.settle_call = self.reactor.callLater(seconds, self._settle)
+
+    def _settle(self) -> None:
+        self.settling = False
+        now = steady()
+        for n, accepted, at in self.followers.settle(now):
+            self.in_effect(n, accepted, at)
+        due = self.followers.due(now)
+        if due is not None and not self.stopped:
+            self._settle_in(max(LOOK, (due - now) / 10_000))
+
+    def in_effect(self, n: int, accepted: int, at: int) -> None:
+        """Purge n, accepted then, is in effect from at on, by the steady clock; for subclasses."""
+
+    # ---- what is shown
+
+    def facts(self) -> dict[str, Any]:
+        """What /v1/status answers; operators know its keys."""
+        now = steady()
+        rows = self.followers.rows.values()
+        return {
+            "epoch": self.tail.epoch,
+            "newest": wire.number(self.tail.newest),
+            "live": len(self.tail.live),
+            "followers": len(self.streams),
+            "undone": len(self.followers.undone),
+            "members": [
+                {
+                    "name": row.name,
+                    "state": self.followers.state(now, row),
+                    "n": row.n,
+                    "all": row.all,
+                    "relay": row.relay,
+                    "generation": row.generation,
+                    "heard_ms_ago": None if row.heard is None else (now - row.heard) // 10,
+                }
+                for row in sorted(rows, key=lambda row: row.name)
+            ],
+            "counters": dict(sorted(self.counters.items())),
+            **({} if self.admission is None else {"admission": self.admission.facts()}),
+        }
--- a/hookrouter/site/file.py
+++ b/hookrouter/site/file.py
@@ -98,7 +98,7 @@
     return values
 
 
-def read_value(key: Key, text: str | None, folder: str) -> Any:
+def read_value(key: Key, text: str | None, folder: str) -> object:
     """The value of one key, its default where it is not given; raises Wrong."""
     if text is not None:
         return key.read(text.strip(), folder)
--- a/hookrouter/site/values.py
+++ b/hookrouter/site/values.py
@@ -23,7 +23,7 @@
     """Reads a number with its unit, in whole units of the program, from least to most of them."""
     pattern = re.compile(r"(\d+(?:\.\d+)?)\s*([A-Za-z%]+)")
 
-    def read(text: str, folder: str) -> Any:
+    def read(text: str, folder: str) -> int:
         found = pattern.fullmatch(text)
         if found is None or found[2] not in units:
             raise Wrong(f"{text!r} has no number and unit; wanted as in {example}, units {', '.join(units)}")
@@ -51,7 +51,7 @@
 def count(least: int, most: int) -> Reader:
     """Reads a whole number."""
 
-    def read(text: str, folder: str) -> Any:
+    def read(text: str, folder: str) -> int:
         if not text.isdecimal() or not least <= int(text) <= most:
             raise Wrong(f"{text!r}; a whole number from {least} to {most} is wanted")
         return int(text)
@@ -62,7 +62,7 @@
 def word(*words: str) -> Reader:
     """Reads one of some words."""
 
-    def read(text: str, folder: str) -> Any:
+    def read(text: str, folder: str) -> str:
         if text not in words:
             raise Wrong(f"{text!r}; one of {', '.join(words)} is wanted")
         return text
