Retention of purges: slices of sealed purges and the filters behind them

Past the exact tables all names share 16,384 bounds, so at 32 purges a second nearly every copy is asked for anew. Not used by the index yet.

--- /dev/null
+++ b/hookrouter/purges/retention/slices.py
@@ -0,0 +1,121 @@
+"""Slices of sealed purges by time: opened, filled, sealed, dropped whole once the hold is over.
+
+Exactly one slice is open. Purges are added in the order in which they were told, so their times rise but
+for the skew; one that is older than the open slice's span is added to the open slice all the same, whose
+bound is newer: the safe side.
+"""
+
+from collections import deque
+from collections.abc import Callable
+
+from .bank import FilterBank
+
+SLICES = 24  # of equal length make up the hold
+EXTRA = 4  # slices that may be opened before their time because one is full; beyond it the open one overfills
+
+
+class Slice:
+    """One slice. bound: the newest purge time in it; keys: how many digests were added."""
+
+    __slots__ = ("column", "span", "bound", "keys", "early")
+
+    def __init__(self, column: int, span: int, early: bool) -> None:
+        self.column, self.span, self.early = column, span, early
+        self.bound = self.keys = 0
+
+
+class Slices:
+    """The slices of one kind of purge. The bank is made with the first purge that is sealed."""
+
+    def __init__(self, hold: int, capacity: int, make_bank: Callable[[], FilterBank]) -> None:
+        self.hold, self.capacity = hold, capacity
+        self.length = -(-hold // SLICES)
+        self.overfull = (
+            0  # purges added to a slice beyond its capacity: false positives rise, never negatives
+        )
+        self._make_bank = make_bank
+        self._bank: FilterBank | None = None
+        self._live: list[Slice] = []  # the open one last
+        self._in_use = 0  # bit mask of the columns of live slices
+        self._bounds: list[int] = []  # by column
+        self._clean: deque[int] = deque()  # columns that may be opened
+        self._unsealed: deque[Slice] = deque()
+        self._dropped: deque[int] = deque()  # columns that wait to be cleared
+
+    def __len__(self) -> int:
+        return len(self._live)
+
+    @property
+    def newest(self) -> int:
+        """The newest bound of all slices, 0 where there are none."""
+        return max((one.bound for one in self._live), default=0)
+
+    @property
+    def keys(self) -> int:
+        """Digests in all live slices, repeats counted."""
+        return sum(one.keys for one in self._live)
+
+    def bytes(self) -> int:
+        """Memory of the filters."""
+        return 0 if self._bank is None else self._bank.bytes()
+
+    def add(self, digest: int, made: int) -> Slice:
+        """One purge more in the open slice; it binds every answer from now on."""
+        if self._bank is None:
+            self._bank = self._make_bank()
+            self._bounds = [0] * self._bank.columns
+            self._clean.extend(range(self._bank.columns))
+        current = self._open_for(made)
+        self._bank.add(current.column, digest)
+        current.keys += 1
+        current.bound = self._bounds[current.column] = max(current.bound, made)
+        return current
+
+    def bound(self, digest: int) -> int:
+        """The newest bound of the slices that may contain the digest, 0 where none does."""
+        if not self._in_use:
+            return 0
+        found, newest = self._bank.matches(digest) & self._in_use, 0
+        while found:
+            lowest = found & -found
+            newest = max(newest, self._bounds[lowest.bit_length() - 1])
+            found ^= lowest
+        return newest
+
+    def drop(self, now: int) -> list[Slice]:
+        """The slices whose every purge is older than the hold; they answer no more."""
+        gone = [one for one in self._live if one.bound < now - self.hold]
+        for one in gone:
+            self._live.remove(one)
+            self._in_use &= ~(1 << one.column)
+            self._dropped.append(one.column)
+        return gone
+
+    def step(self) -> None:
+        """One bounded piece of the work that waits: sealing first, then clearing dropped columns."""
+        if self._unsealed:
+            if self._bank.seal(self._unsealed[0].column):
+                self._unsealed.popleft()
+        elif self._dropped and self._bank.clear(self._dropped[0]):
+            self._clean.append(self._dropped.popleft())
+
+    def _open_for(self, made: int) -> Slice:
+        span = made // self.length
+        current = self._live[-1] if self._live else None
+        full = current is not None and current.keys >= self.capacity
+        due = current is None or span > current.span
+        if not due and full and sum(one.early for one in self._live) >= EXTRA:
+            self.overfull += 1
+            return current
+        if not (due or full):
+            return current
+        if not self._clean:  # columns wait to be cleared: the open slice goes on, its bound rises
+            self.overfull += full
+            return current
+        opened = Slice(self._clean.popleft(), span if due else current.span, not due)
+        self._bounds[opened.column] = 0
+        self._in_use |= 1 << opened.column
+        self._live.append(opened)
+        if current is not None:
+            self._unsealed.append(current)
+        return opened
