--- a/hookrouter/purges/retention/slices.py
+++ b/hookrouter/purges/retention/slices.py
@@ -20,6 +20,7 @@
     __slots__ = ("column", "span", "bound", "keys", "early")
 
     def __init__(self, column: int, span: int, early: bool) -> None:
+        """Empty. span: number of its stretch of time; early: opened because the one before was full."""
         self.column, self.span, self.early = column, span, early
         self.bound = self.keys = 0
 
@@ -28,6 +29,7 @@
     """The slices of one kind of purge. The bank is made with the first purge that is sealed."""
 
     def __init__(self, hold: int, capacity: int, make_bank: Callable[[], FilterBank]) -> None:
+        """hold: as in PurgeTerms. capacity: digests for which a slice of the bank is sized."""
         self.hold, self.capacity = hold, capacity
         self.length = -(-hold // SLICES)
         self.overfull = (
@@ -43,6 +45,7 @@
         self._dropped: deque[int] = deque()  # columns that wait to be cleared
 
     def __len__(self) -> int:
+        """How many slices are live."""
         return len(self._live)
 
     @property
