Purges past the exact tables are sealed into slices instead of sharing bounds

Past `names` all objects shared 16,384 bounds, so at 32 purges a second nearly every copy was asked for anew. The oldest bounds that bind every answer now move to slices by time; a burst within the grace still shares bounds.

--- a/hookrouter/purges/guard.py
+++ b/hookrouter/purges/guard.py
@@ -5,10 +5,13 @@
 heard some: it takes only copies younger than the lease, and the desk states purges as in effect accordingly.
 """
 
+from collections.abc import Sequence
+
 from . import fence
 from . import words as w
 from .index import Index
-from .tags import Tags
+from .names import Kept
+from .tags import Listed, Tags
 
 ROUNDING = 20  # 2 ms: copies' times and ages are told in whole milliseconds, each rounded once
 GROUPS = tuple(map(str, range(256)))
@@ -18,7 +21,8 @@
 class Guard:
     """One for a router. Told purges, grants and the steady time; asked at each send and at each answer."""
 
-    def __init__(self, terms, tags=None):
+    def __init__(self, terms: w.PurgeTerms, tags: Tags | Listed | None = None) -> None:
+        """tags: of objects, where they do not come from answers."""
         self.terms = terms
         self.index, self.fence = Index(terms), fence.Fence(terms.lease)
         self.tags = Tags(terms.most_tagged) if tags is None else tags
@@ -28,45 +32,55 @@
         # When the newest purge was told, and the newest of those told before the lease: what came while this
         # router had none may have been in effect long before.
         self.latest = self.caught_up = 0
+        # When the last purge was told that came without a lease: it binds at once, as soon as there is one.
+        self.unleased = 0
         self.behind = 0  # by so much the desk's clock was seen to be behind this router's
 
     # ---- told
 
-    def at(self, steady):
+    def at(self, steady: int) -> None:
         """The steady clock, before each decision and answer: here a process that was paused learns it."""
         self.fence.now = max(self.fence.now, steady)
         if self.fence.now >= self.fence.until:
             self.fence.at(steady)
             self.age = self._age()
 
-    def granted(self, since, span):
+    def granted(self, since: int, span: int) -> None:
+        """The renewal written at since was granted for span from then on; 0: denied."""
         before = self.fence.state
         self.fence.granted(since, span)
         if before != fence.CURRENT == self.fence.state:
             self.caught_up = self.latest
             self.age = self._age()
 
-    def clock(self, asked, answered, desk):
+    def clock(self, asked: int, answered: int, desk: int) -> None:
         """The desk's time in an answer that came between two of this router's (Cristian, 1989)."""
         # Behind for sure, and by this at most; what is ahead makes no difference, see told().
         self.behind = answered - desk if asked - desk > self.terms.skew else 0
 
-    def told(self, now, purge):
-        """A desk that is ahead makes no purge later than its news; one that is behind, none too early."""
+    def told(self, now: int, purge: w.Purge) -> Kept:
+        """How the purge is kept: by what it costs names that it does not concern.
+
+        A desk that is ahead makes no purge later than its news; one that is behind, none too early.
+        """
         made = min(now, purge.made + self.behind) + self.terms.skew + ROUNDING
         self.latest = now
-        self.index.add(purge.sort, purge.what, made, now)
+        if self.fence.state != fence.CURRENT:
+            self.unleased = now
+        binding = max(now - self.terms.grace, self.unleased)
+        return self.index.add(purge.sort, purge.what, made, now, binding)
 
     # ---- asked
 
-    def state(self):
+    def state(self) -> str:
+        """Of the fence."""
         return self.fence.state
 
-    def left(self):
+    def left(self) -> int:
         """Of the lease, in tenths of a millisecond."""
         return self.fence.left()
 
-    def shut(self):
+    def shut(self) -> bool:
         """Whether no copy may answer at all."""
         return self.fence.state != fence.CURRENT and self.terms.fenced == w.NACK
 
@@ -90,11 +104,12 @@
         told_by = max(began - self.settling, now - self.terms.grace, self.caught_up)
         return made < self.index.due(told_by, kind, name, group, own)
 
-    def learn(self, name, made, tags):
+    def learn(self, name: str, made: int, tags: Sequence[str] | None) -> None:
+        """The tags that an answer names; None: it names none that can be used."""
         if tags is not None:
             self.tags.learn(name, made, tags)
 
-    def _age(self):
+    def _age(self) -> int:
         if self.fence.state == fence.CURRENT:
             return self.terms.hold
         return self.terms.lease if self.fence.state == fence.FENCED else STRICT
--- a/hookrouter/purges/index.py
+++ b/hookrouter/purges/index.py
@@ -1,145 +1,160 @@
 """The live purges of one router: for an object, the time before which no copy of it may answer.
 
 Cost a lookup: a look in each of five tables, and for a name not seen lately one match in each set of
-patterns.
+patterns, one probe of the slices for each of the object's names and for each length of prefix in use.
 """
 
-from zlib import crc32
+from collections.abc import Iterator, Sequence
+from typing import NamedTuple
 
 from . import words as w
-from .bounds import Bound
+from .bounds import Bound, raised
+from .names import Kept, Names
 from .patterns import Patterns
+from .prefixes import Prefixes, SealedPrefixes
+from .retention.sealed import SealedNames
 
-SHARED = 1 << 14  # bounds for names beyond the most: one purge more costs one object in so many a fill
-MOST_PATTERNS = 4_096  # distinct live ones in a router; the desk refuses before that
-LONGEST_NAME = 256  # characters of a tag or object that is kept as it is
+MOST_PATTERNS = 4_096  # distinct live globs and regexes in a router; the desk refuses before that
+MOST_GROUPS = 256  # groups there are: they stand one by one, all of them
 REMEMBERED = 4_096  # names whose bounds are remembered: a lookup asks three times, and few are asked for most
+# Slices of tags and prefixes are sized for so many in a hold, of the most_sealed objects.
+TAGS_SHARE, PREFIXES_SHARE = 4, 8
 
 
-class Names:
-    """Bounds by name, so many at most; the names beyond share bounds by a stable hash, never laxer."""
+class Row(NamedTuple):
+    """What counts for a copy of an object."""
 
-    def __init__(self, most):
-        self.most, self.own, self.shared = most, {}, {}
+    newest: int  # the newest purge
+    told: int  # when the last of the purges was told
+    bounds: tuple[Bound, ...]
 
-    def raise_to(self, name, made, told, grace):
-        """The key under which it counts: the name, or the number of a shared bound."""
-        table, key = self.own, name
-        if name not in self.own and (len(self.own) >= self.most or len(name) > LONGEST_NAME):
-            table, key = self.shared, self._slot(name)
-        if key in table:
-            table[key].raise_to(made, told, grace)
-        else:
-            table[key] = Bound(made, told)
-        return key
-
-    def _slot(self, name):
-        return crc32(name.encode()) % SHARED
 
-    def forget(self, key):
-        (self.shared if isinstance(key, int) else self.own).pop(key, None)
+class Asked(NamedTuple):
+    """A row, and what it was asked with."""
 
-    def find(self, name):
-        """Up to two bounds that count for this name."""
-        found = self.own.get(name)
-        if not self.shared:
-            return found, None
-        return found, self.shared.get(self._slot(name))
+    version: int
+    kind: str
+    group: str
+    tags: Sequence[str] | None
+    row: Row
 
 
 class Index:
     """grace, hold: as in PurgeTerms."""
 
-    def __init__(self, terms):
+    def __init__(self, terms: w.PurgeTerms) -> None:
+        """Empty."""
         self.grace, self.hold = terms.grace, terms.hold
-        self.objects, self.tags = Names(terms.most_names), Names(terms.most_names)
-        self.groups = Names(terms.most_names)
+        most, sealed = terms.most_names, terms.most_sealed
+        self.objects = Names(most, SealedNames(w.OBJECT, terms.hold, sealed))
+        self.tags = Names(most, SealedNames(w.TAG, terms.hold, sealed // TAGS_SHARE))
+        self.groups = Names(MOST_GROUPS)
+        self.prefixes = Prefixes(SealedPrefixes(w.PREFIX, terms.hold, sealed // PREFIXES_SHARE))
         self.patterns = Patterns(MOST_PATTERNS)
-        self.any_tag = None  # the newest purge of any tag, for objects whose tags are not known
-        self.all = None  # the newest that counts against every name
-        self.live = {}  # (sort, key) -> the newest bound, the last told last
-        # Name -> (what it was asked with, its bounds); void after each change.
+        self.any_tag: Bound | None = None  # the newest purge of any tag, for objects whose tags are not known
+        self.all: Bound | None = None  # the newest that counts against every name
+        # Name -> what it was asked with and its bounds; void after each change.
         self.version, self.asked = 0, {}
-        self.tables = {w.OBJECT: self.objects, w.GROUP: self.groups, w.TAG: self.tags}
-
-    def __len__(self):
-        return len(self.live)
-
-    def add(self, sort, what, made, told):
-        """made: the bound, skew included; told: when this router was told, by the clock of its lookups."""
+        self.tables = {
+            w.OBJECT: self.objects,
+            w.GROUP: self.groups,
+            w.TAG: self.tags,
+            w.PREFIX: self.prefixes,
+            w.GLOB: self.patterns.of(w.GLOB),
+            w.REGEX: self.patterns.of(w.REGEX),
+        }
+
+    def __len__(self) -> int:
+        """Bounds that stand one by one or shared; what is sealed is not counted."""
+        return len(self.objects) + len(self.groups) + len(self.tags) + len(self.prefixes) + len(self.patterns)
+
+    def sealed_keys(self) -> int:
+        """Purges in the slices, repeats counted."""
+        return sum(one.sealed.slices.keys for one in (self.objects, self.tags, self.prefixes))
+
+    def sealed_bytes(self) -> int:
+        """Memory of the slices' filters."""
+        return sum(one.sealed.slices.bytes() for one in (self.objects, self.tags, self.prefixes))
+
+    def add(self, kind: str, what: str, made: int, told: int, binding: int | None = None) -> Kept:
+        """made: the bound, skew included; told: when this router was told, by the clock of its lookups.
+
+        binding: what was told by then binds every answer; without it, what was told a grace ago does.
+        """
         self.forget(told)
         self.version += 1
-        key = what
-        if sort in self.tables:
-            key = self.tables[sort].raise_to(what, made, told, self.grace)
-        elif not (sort in w.PATTERNS and self.patterns.raise_to(sort, what, made, told, self.grace)):
-            self.all = raised(self.all, made, told, self.grace)  # it may be about anything
-            return
-        if sort == w.TAG:
+        binding = told - self.grace if binding is None else binding
+        kept = Kept.EVERY_NAME
+        if kind in self.tables:
+            kept = self.tables[kind].raise_to(what, made, told, self.grace, binding)
+        if kept is Kept.EVERY_NAME:  # it may be about anything
+            self.all = raised(self.all, made, told, self.grace)
+        if kind == w.TAG:
             self.any_tag = raised(self.any_tag, made, told, self.grace)
-        self.live[sort, key] = max(made, self.live.pop((sort, key), 0))
+        return kept
 
-    def forget(self, now):
+    def forget(self, now: int) -> None:
         """What is older than the hold says nothing any more: no copy is as old as that."""
         before = now - self.hold
-        while self.live:
-            (sort, key), newest = next(iter(self.live.items()))
-            if newest >= before:
-                break
-            del self.live[sort, key]
-            self.version += 1
-            if sort in self.tables:
-                self.tables[sort].forget(key)
-            else:
-                self.patterns.forget(sort, key)
+        for table in (self.objects, self.groups, self.tags, self.prefixes, self.patterns):
+            if table.forget(before, now):
+                self.version += 1
 
-    def row(self, kind, name, group, tags):
-        """(its newest bound, when the last of its purges was told, all bounds) for a copy of an object.
+    def row(self, kind: str, name: str, group: str, tags: Sequence[str] | None) -> Row:
+        """What counts for a copy of an object; remembered, for a lookup asks three times.
 
-        tags: of the copy or object, None where they are not known. Remembered, for a lookup asks three times.
+        tags: of the copy or object, None where they are not known.
         """
-        row = self.asked.get(name)
+        asked = self.asked.get(name)
         if (
-            row is not None
-            and row[0] == self.version
-            and row[3] == tags
-            and row[1] == kind
-            and row[2] == group
+            asked is not None
+            and asked.version == self.version
+            and asked.tags == tags
+            and asked.kind == kind
+            and asked.group == group
         ):
-            return row[4]
-        found = [*self.objects.find(name), *self.groups.find(group), self.all]
-        if tags is None:
-            found.append(self.any_tag)
-        else:
-            for tag in tags:
-                found.extend(self.tags.find(tag))
-        if self.patterns.known:
-            found.append(self.patterns.bound(f"{kind}/{name}"))
-        if row is None and len(self.asked) >= REMEMBERED:
-            del self.asked[next(iter(self.asked))]
-        found = tuple(bound for bound in found if bound is not None)
-        made = (
-            max((bound.newest for bound in found), default=0),
-            max((bound.told for bound in found), default=0),
-            found,
+            return asked.row
+        bounds = tuple(bound for bound in self._bounds(kind, name, group, tags) if bound is not None)
+        row = Row(
+            max((bound.newest for bound in bounds), default=0),
+            max((bound.told for bound in bounds), default=0),
+            bounds,
         )
-        self.asked[name] = self.version, kind, group, tags, made
-        return made
+        if asked is None and len(self.asked) >= REMEMBERED:
+            del self.asked[next(iter(self.asked))]
+        self.asked[name] = Asked(self.version, kind, group, tags, row)
+        return row
 
-    def newest(self, kind, name, group, tags):
+    def newest(self, kind: str, name: str, group: str, tags: Sequence[str] | None) -> int:
         """No copy from before that may be asked for; 0 where any will do."""
-        return self.row(kind, name, group, tags)[0]
+        return self.row(kind, name, group, tags).newest
 
-    def due(self, since, kind, name, group, tags):
+    def due(self, since: int, kind: str, name: str, group: str, tags: Sequence[str] | None) -> int:
         """No copy from before that may answer: the newest of the purges that were told by then."""
         newest, told, bounds = self.row(kind, name, group, tags)
         if told <= since:
             return newest
         return max((bound.newest if bound.told <= since else bound.settled for bound in bounds), default=0)
 
-
-def raised(bound, made, told, grace):
-    if bound is None:
-        return Bound(made, told)
-    bound.raise_to(made, told, grace)
-    return bound
+    def _bounds(self, kind: str, name: str, group: str, tags: Sequence[str] | None) -> Iterator[Bound | None]:
+        yield from self.objects.find(name)
+        yield from self.groups.find(group)
+        yield self.all
+        if tags is None:
+            yield self.any_tag
+        else:
+            for tag in tags:
+                yield from self.tags.find(tag)
+        if self.prefixes or self.patterns.known:
+            yield self._matching(f"{kind}/{name}")
+
+    def _matching(self, name: str) -> Bound | None:
+        """One bound of all prefixes and patterns that match."""
+        merged = self.patterns.bound(name) if self.patterns.known else None
+        own = False  # the patterns' bound is theirs: what joins it has to join a copy
+        for bound in self.prefixes.find(name):
+            if own:
+                merged.join(bound)
+            else:
+                merged, own = bound.copy() if merged is None else merged.copy().join(bound), True
+        return merged
--- a/hookrouter/purges/patterns.py
+++ b/hookrouter/purges/patterns.py
@@ -8,7 +8,8 @@
 import re2
 
 from . import words as w
-from .bounds import Bound
+from .bounds import Bound, BoundTable
+from .names import Kept
 
 LONGEST = 256  # characters of a pattern: names have 80 at most
 # Bytes of RE2's program and caches for one pattern; a set of a segment has SEGMENT times that.
@@ -22,26 +23,28 @@
 SPECIAL = frozenset("\\.+*?()|[]{}^$")
 
 
-def options(memory):
+def options(memory: int) -> re2.Options:
+    """How a pattern is compiled, in so many bytes at most."""
     made = re2.Options()
     made.max_mem, made.log_errors, made.never_capture = memory, False, True
     return made
 
 
-def expression(sort, what):
+def expression(kind: str, what: str) -> str:
     """The pattern as a regular expression over whole names. ValueError says why there is none."""
-    if sort == w.REGEX:
+    if kind == w.REGEX:
         return what
-    if sort == w.PREFIX:
+    if kind == w.PREFIX:
         return escaped(what) + ".*"
     return glob(what)
 
 
-def escaped(text):
+def escaped(text: str) -> str:
+    """The text as an expression that matches just it."""
     return "".join("\\" + c if c in SPECIAL else c for c in text)
 
 
-def glob(what):
+def glob(what: str) -> str:
     """`*` any run of characters, `?` any one, `[ab]`, `[a-z]`, `[!a]` one of a set; all else is itself."""
     pieces, at = [], 0
     while at < len(what):
@@ -66,7 +69,7 @@
     return "".join(pieces)
 
 
-def refusal(sort, what, everything=False):
+def refusal(kind: str, what: str, everything: bool = False) -> str | None:
     """Why the desk cannot take this pattern, or None. everything: it may match every name."""
     if not what:
         return "a pattern must not be empty"
@@ -75,7 +78,7 @@
     if not what.isascii() or not what.isprintable():
         return "a pattern must be of printable ASCII"
     try:
-        compiled = re2.compile(expression(sort, what), options(MEMORY))
+        compiled = re2.compile(expression(kind, what), options(MEMORY))
     except (ValueError, re2.error) as wrong:
         return f"the pattern cannot be compiled: {said(wrong)}"
     if not everything and all(compiled.fullmatch(name) for name in PROBES):
@@ -83,7 +86,8 @@
     return None
 
 
-def said(wrong):
+def said(wrong: Exception) -> str:
+    """What an error of the compiler says."""
     text = wrong.args[0] if wrong.args else str(wrong)
     return text.decode("latin-1") if isinstance(text, bytes) else str(text)
 
@@ -93,11 +97,13 @@
 
     __slots__ = ("first", "expressions", "bounds", "set", "live", "joined")
 
-    def __init__(self, first):
+    def __init__(self, first: int) -> None:
+        """Empty. first: number of its first pattern."""
         self.first, self.expressions, self.bounds, self.set, self.live = first, [], [], None, 0
         self.joined = None  # the one that holds its patterns now
 
-    def compile(self):
+    def compile(self) -> None:
+        """The set anew, of all its patterns."""
         made = re2.Set.FullMatchSet(options(MEMORY * max(SEGMENT, len(self.expressions))))
         for text in self.expressions:
             made.Add(text)
@@ -108,42 +114,61 @@
 class Patterns:
     """All live patterns; the bounds of those that match a name."""
 
-    def __init__(self, most):
+    def __init__(self, most: int) -> None:
+        """most: distinct live ones."""
         self.most = most
         self.segments, self.count, self.version = [], 0, 0
-        self.known = {}  # (sort, what) -> (its bound, its segment)
+        self.known = BoundTable()  # by (kind, what)
+        self.segment_of = {}  # (kind, what) -> its segment
         self.matched = {}  # name -> [patterns seen, bounds, version, merged bound], the last used last
 
-    def __len__(self):
+    def __len__(self) -> int:
+        """Live patterns."""
         return len(self.known)
 
-    def raise_to(self, sort, what, made, told, grace):
+    def raise_to(self, kind: str, what: str, made: int, told: int, grace: int) -> bool:
         """True where this pattern is counted; False where it has to be counted against every name."""
-        key = sort, what
+        key = kind, what
         self.version += 1
         if key in self.known:
-            self.known[key][0].raise_to(made, told, grace)
+            self.known.raise_to(key, made, told, grace)
             return True
         if len(self.known) >= self.most:
             return False
         try:
-            text = expression(sort, what)
+            text = expression(kind, what)
             re2.compile(text, options(MEMORY))
         except (ValueError, re2.error):
             return False  # a desk of another build took it: safe, if dear
         if not self.segments or len(self.segments[-1].bounds) >= SEGMENT:
             self._join()
             self.segments.append(Segment(self.count))
-        segment, bound = self.segments[-1], Bound(made, told)
+        self.known.raise_to(key, made, told, grace)
+        segment = self.segment_of[key] = self.segments[-1]
         segment.expressions.append(text)
-        segment.bounds.append(bound)
+        segment.bounds.append(self.known[key])
         segment.compile()
         segment.live += 1
         self.count += 1
-        self.known[key] = bound, segment
         return True
 
-    def _join(self):
+    def of(self, kind: str) -> "PatternsOfKind":
+        """Taking in patterns of one kind, as the other tables do."""
+        return PatternsOfKind(self, kind)
+
+    def forget(self, before: int, now: int) -> bool:
+        """Drops what is older than the hold, a segment with the last of its patterns; true: some went."""
+        gone = self.known.forget(before)
+        for key in gone:
+            segment = self.segment_of.pop(key)
+            while segment.joined is not None:
+                segment = segment.joined
+            segment.live -= 1
+            if not segment.live:
+                self.segments.remove(segment)
+        return bool(gone)
+
+    def _join(self) -> None:
         """Full neighbours of one size become one, so that their number grows with the logarithm."""
         while len(self.segments) >= JOINED:
             last = self.segments[-JOINED:]
@@ -161,16 +186,7 @@
             whole.compile()
             self.segments[-JOINED:] = [whole]
 
-    def forget(self, sort, what):
-        """It counts no more; its segment goes with the last of its patterns."""
-        _, segment = self.known.pop((sort, what))
-        while segment.joined is not None:
-            segment = segment.joined
-        segment.live -= 1
-        if not segment.live:
-            self.segments.remove(segment)
-
-    def bound(self, name):
+    def bound(self, name: str) -> Bound | None:
         """The one bound of all patterns that match, or None."""
         row = self.matched.get(name)
         if row is not None and row[2] == self.version:
@@ -194,3 +210,16 @@
             merged = bound.copy() if merged is None else merged.join(bound)
         row[0], row[2], row[3] = self.count, self.version, merged
         return merged
+
+
+class PatternsOfKind:
+    """The table of one kind of pattern."""
+
+    def __init__(self, patterns: Patterns, kind: str) -> None:
+        """kind: of pattern."""
+        self.patterns, self.kind = patterns, kind
+
+    def raise_to(self, what: str, made: int, told: int, grace: int, binding: int) -> Kept:
+        """One more purge of that pattern; none is ever sealed."""
+        counted = self.patterns.raise_to(self.kind, what, made, told, grace)
+        return Kept.EXACT if counted else Kept.EVERY_NAME
--- a/hookrouter/purges/retention/__init__.py
+++ b/hookrouter/purges/retention/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from .bank import BitSlicedBloom, FilterBank
-from .digests import digest_of
+from .digests import digest_of, seed_of
 from .filters import BloomFilter, SliceFilter
 from .separate import SeparateFilters
 from .slices import Slices
@@ -19,4 +19,5 @@
     "SliceFilter",
     "Slices",
     "digest_of",
+    "seed_of",
 ]
--- a/hookrouter/purges/retention/slices.py
+++ b/hookrouter/purges/retention/slices.py
@@ -58,6 +58,10 @@
         """Digests in all live slices, repeats counted."""
         return sum(one.keys for one in self._live)
 
+    def live(self) -> tuple[Slice, ...]:
+        """The live slices, the open one last."""
+        return tuple(self._live)
+
     def bytes(self) -> int:
         """Memory of the filters."""
         return 0 if self._bank is None else self._bank.bytes()
@@ -85,13 +89,20 @@
             found ^= lowest
         return newest
 
+    def pending(self, now: int) -> bool:
+        """Whether a slice is to be dropped, sealed or cleared."""
+        return bool(self._unsealed or self._dropped or self._expired(now))
+
     def drop(self, now: int) -> list[Slice]:
         """The slices whose every purge is older than the hold; they answer no more."""
-        gone = [one for one in self._live if one.bound < now - self.hold]
-        for one in gone:
-            self._live.remove(one)
+        gone = []
+        while self._expired(now):
+            one = self._live.pop(0)
+            gone.append(one)
             self._in_use &= ~(1 << one.column)
             self._dropped.append(one.column)
+            if one in self._unsealed:
+                self._unsealed.remove(one)
         return gone
 
     def step(self) -> None:
@@ -102,6 +113,10 @@
         elif self._dropped and self._bank.clear(self._dropped[0]):
             self._clean.append(self._dropped.popleft())
 
+    def _expired(self, now: int) -> bool:
+        """Whether the oldest slice says nothing any more: no copy is as old as the newest purge in it."""
+        return bool(self._live) and self._live[0].bound < now - self.hold
+
     def _open_for(self, made: int) -> Slice:
         span = made // self.length
         current = self._live[-1] if self._live else None
--- a/hookrouter/purges/words.py
+++ b/hookrouter/purges/words.py
@@ -43,3 +43,4 @@
     fenced: str  # YOUNG or NACK
     most_names: int  # objects and tags each; beyond it names share bounds, which is safe and costs fills
     most_tagged: int  # objects whose tags are remembered
+    most_sealed: int = 3_000_000  # purges of objects in a hold for which the slices past most_names are sized
