--- a/benchmarks/purges/followers.py
+++ b/benchmarks/purges/followers.py
@@ -195,6 +195,7 @@
             most_tagged=12,
         )
         self.guard = self.world.make_guard(terms)
+        self.guard.judged = KINDS  # each answer is judged before it is given on
         self.heard, self.own = [], {}
 
     def clock(self):
@@ -233,6 +234,7 @@
         if own is not None and own + world.origin_off >= oldest:
             world.judge(self, kind, name, own, world.now)
             return
+        oldest = self.guard.oldest(self.clock(), kind, name, GROUPS[name], first_send=True)
         made, took = world.fetch(kind, name, oldest, world.now)
         world.after(took, self._answered, self.life, kind, name, made, world.now)
 
@@ -248,10 +250,9 @@
         tags = TAGS[name] if world.dice.random() < 0.7 else None
         if self.guard.shut():
             world.nacked += 1
-        elif self.guard.refused(self.clock(), began + self.off, kind, name, GROUPS[name], told, tags):
+        elif self.guard.judge(self.clock(), began + self.off, kind, name, GROUPS[name], told, tags):
             world.rejected += 1
         else:
-            self.guard.learn(name, told, tags)
             if told >= self.guard.oldest(self.clock(), kind, name, GROUPS[name]):
                 self.own[kind, name] = made
             world.judge(self, kind, name, made, began)
--- a/hookrouter/control/purges.py
+++ b/hookrouter/control/purges.py
@@ -31,16 +31,16 @@
             if made is not None and now - made <= 2 * self.done:
                 bounds.append(max(1, now - made - PURGE_SLACK))
         if self.guard is not None and not kind.write:
-            bounds.append(max(1, now - self.guarded(lk)))
+            bounds.append(max(1, now - self.guarded(lk, first_send=lk.sends == 1)))
         return min(bounds, default=0)
 
-    def guarded(self, lk):
+    def guarded(self, lk, first_send=False):
         """No copy from before that may answer, by fleet-wide purges."""
         if self.guard is None:
             return 0
         if self.guard.shut():
             return inf
-        return self.guard.oldest(self.b.now, self.kinds[lk.kind].name, lk.key, lk.group)
+        return self.guard.oldest(self.b.now, self.kinds[lk.kind].name, lk.key, lk.group, first_send)
 
     def fenced(self, kind):
         return self.guard is not None and not kind.write and self.guard.shut()
--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -35,6 +35,7 @@
     "renewals_refused",
     "renewals_failed",
     "copies_refused",
+    "purges_of_every_name",
     "room_filled",
     "reloads",
     "reloads_refused",
--- a/hookrouter/node/purging.py
+++ b/hookrouter/node/purging.py
@@ -10,6 +10,7 @@
 from ..feed.purges import steady as boot_time
 from ..purges import Guard
 from ..purges.fence import CURRENT
+from ..purges.names import Kept
 from ..purges.tags import Listed, read_tags
 from ..site import follows, purge_terms
 
@@ -25,10 +26,11 @@
         self.backlog = deque()
         self.steady = steady or boot_time
         self.router, self.log, self.count = router, log, count
-        self.guard = Guard(purge_terms(purges), None if start.tags is None else Listed(start.tags))
-        self.judged = {
+        self.judged = frozenset(
             kind.name for kind in start.terms.kinds if kind.effect == i.IDEMPOTENT and not kind.write
-        }
+        )
+        tags = None if start.tags is None else Listed(start.tags)
+        self.guard = Guard(purge_terms(purges), tags, self.judged)
         self.feed = PurgeFeed(
             reactor,
             deadlines,
@@ -69,7 +71,8 @@
                 return
             self.count("purges_told")
             purge = self.backlog.popleft()
-            self.guard.told(now, purge)
+            if self.guard.told(now, purge) is Kept.EVERY_NAME:
+                self.count("purges_of_every_name")
             if self.router.heed is not None:
                 self.router.heed.told(purge)
         self.feed.renew_soon()
@@ -111,17 +114,17 @@
             return ended
         now = self.router.now()
         tags = None if ended.tags is None else read_tags(ended.tags)
-        if self.guard.shut() or self.guard.refused(
+        if self.guard.shut() or self.guard.judge(
             now, began, asked.kind, asked.object, asked.group, ended.since, tags
         ):
             self.count("copies_refused")
             return ended._replace(end=i.MISSING, pieces=(), length=0, made=None)
-        self.guard.learn(asked.object, ended.since or 0, tags)
         return ended
 
     def held(self):
         return {
             "purges_live": len(self.guard.index),
+            "purges_sealed": self.guard.index.sealed_keys(),
             "purges_fenced": int(self.state != CURRENT),
             "tags_held": len(self.guard.tags.rows),
         }
--- a/hookrouter/purges/guard.py
+++ b/hookrouter/purges/guard.py
@@ -5,7 +5,7 @@
 heard some: it takes only copies younger than the lease, and the desk states purges as in effect accordingly.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from . import fence
 from . import words as w
@@ -15,14 +15,24 @@
 
 ROUNDING = 20  # 2 ms: copies' times and ages are told in whole milliseconds, each rounded once
 GROUPS = tuple(map(str, range(256)))
+# Where the tags of an object are not known, a purge of any tag binds the age that is asked for, unless the
+# answer will be judged by the tags that it names. One that is refused then costs a send more: each costs so
+# many answers that named their tags and were good, and so many may be saved up.
+TRIAL_COST = 32
+MOST_TRIALS = 8
 STRICT = 1  # the age asked for where only what the origin gives out anew will do; 0 would mean any
 
 
 class Guard:
     """One for a router. Told purges, grants and the steady time; asked at each send and at each answer."""
 
-    def __init__(self, terms: w.PurgeTerms, tags: Tags | Listed | None = None) -> None:
-        """tags: of objects, where they do not come from answers."""
+    def __init__(
+        self, terms: w.PurgeTerms, tags: Tags | Listed | None = None, judged: Collection[str] = ()
+    ) -> None:
+        """tags: of objects, where they do not come from answers. judged: kinds of lookup each of whose
+        answers is asked about (refused) before it is passed on.
+        """
+        self.judged, self.trials = judged, 0
         self.terms = terms
         self.index, self.fence = Index(terms), fence.Fence(terms.lease)
         self.tags = Tags(terms.most_tagged) if tags is None else tags
@@ -84,12 +94,27 @@
         """Whether no copy may answer at all."""
         return self.fence.state != fence.CURRENT and self.terms.fenced == w.NACK
 
-    def oldest(self, now, kind, name, group):
-        """No copy from before that may be asked for; never 0."""
-        newest, floor = self.index.row(kind, name, GROUPS[group], self.tags.known(name))[0], now - self.age
+    def oldest(self, now: int, kind: str, name: str, group: int, first_send: bool = False) -> int:
+        """No copy from before that may be asked for; never 0.
+
+        first_send: of a lookup, not of the router's own copy: what comes can be refused and sent for again.
+        """
+        tags = self.tags.known(name)
+        if tags is None and first_send and self.trials >= TRIAL_COST and kind in self.judged:
+            tags = ()  # those that the answer names will be asked about
+        newest, floor = self.index.row(kind, name, GROUPS[group], tags).newest, now - self.age
         return newest if newest > floor else floor
 
-    def refused(self, now, began, kind, name, group, made, tags):
+    def refused(
+        self,
+        now: int,
+        began: int,
+        kind: str,
+        name: str,
+        group: int,
+        made: int | None,
+        tags: Sequence[str] | None,
+    ) -> bool:
         """Whether a copy that came for a send of that time is one that must not answer.
 
         made, tags: as told with it, or None.
@@ -98,11 +123,33 @@
             made = 0  # it does not say: as old as can be
         if made < began - self.age - self.terms.skew:
             return True
-        own, group = self.tags.known(name) if tags is None else tags, GROUPS[group]
-        if made >= self.index.row(kind, name, group, own)[0]:
+        own, group_name = self.tags.known(name) if tags is None else tags, GROUPS[group]
+        if made >= self.index.row(kind, name, group_name, own).newest:
             return False
         told_by = max(began - self.settling, now - self.terms.grace, self.caught_up)
-        return made < self.index.due(told_by, kind, name, group, own)
+        return made < self.index.due(told_by, kind, name, group_name, own)
+
+    def judge(
+        self,
+        now: int,
+        began: int,
+        kind: str,
+        name: str,
+        group: int,
+        made: int | None,
+        tags: Sequence[str] | None,
+    ) -> bool:
+        """As refused; the tags of a copy that may answer are learnt.
+
+        Those of a refused one are not: they may have changed since. Any tag binds the lookup's next send.
+        """
+        refused = self.refused(now, began, kind, name, group, made, tags)
+        if refused:
+            self.trials = max(0, self.trials - TRIAL_COST)
+        elif tags is not None:
+            self.trials = min(self.trials + 1, MOST_TRIALS * TRIAL_COST)
+            self.tags.learn(name, made or 0, tags)
+        return refused
 
     def learn(self, name: str, made: int, tags: Sequence[str] | None) -> None:
         """The tags that an answer names; None: it names none that can be used."""
