--- a/hookrouter/purges/guard.py
+++ b/hookrouter/purges/guard.py
@@ -73,12 +73,12 @@
 
         A desk that is ahead makes no purge later than its news; one that is behind, none too early.
         """
-        made = min(now, purge.made + self.behind) + self.terms.skew + ROUNDING
+        made = min(now, purge.timestamp + self.behind) + self.terms.skew + ROUNDING
         self.latest = now
         if self.fence.state != fence.CURRENT:
             self.unleased = now
         binding = max(now - self.terms.grace, self.unleased)
-        return self.index.add(purge.sort, purge.what, made, now, binding)
+        return self.index.add(purge.kind, purge.what, made, now, binding)
 
     # ---- asked
 
--- a/hookrouter/purges/words.py
+++ b/hookrouter/purges/words.py
@@ -4,8 +4,8 @@
 
 # What a purge names. A name is KIND/OBJECT; groups are whole numbers in digits.
 OBJECT, GROUP, TAG, PREFIX, GLOB, REGEX = "object", "group", "tag", "prefix", "glob", "regex"
-SORTS = (OBJECT, GROUP, TAG, PREFIX, GLOB, REGEX)
-PATTERNS = frozenset((PREFIX, GLOB, REGEX))
+KINDS = (OBJECT, GROUP, TAG, PREFIX, GLOB, REGEX)
+PATTERN_KINDS = frozenset((PREFIX, GLOB, REGEX))
 
 # What a router without a lease does: answers from copies younger than the lease, or nacks.
 YOUNG, NACK = "young", "nack"
@@ -24,12 +24,12 @@
 
 
 class Purge(NamedTuple):
-    """One purge. made: when the desk took it, by the desk's clock, which never goes back between purges."""
+    """One purge, as the desk numbered it."""
 
     epoch: int
     n: int
-    made: int
-    sort: str
+    timestamp: int  # when the desk took it, by its clock, which never goes back between purges
+    kind: str
     what: str
 
 
