--- a/hookrouter/purges/words.py
+++ b/hookrouter/purges/words.py
@@ -41,6 +41,6 @@
     grace: int  # from that long after it was told, a purge binds answers of sends that were out, too
     skew: int  # between the desk's clock, the origin's and this router's, at most
     fenced: str  # YOUNG or NACK
-    most_names: int  # objects and tags each; beyond it names share bounds, which is safe and costs fills
+    most_names: int  # objects and tags each that stand one by one; beyond it the oldest are sealed
     most_tagged: int  # objects whose tags are remembered
     most_sealed: int = 3_000_000  # purges of objects in a hold for which the slices past most_names are sized
--- a/tests/test_purge_network.py
+++ b/tests/test_purge_network.py
@@ -14,6 +14,7 @@
 from hookrouter.node.start import read_start
 from hookrouter.purges import Purge
 from hookrouter.purges import words as w
+from hookrouter.purges.guard import TRIAL_COST
 
 FLEET = (
     endpoint("c0", 7100),
@@ -131,6 +132,33 @@
     assert s.counters.values["copies_refused"] == 1 and s.ends() == {}
 
 
+def test_a_first_send_leaves_unknown_tags_to_the_answer_and_a_refused_one_asks_for_less_age(tmp_path):
+    s = Scene(tmp_path)
+    s.lease(60 * SECOND)
+    for n in range(2 * TRIAL_COST):  # answers that name their tags
+        s.ask(part=str(n))
+        s.comes(s.cache()[0], 0.0, b"X-Tags: red")
+    s.purge(w.TAG, "blue")
+    s.net.advance(1)
+    good = s.ask(lookup="0" * 16)
+    line, age = s.cache()
+    assert age > 5_000
+    s.comes(line, 5.0, b"X-Tags: green")
+    assert s.ends()[good] == "satisfied"
+    for n, tags in enumerate((b"X-Tags: green blue", b"X-Tags: " + b"x" * 65), 1):
+        purged = s.ask(lookup=f"{n:016x}")
+        line, age = s.cache()
+        assert age > 5_000
+        s.comes(line, 5.0, tags)  # of a tag that was purged; with tags that cannot be read
+        assert s.counters.values["copies_refused"] == n and purged not in s.ends()
+        line, age = s.cache()
+        assert age <= 1_100  # the next send is bound by any tag
+        s.comes(line, 0.1, tags)
+        assert s.ends()[purged] == "satisfied"
+    s.ask(lookup="5" * 16)
+    assert s.cache()[1] <= 1_100  # two were refused: that is earned anew
+
+
 def test_without_a_lease_only_young_copies_answer_and_a_pause_is_noticed_first(tmp_path):
     s = Scene(tmp_path)
     s.ask()
