command/purges is a package: processes, calls, submitting, showing, verifying

Change: a module for each group of its commands; functions as they were. The test of errors takes the pause between calls from where it stands now.

--- /dev/null
+++ b/hookrouter/command/purges/serving.py
@@ -0,0 +1,90 @@
+"""The processes: the desk of purges and its relays."""
+
+from .. import run_until, sections_of, site_option, tell_uncaught
+from . import purges
+
+
+def run(make, listen, secret, submits, log):
+    """Listens, runs until SIGTERM or SIGINT, and ends with the exit code."""
+    from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
+
+    from ...desk.web import site
+    from ...errors.listening import Taken
+
+    tell_uncaught(log)
+    desk = make(reactor)
+    host, port = listen
+    try:
+        port = reactor.listenTCP(port, site(desk, secret, submits), backlog=512, interface=host)
+    except CannotListenError as wrong:
+        desk.stop()
+        desk.store.end() if submits else None
+        raise Taken(f"cannot listen: {wrong}") from None
+
+    def ending():
+        if not desk.stopped:
+            log("stopping")
+            port.stopListening()
+            desk.stop().addBoth(lambda _: reactor.callLater(0.01, reactor.stop))
+
+    desk.start()
+    log(
+        "serving purges",
+        listens=f"{host}:{port.getHost().port}",
+        epoch=desk.tail.epoch,
+        newest=desk.tail.newest.n,
+    )
+    run_until(ending, reactor)
+    log.close()
+
+
+@purges.command("serve")
+@site_option
+def serve(site_file):
+    """Run the desk: takes purges, keeps them, tells them to followers.
+
+    Example: hookrouter purges serve --site site.ini
+    """
+    sections = sections_of(site_file, "purges", "desk")
+    from ...desk.desk import Desk
+    from ...desk.local_store import LocalStore
+    from ...desk.paced import paced
+    from ...log import Log
+
+    log = Log(form=sections.get("log", {}).get("format", "text"))
+
+    def made(reactor):
+        store = LocalStore(reactor, sections["desk"]["store"], sections["purges"]["hold"])
+        try:
+            desk = Desk(reactor, log, sections["purges"], sections["desk"], store, store.read(0))
+            return paced(desk, sections, "desk", log)
+        except BaseException:
+            store.end()
+            raise
+
+    run(made, sections["desk"]["listen"], sections["purges"]["secret"], True, log)
+
+
+@purges.command()
+@site_option
+def relay(site_file):
+    """Run a relay: follows the desk, and tells on to the routers of a depot.
+
+    Example: hookrouter purges relay --site relay.ini
+    """
+    sections = sections_of(site_file, "purges", "relay")
+    from ...desk.paced import paced
+    from ...desk.relay import Relay
+    from ...log import Log
+    from ...tables.deadlines import Deadlines
+
+    log = Log(form=sections.get("log", {}).get("format", "text"))
+
+    def made(reactor):
+        row = Relay(
+            reactor, Deadlines(reactor), log, sections["purges"], sections["relay"], "admission" in sections
+        )
+        return paced(row, sections, sections["relay"]["name"], log)
+
+    run(made, sections["relay"]["listen"], sections["purges"]["secret"], False, log)
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -12,7 +12,7 @@
 
 from hookrouter import errors
 from hookrouter.__main__ import main
-from hookrouter.command import purges
+from hookrouter.command.purges import calls
 from hookrouter.stores import Damaged, PurgeLog, Unusable
 from hookrouter.stores.keeper_log import KeeperLog
 from hookrouter.terms import Malformed
@@ -155,7 +155,7 @@
     place, capsys, monkeypatch, code, words
 ):
     monkeypatch.chdir(place.folder)
-    monkeypatch.setattr(purges, "PAUSE", 0)
+    monkeypatch.setattr(calls, "PAUSE", 0)
     for name in ("EDGE_CONFIG", "EDGE_LISTEN", "HOOKROUTER_SITE"):
         monkeypatch.delenv(name, raising=False)
     given = words.split()
