--- /dev/null
+++ b/benchmarks/retention/guard_run.py
@@ -0,0 +1,160 @@
+"""One guard told of purges for a day and more, in made-up time: memory, steps, old copies, held share."""
+
+import gc
+from collections.abc import Iterator
+from itertools import count
+from os import sysconf
+from random import Random
+from time import perf_counter
+from typing import NamedTuple
+
+from hookrouter.purges import Guard, Purge, PurgeTerms
+from hookrouter.purges import words as w
+
+from .copies import DAY, Lookups
+from .sample import Held, Sample, answers, learn
+from .stock import SECOND, Mix, Named, Purges, group_of, tags_of
+
+RATE = 32  # purges a second
+HOLD = DAY
+GAP = SECOND // RATE
+START = 2 * DAY  # of the made-up clock: copies a day old have a time of their own
+REMEMBERED_TAGS = 50_000
+SLOW = 0.001  # seconds; steps that take longer are kept with their number
+KEPT_ONE_IN = 128  # purges that the plain model keeps
+JUDGED = 400  # of these judged at each look
+LOOKS = 4  # at the guard in the last hour
+SETTLED = 2 * SECOND  # after its purge an old copy must not answer, sends that were out included
+
+
+class Shape(NamedTuple):
+    """One run."""
+
+    hours: float
+    mix: Mix
+    seed: int = 44
+    sample: int = 20_000
+    most_names: int = 100_000
+
+
+class Judged(NamedTuple):
+    """Old copies by the plain model, and how many a guard let answer."""
+
+    judged: int
+    answered: int
+
+
+class Run(NamedTuple):
+    """What one run gave; what is needed to go on with it in the same process is not in it."""
+
+    told: int
+    live: int  # told within the hold
+    told_us: float
+    memory_mb: float
+    slow: dict[int, float]  # step -> seconds, of those slower than SLOW
+    judged: Judged
+    held: Held
+    now: int
+
+
+def terms(most_names: int) -> PurgeTerms:
+    """As an operator's file without keys states them."""
+    return PurgeTerms(3 * SECOND, HOLD, 5_000, 200, w.YOUNG, most_names, REMEMBERED_TAGS)
+
+
+def guard_of(shape: Shape) -> Guard:
+    """A guard with a lease that does not end."""
+    guard = Guard(terms(shape.most_names))
+    guard.granted(0, 1 << 60)
+    return guard
+
+
+def resident_mb() -> float:
+    """Resident memory of this process."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * sysconf("SC_PAGE_SIZE") / 1e6
+
+
+class Model(NamedTuple):
+    """The plain model: a part of the purges, each with an object that it concerns."""
+
+    rows: list[tuple[int, str]]
+
+    def told(self, made: int, purge: Named) -> None:
+        """One purge that is kept."""
+        self.rows.append((made, purge.example))
+
+    def judge(self, guard: Guard, now: int, dice: Random) -> Judged:
+        """Copies from before a purge, some at its very time: none of them may answer."""
+        live = [row for row in self.rows if now - HOLD < row[0] <= now - SETTLED]
+        wrong, rows = 0, dice.sample(live, min(JUDGED, len(live)))
+        for purged, name in rows:
+            made = purged - dice.choice((0, 0, 1, dice.randrange(SECOND), dice.randrange(HOLD)))
+            wrong += answers(guard, now, name, group_of(name), made, tags_of(name))
+        return Judged(len(rows), wrong)
+
+
+def looks(shape: Shape) -> list[int]:
+    """Steps after which the guard is looked at: some over the run, more in its last hour."""
+    last = int(shape.hours * 3_600 * RATE)
+    hour = min(3_600 * RATE, last)
+    early = [last * n // 12 for n in range(1, 11)]
+    return sorted({*early, *(last - hour * n // LOOKS for n in range(LOOKS))})
+
+
+def purges(shape: Shape) -> Iterator[tuple[int, Named]]:
+    """(time, purge) at the rate."""
+    made = Purges(shape.seed, shape.mix)
+    return ((START + n * GAP, made.purge()) for n in count())
+
+
+def play(shape: Shape) -> tuple[Run, Guard]:
+    """The run, and the guard as it ends."""
+    sample = Sample(Lookups(shape.seed + 1).sample(shape.sample))
+    learned, dice, model = Lookups(shape.seed + 2), Random(shape.seed + 3), Model([])
+    slow: dict[int, float] = {}
+    stops, due = set(looks(shape)), looks(shape)
+    judged, held, took = Judged(0, 0), Held(0, 0), 0.0
+    source = purges(shape)
+    gc.collect()
+    gc.freeze()  # as `serve` does before it takes lookups
+    before, guard, now = resident_mb(), guard_of(shape), 0
+    for step in range(1, due[-1] + 1):
+        now, purge = next(source)
+        began = perf_counter()
+        guard.told(now, Purge(1, step, now, purge.kind, purge.what))
+        span = perf_counter() - began
+        took += span
+        if span > SLOW:
+            slow[step] = span
+        sample.told(purge)
+        if not step % KEPT_ONE_IN:
+            model.told(now, purge)
+        if step in stops:
+            one = model.judge(guard, now, dice)
+            judged = Judged(judged.judged + one.judged, judged.answered + one.answered)
+        if step in due[-LOOKS:]:
+            if held.asked == 0 and shape.mix.tag:
+                learn(guard, now, learned, REMEMBERED_TAGS + REMEMBERED_TAGS // 5)
+            one = sample.held(guard, now)
+            held = Held(held.asked + one.asked, held.held + one.held)
+    gc.collect()
+    memory = resident_mb() - before
+    live = min(due[-1], HOLD // GAP)
+    return Run(due[-1], live, took / due[-1] * 1e6, memory, slow, judged, held, now), guard
+
+
+def run(shape: Shape) -> Run:
+    """As a process of its own calls it."""
+    return play(shape)[0]
+
+
+def longest_step_ms(one: Run, other: Run) -> float:
+    """The longest step of the guard's own, by two runs of the same steps.
+
+    Both runs do the same at the same step, so a step that is long by itself is long in both, and a pause of
+    the scheduler strikes one of them. The lesser time of each step counts; one that is below SLOW in either
+    run counts as SLOW at most.
+    """
+    both = [min(one.slow[step], other.slow[step]) for step in one.slow.keys() & other.slow.keys()]
+    return max(both, default=SLOW) * 1e3
