--- a/benchmarks/retention/guard_run.py
+++ b/benchmarks/retention/guard_run.py
@@ -8,8 +8,8 @@
 from time import perf_counter
 from typing import NamedTuple
 
-from hookrouter.purges import Guard, Purge, PurgeTerms
-from hookrouter.purges import words as w
+from hookrouter.purges import Guard, Purge
+from hookrouter.site import SECTIONS, purge_terms
 
 from .copies import DAY, Lookups
 from .sample import Held, Sample, answers, learn
@@ -24,6 +24,7 @@
 KEPT_ONE_IN = 128  # purges that the plain model keeps
 JUDGED = 400  # of these judged at each look
 LOOKS = 4  # at the guard in the last hour
+BINDS_OTHERS = ("shared", "every name")  # values of how a guard says it kept a purge
 SETTLED = 2 * SECOND  # after its purge an old copy must not answer, sends that were out included
 
 
@@ -34,7 +35,6 @@
     mix: Mix
     seed: int = 44
     sample: int = 20_000
-    most_names: int = 100_000
 
 
 class Judged(NamedTuple):
@@ -55,18 +55,15 @@
     judged: Judged
     held: Held
     now: int
+    kept_with_others: int  # purges that bind names that they do not concern, all or those of a shared bound
 
 
-def terms(most_names: int) -> PurgeTerms:
-    """As an operator's file without keys states them."""
-    return PurgeTerms(3 * SECOND, HOLD, 5_000, 200, w.YOUNG, most_names, REMEMBERED_TAGS)
-
-
-def guard_of(shape: Shape) -> Guard:
-    """A guard with a lease that does not end."""
-    guard = Guard(terms(shape.most_names))
-    guard.granted(0, 1 << 60)
-    return guard
+def guard() -> Guard:
+    """As an operator's file without keys has it, with a lease that does not end."""
+    keys = SECTIONS["purges"]
+    made = Guard(purge_terms({name: key.default for name, key in keys.items()}))
+    made.granted(0, 1 << 60)
+    return made
 
 
 def resident_mb() -> float:
@@ -114,34 +111,35 @@
     learned, dice, model = Lookups(shape.seed + 2), Random(shape.seed + 3), Model([])
     slow: dict[int, float] = {}
     stops, due = set(looks(shape)), looks(shape)
-    judged, held, took = Judged(0, 0), Held(0, 0), 0.0
+    judged, held, took, with_others = Judged(0, 0), Held(0, 0), 0.0, 0
     source = purges(shape)
     gc.collect()
     gc.freeze()  # as `serve` does before it takes lookups
-    before, guard, now = resident_mb(), guard_of(shape), 0
+    before, keeper, now = resident_mb(), guard(), 0
     for step in range(1, due[-1] + 1):
         now, purge = next(source)
         began = perf_counter()
-        guard.told(now, Purge(1, step, now, purge.kind, purge.what))
+        kept = keeper.told(now, Purge(1, step, now, purge.kind, purge.what))
         span = perf_counter() - began
         took += span
         if span > SLOW:
             slow[step] = span
+        with_others += kept is not None and kept.value in BINDS_OTHERS
         sample.told(purge)
         if not step % KEPT_ONE_IN:
             model.told(now, purge)
         if step in stops:
-            one = model.judge(guard, now, dice)
+            one = model.judge(keeper, now, dice)
             judged = Judged(judged.judged + one.judged, judged.answered + one.answered)
         if step in due[-LOOKS:]:
             if held.asked == 0 and shape.mix.tag:
-                learn(guard, now, learned, REMEMBERED_TAGS + REMEMBERED_TAGS // 5)
-            one = sample.held(guard, now)
+                learn(keeper, now, learned, REMEMBERED_TAGS + REMEMBERED_TAGS // 5)
+            one = sample.held(keeper, now)
             held = Held(held.asked + one.asked, held.held + one.held)
     gc.collect()
     memory = resident_mb() - before
     live = min(due[-1], HOLD // GAP)
-    return Run(due[-1], live, took / due[-1] * 1e6, memory, slow, judged, held, now), guard
+    return Run(due[-1], live, took / due[-1] * 1e6, memory, slow, judged, held, now, with_others), keeper
 
 
 def run(shape: Shape) -> Run:
