--- a/hookrouter/purges/words.py
+++ b/hookrouter/purges/words.py
@@ -4,8 +4,8 @@
 
 # What a purge names. A name is KIND/OBJECT; groups are whole numbers in digits.
 OBJECT, GROUP, TAG, PREFIX, GLOB, REGEX = "object", "group", "tag", "prefix", "glob", "regex"
-SORTS = (OBJECT, GROUP, TAG, PREFIX, GLOB, REGEX)
-PATTERNS = frozenset((PREFIX, GLOB, REGEX))
+KINDS = (OBJECT, GROUP, TAG, PREFIX, GLOB, REGEX)
+PATTERN_KINDS = frozenset((PREFIX, GLOB, REGEX))
 
 # What a router without a lease does: answers from copies younger than the lease, or nacks.
 YOUNG, NACK = "young", "nack"
@@ -24,12 +24,12 @@
 
 
 class Purge(NamedTuple):
-    """One purge. made: when the desk took it, by the desk's clock, which never goes back between purges."""
+    """One purge, as the desk numbered it."""
 
     epoch: int
     n: int
-    made: int
-    sort: str
+    timestamp: int  # when the desk took it, by its clock, which never goes back between purges
+    kind: str
     what: str
 
 
@@ -41,6 +41,6 @@
     grace: int  # from that long after it was told, a purge binds answers of sends that were out, too
     skew: int  # between the desk's clock, the origin's and this router's, at most
     fenced: str  # YOUNG or NACK
-    most_names: int  # objects and tags each; beyond it names share bounds, which is safe and costs fills
+    most_names: int  # objects and tags each that stand one by one; beyond it the oldest are sealed
     most_tagged: int  # objects whose tags are remembered
     most_sealed: int = 3_000_000  # purges of objects in a hold for which the slices past most_names are sized
--- a/tests/test_purge_network.py
+++ b/tests/test_purge_network.py
@@ -14,6 +14,7 @@
 from hookrouter.node.start import read_start
 from hookrouter.purges import Purge
 from hookrouter.purges import words as w
+from hookrouter.purges.guard import TRIAL_COST
 
 FLEET = (
     endpoint("c0", 7100),
@@ -48,9 +49,9 @@
         now = int(self.net.seconds() * SECOND)
         self.purging.granted(now, self.router.now(), span, self.router.now())
 
-    def purge(self, sort=w.OBJECT, what=NAME, ago=0.0):
+    def purge(self, kind=w.OBJECT, what=NAME, ago=0.0):
         self.n += 1
-        self.purging.purged([Purge(1, self.n, int((self.wall() - ago) * SECOND), sort, what)])
+        self.purging.purged([Purge(1, self.n, int((self.wall() - ago) * SECOND), kind, what)])
 
     def ask(self, **fields):
         """On a connection of its own: a silent one is ended."""
@@ -103,7 +104,7 @@
 
 
 def test_a_copy_of_its_own_is_not_given_once_purged_by_tag_pattern_or_group(tmp_path):
-    for sort, what in ((w.TAG, "red"), (w.GLOB, f"clip/{NAME[:4]}*"), (w.GROUP, "17"), (w.OBJECT, NAME)):
+    for kind, what in ((w.TAG, "red"), (w.GLOB, f"clip/{NAME[:4]}*"), (w.GROUP, "17"), (w.OBJECT, NAME)):
         s = Scene(tmp_path)
         s.lease(60 * SECOND)
         s.ask()
@@ -114,7 +115,7 @@
         s.purge(w.TAG, "green")  # none of its tags
         s.ask()
         assert s.counters.values["copies_given"] == 2
-        s.purge(sort, what)
+        s.purge(kind, what)
         s.ask()
         assert s.counters.values["copies_given"] == 2 and s.counters.values["sends"] == 2
 
@@ -131,6 +132,33 @@
     assert s.counters.values["copies_refused"] == 1 and s.ends() == {}
 
 
+def test_a_first_send_leaves_unknown_tags_to_the_answer_and_a_refused_one_asks_for_less_age(tmp_path):
+    s = Scene(tmp_path)
+    s.lease(60 * SECOND)
+    for n in range(2 * TRIAL_COST):  # answers that name their tags
+        s.ask(part=str(n))
+        s.comes(s.cache()[0], 0.0, b"X-Tags: red")
+    s.purge(w.TAG, "blue")
+    s.net.advance(1)
+    good = s.ask(lookup="0" * 16)
+    line, age = s.cache()
+    assert age > 5_000
+    s.comes(line, 5.0, b"X-Tags: green")
+    assert s.ends()[good] == "satisfied"
+    for n, tags in enumerate((b"X-Tags: green blue", b"X-Tags: " + b"x" * 65), 1):
+        purged = s.ask(lookup=f"{n:016x}")
+        line, age = s.cache()
+        assert age > 5_000
+        s.comes(line, 5.0, tags)  # of a tag that was purged; with tags that cannot be read
+        assert s.counters.values["copies_refused"] == n and purged not in s.ends()
+        line, age = s.cache()
+        assert age <= 1_100  # the next send is bound by any tag
+        s.comes(line, 0.1, tags)
+        assert s.ends()[purged] == "satisfied"
+    s.ask(lookup="5" * 16)
+    assert s.cache()[1] <= 1_100  # two were refused: that is earned anew
+
+
 def test_without_a_lease_only_young_copies_answer_and_a_pause_is_noticed_first(tmp_path):
     s = Scene(tmp_path)
     s.ask()
