--- /dev/null
+++ b/benchmarks/scale/session.py
@@ -0,0 +1,221 @@
+"""One scale run: a crowd of regions grown from size to size, a steady window at each, then the scenes."""
+
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from hookrouter.fleet.member.records import DUTY
+from standins.crowd.region_crowd import RegionCrowd
+from standins.crowd.regions import PURGES_SECRET, Plan
+from standins.crowd.remote import ROOT
+
+from . import room
+from .judge import Acknowledged, Answer, Seen, Verdict, judge
+from .results import Run, rounded
+from .snapshot import LagMeter, Snapshot, busy_share, snapshot
+from .submitter import Submitter
+from .window import Roles, Window, window
+
+STARVED_LAG_S = 0.25  # a renewal is due every quarter of a lease of 1 s: later than that, traffic is another
+MOST_BUSY = 0.95  # of all cores: beyond that processes wait for each other, and work is done in larger lots
+COMMAND_WITHIN = 20.0  # seconds
+LISTED = 1_000  # purges that the desk shows at a time
+SETTLED_WITHIN = 15.0  # seconds in which every router has the newest purge
+
+
+@dataclass(frozen=True)
+class Settings:
+    """sizes: of hollow routers, rising. seconds: of a window, after settle seconds at its size."""
+
+    plan: Plan
+    sizes: tuple[int, ...]
+    in_process: int
+    loaded: int
+    seconds: float
+    settle: float
+    purges_per_s: float
+    lookups_per_s: float
+    delay: float = 0.01
+    tries: int = 2  # of each window, where one was starved
+    seed: int = 1
+
+
+@dataclass
+class Measured:
+    """A window that was not starved, whole and in halves."""
+
+    run: Run
+    whole: Window
+    halves: tuple[Window, Window]
+
+
+@dataclass
+class Session:
+    """What a run has come to so far."""
+
+    crowd: RegionCrowd
+    submitter: Submitter
+    measured: list[Measured] = field(default_factory=list)
+    starved: list[str] = field(default_factory=list)
+    in_effect: dict[int, float] = field(default_factory=dict)  # number -> Unix seconds
+    listed: set[int] = field(default_factory=set)
+    struck: set[str] = field(default_factory=set)  # routers that were killed and not started again
+
+    def look_at_desk(self) -> None:
+        """Takes in what the desk states of its newest purges; each 30 s at the latest."""
+        told = self.crowd.desk.call("GET", f"/v1/purges?last={LISTED}")
+        for row in told["purges"] if told else ():
+            number = int(row["number"].rpartition(".")[2])
+            self.listed.add(number)
+            if row["in_effect_ms"] is not None:
+                # Whole milliseconds, cut off: by the next one it is in effect for sure.
+                self.in_effect[number] = (row["in_effect_ms"] + 1) / 1_000
+
+    def behind(self) -> dict[str, int]:
+        """Routers that run and have not the newest purge that was acknowledged, as their relays see it."""
+        newest, positions = self.submitter.newest(), self.crowd.positions()
+        return {
+            name: positions.get(name, -1)
+            for name in (*self.crowd.routers, *self.crowd.layout.hollow)
+            if name not in self.struck and positions.get(name, -1) < newest
+        }
+
+    def purges(self) -> list[Acknowledged]:
+        """All that the desk has acknowledged, with what it states of each."""
+        return [
+            Acknowledged(
+                each.number, each.name, each.made_ms, each.submitted, self.in_effect.get(each.number)
+            )
+            for each in self.submitter.acknowledged()
+        ]
+
+
+def wanted(settings: Settings) -> room.Wanted:
+    """What the run needs of the machine."""
+    plan = settings.plan
+    return room.Wanted(
+        max(settings.sizes), settings.in_process, plan.real, 3, plan.relays, plan.regions, plan.zones
+    )
+
+
+def measure_size(session: Session, settings: Settings, hollow: int, lag: LagMeter) -> None:
+    """Grows to that size and measures; a starved window is thrown out, counted and tried again."""
+    crowd = session.crowd
+    crowd.grow(hollow)
+    for _ in range(settings.tries):
+        time.sleep(settings.settle)
+        crowd.tell(f"window of {settings.seconds:g} s with {hollow} hollow routers")
+        roles = who_has_what(crowd)
+        snapshots = _snapshots(crowd, settings.seconds, lag)
+        session.look_at_desk()
+        crowd.read()
+        before, middle, after = snapshots
+        worst = max(lag.take(), _worst_lag(crowd, before.at, after.at))
+        busy = busy_share(before, after)
+        if worst > STARVED_LAG_S or busy > MOST_BUSY:
+            session.starved.append(f"{hollow} hollow: lag {worst:.3f} s, {busy:.2f} of all cores busy")
+            crowd.tell(f"starved, thrown out: {session.starved[-1]}")
+            continue
+        whole = window(crowd, before, after, roles)
+        run = Run(
+            hollow,
+            len(crowd.routers),
+            len(crowd.keepers),
+            crowd.plan.relays,
+            rounded(after.at - before.at),
+            rounded(worst),
+            rounded(_acknowledged_rate(session.submitter, before, after)),
+            whole.measurements,
+        )
+        halves = window(crowd, before, middle, roles), window(crowd, middle, after, roles)
+        session.measured.append(Measured(run, whole, halves))
+        return
+
+
+def finish(session: Session, settings: Settings) -> Verdict:
+    """No more purges; once all routers have the newest, or had the time for it, what came is judged."""
+    session.submitter.stop()
+    until = time.monotonic() + SETTLED_WITHIN
+    while (behind := session.behind()) and time.monotonic() < until:
+        time.sleep(0.2)
+    session.look_at_desk()
+    crowd = session.crowd
+    crowd.read()
+    crowd.load.wait()
+    answers = [
+        Answer(asked, router, name, made)
+        for asked, router, _, how, _, made, name in crowd.load.table()["lookups"]
+        if how == "served" and made
+    ]
+    seen = (Seen(*state) for state in crowd.hollow.states())
+    skew_ms = 1.0
+    return judge(session.purges(), session.listed, behind, seen, answers, skew_ms)
+
+
+def who_has_what(crowd: RegionCrowd) -> Roles:
+    """The leader and the desk's owner; where it is one keeper, the desk is handed to another."""
+    for _ in range(3):
+        status = json.loads(_command(crowd, "status", "--json"))
+        owners = {duty: owner for duty, owner, *_ in status["keepers"][status["leader"]]["duties"]}
+        owner = (owners.get(DUTY) or "").partition("#")[0]
+        if owner and owner != status["leader"]:
+            return Roles(status["leader"], owner)
+        other = next(name for name in crowd.keepers if name != status["leader"])
+        _command(crowd, "hand-over", DUTY, "--to", other)
+        time.sleep(0.5)
+    raise RuntimeError("the desk stays with the leader")
+
+
+def _command(crowd: RegionCrowd, *words: str) -> str:
+    site = crowd.layout.site("people")
+    ran = subprocess.run(
+        [sys.executable, "-m", "hookrouter", "fleet", *words, "--site", site],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=COMMAND_WITHIN,
+    )
+    return ran.stdout
+
+
+def _snapshots(crowd: RegionCrowd, seconds: float, lag: LagMeter) -> list[Snapshot]:
+    """At the begin, in the middle and at the end of that time."""
+    lag.take()
+    found = [snapshot(crowd)]
+    for _ in range(2):
+        time.sleep(seconds / 2)
+        found.append(snapshot(crowd))
+    return found
+
+
+def _worst_lag(crowd: RegionCrowd, start: float, end: float) -> float:
+    """Of the hollow processes' reactors, by their reports of that time."""
+    return max(
+        (
+            report.reactor_lag_s
+            for group in crowd.hollow.groups
+            for report in group.file.reports
+            if start <= report.time <= end
+        ),
+        default=0.0,
+    )
+
+
+def _acknowledged_rate(submitter: Submitter, before: Snapshot, after: Snapshot) -> float:
+    count = sum(before.at <= each.acknowledged <= after.at for each in submitter.acknowledged())
+    return count / (after.at - before.at)
+
+
+def open_session(
+    folder: Path, settings: Settings, tell: Callable[[str], None]
+) -> tuple[RegionCrowd, Submitter]:
+    """A crowd, not started yet, and who submits to it."""
+    crowd = RegionCrowd(
+        folder, settings.plan, settings.loaded, settings.in_process, settings.delay, settings.seed, tell
+    )
+    ports = list(crowd.layout.desks.values())
+    return crowd, Submitter(ports, PURGES_SECRET, settings.purges_per_s, settings.seed)
--- a/standins/crowd/crowd.py
+++ b/standins/crowd/crowd.py
@@ -20,7 +20,7 @@
     be {}) there are three keepers (fleet serve) and the relay between all; None: no file. platform: the
     settings forbid talk. report: how caches tell their load: off, inline, on_probe. more: cache settings
     (room in KB, weight, parent_weight, origin_weight) and times (see settings.TIMES). program(name): what
-    runs in place of `python -m hookrouter`.
+    runs in place of `python -m hookrouter`. layout: one made before, in place of all that says how many.
     """
 
     def __init__(
@@ -38,10 +38,11 @@
         keeper_sections=None,
         program=lambda name: ("hookrouter",),
         keepers=KEEPERS,
+        layout=None,
         **more,
     ):
         self.times = {key: more.pop(key, value) for key, value in TIMES.items()}
-        self.layout = lay = Layout(
+        self.layout = lay = layout or Layout(
             folder, routers, caches, zones, parents, sections, keeper_sections, keepers, **more
         )
         self.folder, self.zones, self.zone = lay.folder, lay.zones, lay.zone
@@ -65,14 +66,7 @@
 
     def _begin(self):
         lay = self.layout
-        world = {
-            "caches": lay.rows,
-            "doors": lay.feed_port,
-            "terms": {**self.times, "origin": "o0"},
-            "idle": IDLE,
-            "inline": self.report == "inline",
-        }
-        self.caches = Caches(self._remote("world", world), self.folder)
+        self.caches = self._caches()
         if self.members:
             self.links = Calls(self._remote("relay", {**lay.links(), "seed": self.seed}))
         lay.write()
@@ -83,8 +77,18 @@
         clients = {"routers": lay.port, "seed": self.seed, "connections": self.connections}
         self.load = Load(self._remote("clients", clients), self.folder)
 
-    def _remote(self, module, spec):
-        self.remotes.append(Remote(module, spec, self.folder))
+    def _caches(self):
+        world = {
+            "caches": self.layout.rows,
+            "doors": self.layout.feed_port,
+            "terms": {**self.times, "origin": "o0"},
+            "idle": IDLE,
+            "inline": self.report == "inline",
+        }
+        return Caches(self._remote("world", world), self.folder)
+
+    def _remote(self, module, spec, folder=None):
+        self.remotes.append(Remote(module, spec, folder or self.folder))
         return self.remotes[-1]
 
     def _environment(self, name):
--- a/standins/crowd/layout.py
+++ b/standins/crowd/layout.py
@@ -33,9 +33,12 @@
             {name: self.ports.take() for name in names}
             for names in (self.routers, self.routers, self.members, self.members)
         )
-        self.streams = {(a, b): self.ports.take() for a in self.members for b in self.keepers if a != b}
+        self.streams = {pair: self.ports.take() for pair in self._stream_pairs()}
         self.rows = self._caches(caches, parents, **more)
 
+    def _stream_pairs(self):
+        return [(a, b) for a in self.members for b in self.keepers if a != b]
+
     def _caches(
         self,
         caches,
--- a/standins/crowd/relay.py
+++ b/standins/crowd/relay.py
@@ -1,7 +1,7 @@
 """All that members say to each other, through one process that can cut, delay, lose, double and reorder it.
 
-python -m standins.crowd.relay SPEC: members {name: {zone, real, shown}} (ports; "shown" is what others know),
-streams [[from, to, port]]: ports at which one member reaches the stream port of another; seed.
+python -m standins.crowd.relay SPEC: members {name: {zone, real, shown}} (ports; "shown" is what others know; a
+member without it is reached by streams alone), streams [[from, to, port]]: ports at which one member reaches the stream port of another; seed.
 Datagrams are told by the address they come from; a stream by the port it comes to, or, at a member's shown
 port, by the process that holds its other end.
 """
@@ -17,6 +17,7 @@
 
 PIECE = 65_536
 LONGEST = 2_048  # bytes of a datagram
+MOST_ON_THE_WAY = 64  # pieces of a stream that wait for their delay; more are left unread
 
 
 class Shown(asyncio.DatagramProtocol):
@@ -44,6 +45,8 @@
     async def start(self):
         self.loop = asyncio.get_running_loop()
         for name, row in self.members.items():
+            if "shown" not in row:
+                continue
             made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1_000_000)
             made.bind(("127.0.0.1", row["shown"]))
@@ -125,17 +128,34 @@
         return (sender, to) in self.cuts
 
     async def _pump(self, reader, writer, sender, to):
+        """Each piece goes on once its delay is over; those behind it are read meanwhile."""
+        on_the_way = asyncio.Queue(MOST_ON_THE_WAY)
+        delivering = asyncio.ensure_future(self._deliver(on_the_way, writer, sender, to))
         try:
             while piece := await reader.read(PIECE):
                 self.stream_bytes += len(piece)
-                if self.stream_delay:
-                    await asyncio.sleep(self.stream_delay)
-                if not self._is_cut(sender, to):
-                    writer.write(piece)
-                    await writer.drain()
-            writer.transport.abort()
+                await on_the_way.put((self.loop.time() + self.stream_delay, piece))
         except OSError:
-            writer.transport.abort()
+            pass
+        await on_the_way.put((self.loop.time() + self.stream_delay, b""))
+        await delivering
+        writer.transport.abort()
+
+    async def _deliver(self, on_the_way, writer, sender, to):
+        """Until the empty piece; what comes for a connection that has ended is dropped."""
+        while True:
+            due, piece = await on_the_way.get()
+            if (left := due - self.loop.time()) > 0:
+                await asyncio.sleep(left)
+            if not piece:
+                return
+            if self._is_cut(sender, to) or writer.is_closing():
+                continue
+            try:
+                writer.write(piece)
+                await writer.drain()
+            except OSError:
+                writer.transport.abort()
 
     # ---- commands
 
