--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,19 @@
 
 import click
 
-NAMES = ("admission", "lab", "loss", "owners", "purges", "replicas", "sharing", "spread", "view", "warming")
+NAMES = (
+    "admission",
+    "lab",
+    "loss",
+    "owners",
+    "purges",
+    "replicas",
+    "scale",
+    "sharing",
+    "spread",
+    "view",
+    "warming",
+)
 
 
 @click.command()
--- a/benchmarks/scale/__init__.py
+++ b/benchmarks/scale/__init__.py
@@ -1,1 +1,82 @@
 """The scale run: hollow routers beside real ones, measured by role and kind of message at several sizes."""
+
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+
+from standins.crowd.region_crowd import NotReady
+from standins.crowd.regions import Plan
+from standins.crowd.remote import ROOT
+
+from . import room
+from .figures import figures, results
+from .judge import Verdict
+from .results import write
+from .scenes import SCENES, Scene
+from .session import Session, Settings, finish, measure_size, open_session, wanted
+from .snapshot import LagMeter
+
+DATA_FILE = ROOT / "docs" / "results" / "scale.json"
+SPARE_LOOKUPS_S = 900.0  # seconds of lookups that are begun; they end with the run
+
+QUICK = Settings(
+    plan=Plan(),
+    sizes=(60, 140, 220, 300),
+    in_process=25,
+    loaded=6,
+    seconds=8.0,
+    settle=2.0,
+    purges_per_s=32.0,
+    lookups_per_s=60.0,
+)
+FULL = replace(QUICK, seconds=20.0, settle=4.0)
+
+
+def run(quick: bool, full: bool = False) -> dict[str, object]:
+    """Figures of the run; with full the data file is written, too."""
+    begun = time.monotonic()
+
+    def tell(text: str) -> None:
+        if sys.stderr.isatty():
+            print(f"{time.monotonic() - begun:6.1f} s  {text}", file=sys.stderr, flush=True)
+
+    with tempfile.TemporaryDirectory(prefix="scale-") as folder:
+        session, verdict = play(Path(folder), FULL if full else QUICK, tell)
+    if full:
+        write(DATA_FILE, results(session))
+    return figures(session, verdict)
+
+
+def play(
+    folder: Path, settings: Settings, tell: Callable[[str], None], scenes: tuple[Scene, ...] = SCENES
+) -> tuple[Session, Verdict]:
+    """The whole of a run; NotEnoughRoom before anything is started, where the machine is too small."""
+    room.check(wanted(settings), room.machine())
+    crowd, submitter = open_session(folder, settings, tell)
+    with crowd:
+        session, lag = Session(crowd, submitter), LagMeter()
+        submitter.start()
+        crowd.load.start(SPARE_LOOKUPS_S, settings.lookups_per_s)
+        _grow(session, settings, lag)
+        for scene in scenes:
+            scene(session)
+        crowd.load.stop()
+        verdict = finish(session)
+        lag.stop()
+    return session, verdict
+
+
+def _grow(session: Session, settings: Settings, lag: LagMeter) -> None:
+    """From size to size, until one is not reached or cannot be measured: what ended it is told."""
+    for hollow in settings.sizes:
+        try:
+            measured = measure_size(session, settings, hollow, lag)
+        except NotReady as wrong:
+            session.ended_by = f"{hollow} hollow routers: {wrong}"
+            return
+        if not measured:
+            session.ended_by = f"{hollow} hollow routers: {session.starved[-1]}"
+            return
--- /dev/null
+++ b/benchmarks/scale/figures.py
@@ -0,0 +1,139 @@
+"""What a scale run comes to: slopes, how well they predict the largest size, the data file, the figures."""
+
+import os
+import platform
+import subprocess
+from collections.abc import Callable, Iterable
+from datetime import UTC, datetime
+from typing import NamedTuple
+
+from standins.crowd.remote import ROOT
+
+from . import room
+from .judge import Verdict, effect_spans, percentile
+from .results import SCHEMA, Machine, Measurement, Results, Slope, rounded
+from .session import Measured, Session
+from .slopes import LEAST_SIZES, Point, fit, predict_largest
+from .window import ALL, BOTH, BYTES, CPU, MEMORY, NONE, RouterFigures
+
+DIGITS = 3  # significant ones in the last line
+
+
+class Key(NamedTuple):
+    """Which quantity of which role."""
+
+    role: str
+    kind: str
+    direction: str
+    quantity: str
+
+
+def key_of(measurement: Measurement) -> Key:
+    """Of one measured value."""
+    return Key(measurement.role, measurement.kind, measurement.direction, measurement.quantity)
+
+
+def points(measured: Iterable[Measured]) -> dict[Key, list[Point]]:
+    """Both halves of each window, against the number of routers."""
+    found: dict[Key, list[Point]] = {}
+    for each in measured:
+        routers = each.run.hollow + each.run.real
+        for half in each.halves:
+            for row in half.measurements:
+                found.setdefault(key_of(row), []).append(Point(routers, row.value))
+    return found
+
+
+def sizes(rows: Iterable[Point]) -> int:
+    """How many different ones."""
+    return len({point.routers for point in rows})
+
+
+def slopes(measured: Iterable[Measured]) -> tuple[Slope, ...]:
+    """Of each quantity that was measured at three sizes or more."""
+    return tuple(
+        _slope(key, rows) for key, rows in sorted(points(measured).items()) if sizes(rows) >= LEAST_SIZES
+    )
+
+
+def _slope(key: Key, rows: list[Point]) -> Slope:
+    found = fit(rows)
+    coefficients = tuple(rounded(each) for each in found.coefficients)
+    return Slope(
+        *key, found.formula, coefficients, found.sizes, rounded(found.residual), rounded(found.spread)
+    )
+
+
+def prediction_error(measured: Iterable[Measured], quantity: str) -> float | None:
+    """All that fits to the smaller sizes miss at the largest, of all roles together, as a share of what was
+    measured there; None below four sizes. Sums of other rows count as rows of their own.
+    """
+    missed = total = 0.0
+    for key, rows in points(measured).items():
+        if key.quantity == quantity and sizes(rows) > LEAST_SIZES:
+            prediction = predict_largest(rows)
+            missed += abs(prediction.predicted - prediction.measured)
+            total += abs(prediction.measured)
+    return missed / total if total else None
+
+
+def results(session: Session) -> Results:
+    """The data file of this run."""
+    commit = subprocess.run(["git", "rev-parse", "HEAD"], cwd=ROOT, capture_output=True, text=True)
+    memory = round(room.machine().memory_mb)
+    machine = Machine(os.cpu_count() or 0, memory, platform.python_version(), platform.system())
+    measured_at = datetime.now(UTC).isoformat(timespec="seconds")
+    runs = tuple(each.run for each in session.measured)
+    slopes_found = slopes(session.measured)
+    return Results(SCHEMA, machine, commit.stdout.strip(), measured_at, runs, slopes_found)
+
+
+def figures(session: Session, verdict: Verdict) -> dict[str, object]:
+    """The named figures of the last line; None is what was not measured."""
+    measured = session.measured
+    largest = max(measured, key=lambda each: each.run.hollow, default=None)
+    spans = effect_spans(session.purges())
+    return {
+        "hollow": largest.run.hollow if largest else 0,
+        "real": largest.run.real if largest else 0,
+        "sizes": len(measured),
+        "rule_breaks": verdict.breaks() + len(session.crowd_breaks) + session.unfenced,
+        "purges": len(session.purges()),
+        "purges_lost": len(verdict.lost),
+        "said_too_early": len(verdict.said_too_early) + len(verdict.old_copies),
+        "prediction_error_bytes": _short(prediction_error(measured, BYTES)),
+        "prediction_error_cpu": _short(prediction_error(measured, CPU)),
+        "prediction_error_memory": _short(prediction_error(measured, MEMORY)),
+        "hollow_over_real_bytes": _short(_ratio(largest, RouterFigures.bytes_per_s)),
+        "hollow_over_real_cpu": _short(_ratio(largest, lambda group: group.cpu)),
+        "effect_p50_s": _short(percentile(spans, 0.5)),
+        "effect_p99_s": _short(percentile(spans, 0.99)),
+        "effect_worst_s": _short(spans[-1] if spans else None),
+        "back_after_region_s": _short(session.back.get("region")),
+        "back_after_kill_s": _short(session.back.get("kill")),
+        "back_after_restarts_s": _short(session.back.get("restarts")),
+        "router_bytes_per_s": _short(_of(largest, Key("router", ALL, BOTH, BYTES))),
+        "router_core_share": _short(_of(largest, Key("router", ALL, NONE, CPU))),
+        "router_memory_mb": _short(_of(largest, Key("router", ALL, NONE, MEMORY))),
+        "purges_per_s": _short(largest.run.purges_per_s if largest else None),
+        "lag_worst_s": _short(largest.run.lag_worst_s if largest else None),
+        "starved_runs_thrown_out": len(session.starved),
+        "ended_by": session.ended_by,
+    }
+
+
+def _ratio(measured: Measured | None, value: Callable[[RouterFigures], float]) -> float | None:
+    """Of a hollow router to a real one that gets no lookups: what both do is control."""
+    if measured is None or measured.whole.hollow is None or measured.whole.unloaded is None:
+        return None
+    return value(measured.whole.hollow) / value(measured.whole.unloaded)
+
+
+def _of(measured: Measured | None, key: Key) -> float | None:
+    if measured is None:
+        return None
+    return next((row.value for row in measured.run.measurements if key_of(row) == key), None)
+
+
+def _short(value: float | None) -> float | None:
+    return None if value is None else float(f"{value:.{DIGITS}g}")
