--- a/benchmarks/scale/__init__.py
+++ b/benchmarks/scale/__init__.py
@@ -12,7 +12,7 @@
 from standins.crowd.remote import ROOT
 
 from . import room
-from .figures import figures, results
+from .figures import results_of, summary
 from .judge import Verdict
 from .results import write
 from .scenes import SCENES, Scene
@@ -46,8 +46,8 @@
     with tempfile.TemporaryDirectory(prefix="scale-") as folder:
         session, verdict = play(Path(folder), FULL if full else QUICK, tell)
     if full:
-        write(DATA_FILE, results(session))
-    return figures(session, verdict)
+        write(DATA_FILE, results_of(session))
+    return summary(session, verdict)
 
 
 def play(
--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -77,7 +77,7 @@
     return missed / total if total else None
 
 
-def results(session: Session) -> Results:
+def results_of(session: Session) -> Results:
     """The data file of this run."""
     commit = subprocess.run(["git", "rev-parse", "HEAD"], cwd=ROOT, capture_output=True, text=True)
     memory = round(room.machine().memory_mb)
@@ -88,7 +88,7 @@
     return Results(SCHEMA, machine, commit.stdout.strip(), measured_at, runs, slopes_found)
 
 
-def figures(session: Session, verdict: Verdict) -> dict[str, object]:
+def summary(session: Session, verdict: Verdict) -> dict[str, object]:
     """The named figures of the last line; None is what was not measured."""
     measured = session.measured
     largest = max(measured, key=lambda each: each.run.hollow, default=None)
--- a/benchmarks/scale/session.py
+++ b/benchmarks/scale/session.py
@@ -42,6 +42,8 @@
     lookups_per_s: float
     delay: float = 0.01
     tries: int = 2  # of each window, where one was starved
+    starved_lag_s: float = STARVED_LAG_S
+    most_busy: float = MOST_BUSY
     seed: int = 1
 
 
@@ -123,7 +125,7 @@
         before, middle, after = snapshots
         worst = max(lag.take(), _worst_lag(crowd, before.at, after.at))
         busy = busy_share(before, after)
-        if worst > STARVED_LAG_S or busy > MOST_BUSY:
+        if worst > settings.starved_lag_s or busy > settings.most_busy:
             session.starved.append(f"{hollow} hollow: lag {worst:.3f} s, {busy:.2f} of all cores busy")
             crowd.tell(f"starved, thrown out: {session.starved[-1]}")
             continue
--- a/standins/crowd/region_crowd.py
+++ b/standins/crowd/region_crowd.py
@@ -1,4 +1,4 @@
-"""A fleet of regions as real processes: control machines, relays, routers with load or without, hollow ones."""
+"""A fleet of regions as real processes: control machines, relays, routers, some of them hollow."""
 
 import time
 from collections.abc import Callable
--- a/standins/crowd/relay.py
+++ b/standins/crowd/relay.py
@@ -1,7 +1,8 @@
 """All that members say to each other, through one process that can cut, delay, lose, double and reorder it.
 
-python -m standins.crowd.relay SPEC: members {name: {zone, real, shown}} (ports; "shown" is what others know; a
-member without it is reached by streams alone), streams [[from, to, port]]: ports at which one member reaches the stream port of another; seed.
+python -m standins.crowd.relay SPEC: members {name: {zone, real, shown}} (ports; "shown" is what others know;
+a member without it is reached by streams alone), streams [[from, to, port]]: ports at which one member
+reaches the stream port of another; seed.
 Datagrams are told by the address they come from; a stream by the port it comes to, or, at a member's shown
 port, by the process that holds its other end.
 """
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,13 +1,32 @@
 """The scale run: slopes and data file by themselves, and the whole of it with some dozens of routers."""
 
 import math
+import os
+import socket
+from dataclasses import replace
 
 import msgspec
 import pytest
 
+from benchmarks.scale import QUICK, play, room
 from benchmarks.scale import results as r
-from benchmarks.scale.errors import TooFewSizes, UnreadableResults
+from benchmarks.scale.errors import NotEnoughRoom, TooFewSizes, UnreadableResults
+from benchmarks.scale.figures import results_of
+from benchmarks.scale.judge import (
+    Acknowledged,
+    Answer,
+    Seen,
+    Verdict,
+    effect_spans,
+    lost,
+    old_copies,
+    percentile,
+    said_too_early,
+)
+from benchmarks.scale.scenes import group_killed, region_cut
 from benchmarks.scale.slopes import Point, fit, predict_largest
+from standins import sockets
+from standins.crowd.regions import Plan
 
 SIZES = (40, 80, 160, 320)
 
@@ -104,3 +123,124 @@
 def test_a_data_file_that_is_not_there_is_refused(tmp_path):
     with pytest.raises(UnreadableResults, match="scale.json"):
         r.read(tmp_path / "scale.json")
+
+
+# ---- what is judged
+
+
+def purge(number, in_effect=None, name="a", made_ms=0.0, submitted=0.0):
+    return Acknowledged(number, name, made_ms, submitted, in_effect)
+
+
+def test_a_purge_that_the_desk_lacks_and_a_router_that_stays_behind_are_lost():
+    purges = [purge(1), purge(2), purge(3)]
+    assert lost(purges, [1, 2, 3], {}) == []
+    assert len(lost(purges, [1, 3], {})) == 1
+    assert len(lost(purges, [1, 2, 3], {"h1": 2, "h2": 3})) == 1
+
+
+def test_in_effect_is_said_too_early_only_beside_a_lease_that_was_held():
+    purges = [purge(1, 10.0), purge(2, 20.0), purge(3)]
+    kept = [Seen(15.0, "h1", 1, "current"), Seen(25.0, "h1", 2, "current"), Seen(25.0, "h2", 0, "fenced")]
+    assert said_too_early(purges, kept) == []
+    assert len(said_too_early(purges, [Seen(20.1, "h1", 1, "current")])) == 1
+    assert said_too_early(purges, [Seen(20.0, "h1", 1, "current")]) == []  # not yet said then
+
+
+def test_a_later_purge_that_is_in_effect_first_binds_the_earlier_position_too():
+    assert len(said_too_early([purge(7, 5.0), purge(6, 9.0)], [Seen(6.0, "h1", 6, "current")])) == 1
+
+
+@pytest.mark.parametrize(
+    ("asked", "made_ms", "breaks"),
+    [(11.0, 4_000, 1), (9.0, 4_000, 0), (11.0, 5_000, 0), (11.0, 4_999.5, 0)],
+)
+def test_an_answer_older_than_a_purge_in_effect_is_a_break(asked, made_ms, breaks):
+    purges = [purge(1, 10.0, "a", 5_000), purge(2, 10.0, "b", 9_000), purge(3, None, "a", 9_000)]
+    answers = [Answer(asked, "r0", "a", made_ms)]
+    assert len(old_copies(purges, answers, skew_ms=1.0)) == breaks
+
+
+def test_spans_to_effect_are_counted_from_the_submission():
+    spans = effect_spans([purge(1, 3.5, submitted=3.0), purge(2, 3.2, submitted=3.1), purge(3)])
+    assert spans == pytest.approx([0.1, 0.5])
+    assert percentile(spans, 0.99) == pytest.approx(0.5) and percentile([], 0.5) is None
+
+
+# ---- room
+
+
+WANTED = room.Wanted(hollow=1_200, in_process=25, real=12, keepers=3, relays=9, regions=3, zones=6)
+
+
+def test_a_machine_with_room_is_accepted():
+    room.check(WANTED, room.Room(64_000, 60_000, 20_000, 10_000))
+
+
+@pytest.mark.parametrize(
+    ("machine", "missing"),
+    [
+        (room.Room(8_000, 8_000, 20_000, 10_000), "memory"),
+        (room.Room(64_000, 1_000, 20_000, 10_000), "memory"),
+        (room.Room(64_000, 60_000, 256, 10_000), "descriptors"),
+        (room.Room(64_000, 60_000, 20_000, 50), "processes"),
+    ],
+)
+def test_what_is_missing_is_said_in_one_line(machine, missing):
+    with pytest.raises(NotEnoughRoom, match=f"^{missing}: [^;]*$"):
+        room.check(WANTED, machine)
+
+
+def test_all_that_is_missing_is_said_at_once_before_anything_is_started(monkeypatch, tmp_path):
+    monkeypatch.setattr(room, "machine", lambda: room.Room(100, 100, 10, 10))
+    with pytest.raises(NotEnoughRoom, match="memory: .*; descriptors: .*; processes: "):
+        play(tmp_path, QUICK, print)
+    assert list(tmp_path.iterdir()) == []
+
+
+# ---- what the system counts
+
+
+def test_connections_are_counted_by_the_system():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        with socket.create_connection(server.getsockname()) as one, server.accept()[0] as other:
+            one.sendall(b"x" * 1_000)
+            while len(other.recv(2_000, socket.MSG_PEEK)) < 1_000:
+                pass
+            held = sockets.inodes(os.getpid())
+            ports = one.getsockname()[1], other.getsockname()[1]
+            found = {row.local_port: row for row in sockets.connections() if row.inode in held}
+    assert found[ports[0]].sent.bytes == found[ports[1]].received.bytes == 1_000
+    assert found[ports[0]].peer_port == ports[1] and found[ports[1]].received.messages >= 1
+
+
+# ---- the whole of it, small
+
+
+def test_some_dozens_of_hollow_routers_and_three_real_ones_keep_every_rule(tmp_path):
+    settings = replace(
+        QUICK,
+        plan=Plan(regions=2, zones_in_region=1, real=3, caches=3),
+        sizes=(12, 24, 36),
+        in_process=12,
+        loaded=2,
+        seconds=4.0,
+        settle=0.5,
+        purges_per_s=8.0,
+        lookups_per_s=20.0,
+        most_busy=math.inf,  # who else works on the machine says nothing of the rules
+        starved_lag_s=math.inf,
+    )
+    session, verdict = play(tmp_path, settings, lambda text: None, scenes=(region_cut, group_killed))
+    assert verdict == Verdict([], [], []) and session.crowd_breaks == [] and session.unfenced == 0
+    assert len(session.measured) == 3 and session.ended_by is None
+    assert session.back["region"] is not None and session.back["kill"] is not None
+    assert all(process.poll() is not None for process in session.crowd.processes.held.values())
+    assert not any(group.alive() for group in session.crowd.hollow.groups)
+    told = results_of(session)
+    assert r.decode(r.encode(told)) == told
+    quantities = {(row.role, row.quantity) for row in told.slopes}
+    for role in ("router", "relay", "keeper_leader", "keeper_follower", "desk"):
+        assert {(role, quantity) for quantity in ("bytes_per_s", "messages_per_s")} <= quantities
+    sent = {row.kind: row.value for row in told.runs[-1].measurements if row.role == "router"}
+    assert all(sent[kind] > 0 for kind in ("view", "purge_feed", "keeper_stream", "sharing"))
