--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -10,6 +10,7 @@
 
 from benchmarks.scale import QUICK, play, room
 from benchmarks.scale import results as r
+from benchmarks.scale.chart import chart
 from benchmarks.scale.errors import NotEnoughRoom, TooFewSizes, UnreadableResults
 from benchmarks.scale.figures import results_of
 from benchmarks.scale.judge import (
@@ -23,6 +24,7 @@
     percentile,
     said_too_early,
 )
+from benchmarks.scale.page import page
 from benchmarks.scale.scenes import group_killed, region_cut
 from benchmarks.scale.slopes import Point, fit, predict_largest
 from standins import sockets
@@ -244,3 +246,13 @@
         assert {(role, quantity) for quantity in ("bytes_per_s", "messages_per_s")} <= quantities
     sent = {row.kind: row.value for row in told.runs[-1].measurements if row.role == "router"}
     assert all(sent[kind] > 0 for kind in ("view", "purge_feed", "keeper_stream", "sharing"))
+
+
+def test_the_page_and_its_chart_are_made_of_the_data_file_alone():
+    made = page(data_file())
+    assert "| 60 | 3 | 3 | 8 | 10.0 | 32.0 | 0.020 |" in made
+    assert "| router | view | out | B/s | 812 |" in made
+    assert "| router | view | out | B/s | 1 + 0.5 n | 0.125 | 6 % |" in made
+    assert "{" not in made
+    assert made != page(data_file(runs=()))
+    assert chart(data_file()).startswith("<svg") and "812" in chart(data_file())
