--- a/benchmarks/scale/submitter.py
+++ b/benchmarks/scale/submitter.py
@@ -45,6 +45,12 @@
         for thread in self._threads:
             thread.start()
 
+    def change_rate(self, rate: float) -> None:
+        """From now on."""
+        with self._lock:
+            self._begun = time.monotonic() - self._count / rate
+            self.rate = rate
+
     def stop(self) -> None:
         """Ends once each submission that is out has its answer, or was given up."""
         self._stopping.set()
@@ -64,7 +70,8 @@
         while not self._stopping.is_set():
             with self._lock:
                 number, self._count = self._count, self._count + 1
-            if self._stopping.wait(max(0.0, self._begun + number / self.rate - time.monotonic())):
+                due = self._begun + number / self.rate
+            if self._stopping.wait(max(0.0, due - time.monotonic())):
                 break
             self._submit(client, number)
         client.close()
