--- a/benchmarks/scale/session.py
+++ b/benchmarks/scale/session.py
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True)
 class Settings:
-    """sizes: of hollow routers, rising; beyond: further ones, without slopes, at a lower rate of purges, where
+    """sizes: of hollow routers, rising; beyond: further ones, without slopes, at fewer purges, where
     the machine does not bear all. seconds: of a window, after settle seconds at its size. budget: seconds of
     the run; once they are over no further size or scene is begun.
     """
