Hollow routers: a router's control traffic without its lookups, counted by kind

The scale run needs hundreds of routers' control on one machine. standins/hollow hosts dozens in one process by the program's own member, sharing and purge feed; command/router.py and node/purging.py give their assembly as functions of their own, behaviour unchanged. The crowd's layout writes hollow routers' files, direct addresses and the keepers' desk; its relay counts streams by sender, too. A real router's control is counted by the same hooks (standins.hollow.counted).

--- a/hookrouter/command/router.py
+++ b/hookrouter/command/router.py
@@ -21,16 +21,29 @@
         raise Malformed("; ".join(wrong.lines)) from None
 
 
-def member_of(reactor, log, sections, router):
-    """This router's part in its fleet; imported only where there is one."""
+def sharing_member(reactor, log, sections, make_state):
+    """A member that routes; make_state(): what it shares with its zone, see Sharing, called with [sharing]
+    only. Both are imported only where they are on.
+    """
     from ..fleet.member.service import Member
 
     member = Member(reactor, log, sections, routes=True)
-    if "sharing" in sections:  # imported only then
+    if "sharing" in sections:
         from ..fleet.member.sharing import Sharing
+
+        member.sharing = Sharing(reactor, log, sections["sharing"], member, make_state())
+    return member
+
+
+def member_of(reactor, log, sections, router):
+    """This router's part in its fleet."""
+
+    def told():
         from ..node.told import Told
 
-        member.sharing = Sharing(reactor, log, sections["sharing"], member, Told(router))
+        return Told(router)
+
+    member = sharing_member(reactor, log, sections, told)
     if "spread" in sections:
         from ..fleet.member.spread import Spreading
 
--- a/hookrouter/node/purging.py
+++ b/hookrouter/node/purging.py
@@ -3,7 +3,7 @@
 """
 
 from collections import deque
-from time import perf_counter
+from time import perf_counter, time
 
 from .. import interface as i
 from ..feed.purges import PurgeFeed
@@ -16,6 +16,18 @@
 SLICE = 0.005  # seconds of purges taken in at a time: a snapshot of all takes seconds, lookups must not wait
 
 
+def purge_feed(reactor, deadlines, desk, purges, name, log, count, paced, wall=time, steady=boot_time):
+    """A router's feed of purges as [purges] has it, not started. desk: see PurgeFeed, and left() where it is
+    paced, that is with [admission].
+    """
+    feed = PurgeFeed(
+        reactor, deadlines, desk, follows(purges), purges, name, log, count, wall=wall, steady=steady
+    )
+    if paced:
+        feed.pace()
+    return feed
+
+
 class Purging:
     def __init__(self, start, reactor, deadlines, router, log, count, steady, watch=perf_counter):
         """steady: see Router; None: the machine's. watch: seconds, for how long a slice has lasted."""
@@ -29,20 +41,18 @@
         self.judged = {
             kind.name for kind in start.terms.kinds if kind.effect == i.IDEMPOTENT and not kind.write
         }
-        self.feed = PurgeFeed(
+        self.feed = purge_feed(
             reactor,
             deadlines,
             self,
-            follows(purges),
             purges,
             start.name,
             log,
             count,
+            paced=start.paced,
             wall=router.wall,
             steady=self.steady,
         )
-        if start.paced:
-            self.feed.pace()
         self.state = self.guard.state()
 
     def left(self):
--- a/standins/crowd/crowd.py
+++ b/standins/crowd/crowd.py
@@ -19,8 +19,9 @@
     sections: {section: {key: value}} of the routers' file, {name} and {zone} put in; with "fleet" in it (may
     be {}) there are three keepers (fleet serve) and the relay between all; None: no file. platform: the
     settings forbid talk. report: how caches tell their load: off, inline, on_probe. more: cache settings
-    (room in KB, weight, parent_weight, origin_weight) and times (see settings.TIMES). program(name): what
-    runs in place of `python -m hookrouter`.
+    (room in KB, weight, parent_weight, origin_weight), times (see settings.TIMES), and hollow, direct and
+    desk (see Layout; hollow routers are run by whoever asked for them). program(name): what runs in place
+    of `python -m hookrouter`.
     """
 
     def __init__(
@@ -73,7 +74,7 @@
             "inline": self.report == "inline",
         }
         self.caches = Caches(self._remote("world", world), self.folder)
-        if self.members:
+        if self.members and not lay.direct:
             self.links = Calls(self._remote("relay", {**lay.links(), "seed": self.seed}))
         lay.write()
         begun = time.monotonic()
--- a/standins/crowd/layout.py
+++ b/standins/crowd/layout.py
@@ -3,6 +3,9 @@
 import json
 from pathlib import Path
 
+import msgspec
+
+from ..hollow.configuration import Configuration, RouterPlace
 from .ports import Ports
 from .settings import configuration, settings
 
@@ -13,27 +16,50 @@
 
 
 class Layout:
-    """sections, keeper_sections: {section: {key: value}} of the operator's file, {name} and {zone} put in."""
+    """sections, keeper_sections: {section: {key: value}} of the operator's file, {name} and {zone} put in.
+
+    hollow: how many members h0, h1, ... are hollow routers, by the routers' sections. direct: members reach
+    each other without the relay. desk: the keepers bear the desk, and routers' [purges] lead to it.
+    """
 
-    def __init__(self, folder, routers, caches, zones, parents, sections, keeper_sections, keepers, **more):
+    def __init__(
+        self,
+        folder,
+        routers,
+        caches,
+        zones,
+        parents,
+        sections,
+        keeper_sections,
+        keepers,
+        hollow=0,
+        direct=False,
+        desk=False,
+        **more,
+    ):
         self.folder, self.ports = Path(folder).resolve(), Ports()
         self.folder.mkdir(parents=True, exist_ok=True)
         self.zones = [f"z{n}" for n in range(zones)]
         self.routers = [f"r{n}" for n in range(routers)]
         self.keepers = [f"k{n}" for n in range(keepers)] if sections and "fleet" in sections else []
-        self.members = [*self.routers, *self.keepers] if self.keepers else []
+        self.hollow = [f"h{n}" for n in range(hollow)]
+        self.members = [*self.routers, *self.hollow, *self.keepers] if self.keepers else []
         self.zone = {
             name: self.zones[n % zones]
-            for names in (self.routers, self.keepers)
+            for names in (self.routers, self.hollow, self.keepers)
             for n, name in enumerate(names)
         }
         self.by_zone = {zone: sum(self.zone[name] == zone for name in self.routers) for zone in self.zones}
         self.sections, self.keeper_sections = sections, keeper_sections or {}
-        self.port, self.feed_port, self.real, self.shown = (
+        self.port, self.feed_port, self.real, self.desks = (
             {name: self.ports.take() for name in names}
-            for names in (self.routers, self.routers, self.members, self.members)
+            for names in (self.routers, self.routers, self.members, self.keepers if desk else ())
         )
-        self.streams = {(a, b): self.ports.take() for a in self.members for b in self.keepers if a != b}
+        self.direct = direct
+        self.shown, self.streams = self.real, {}
+        if not direct:
+            self.shown = {name: self.ports.take() for name in self.members}
+            self.streams = {(a, b): self.ports.take() for a in self.members for b in self.keepers if a != b}
         self.rows = self._caches(caches, parents, **more)
 
     def _caches(
@@ -78,30 +104,32 @@
         for name in self.members:
             fleet = self._fleet(name)
             if name in self.keepers:
-                self._file(name, {**self.keeper_sections, "fleet": {**fleet, "store": f"{name}.db"}})
+                sections = {**self.keeper_sections, "fleet": {**fleet, "store": f"{name}.db"}}
+                if self.desks:
+                    listen = f"127.0.0.1:{self.desks[name]}"
+                    desk = {"listen": listen, "store": f"{name}-purges.db"}
+                    sections["desk"] = {**desk, **self.keeper_sections.get("desk", {})}
             else:
-                self._file(name, {**self.sections, "fleet": {**fleet, **self.sections["fleet"]}})
+                sections = {**self.sections, "fleet": {**fleet, **self.sections["fleet"]}}
+            self._file(name, self._with_purges(sections))
         if self.members:
             reached = ", ".join(f"{k} 127.0.0.1:{self.real[k]}" for k in self.keepers)
-            self._file(
-                "people",
-                {
-                    "fleet": {
-                        "name": "people",
-                        "listen": "127.0.0.1:1",
-                        "keepers": reached,
-                        "secret": "secret",
-                    }
-                },
-            )
+            people = {"name": "people", "listen": "127.0.0.1:1", "keepers": reached, "secret": "secret"}
+            self._file("people", self._with_purges({"fleet": people}))
         elif self.sections:
             for name in self.routers:
                 self._file(name, self.sections)
 
+    def _with_purges(self, sections):
+        """With the way to the keepers' desk; the routers' [purges] say the rest for all."""
+        if not self.desks:
+            return sections
+        desks = ", ".join(f"127.0.0.1:{port}" for port in self.desks.values())
+        told = {"desk": desks, "secret": "secret", **self.sections.get("purges", {})}
+        return {**sections, "purges": {**told, **sections.get("purges", {})}}
+
     def _fleet(self, name):
-        keepers = (
-            f"{k} 127.0.0.1:{self.real[k] if k == name else self.streams[name, k]}" for k in self.keepers
-        )
+        keepers = (f"{k} 127.0.0.1:{self.streams.get((name, k), self.real[k])}" for k in self.keepers)
         return {
             "name": name,
             "listen": f"127.0.0.1:{self.real[name]}",
@@ -119,6 +147,16 @@
         text = "\n".join(lines).replace("{name}", name).replace("{zone}", self.zone.get(name, "-"))
         (self.folder / f"{name}.ini").write_text(text)
 
+    def configure_hollow(self, process, names, seed, report_every_s=1.0):
+        """The path of the configuration of one process that hosts those hollow routers; it tells loads of the
+        same caches as real routers do.
+        """
+        places = [RouterPlace(name, str(self.folder / f"{name}.ini")) for name in names]
+        caches = [row["name"] for row in self.rows]
+        path = self.folder / f"{process}.json"
+        path.write_bytes(msgspec.json.encode(Configuration(seed, places, report_every_s, caches)))
+        return str(path)
+
     def words(self, name):
         """Of the command."""
         words = ["fleet", "serve"] if name in self.keepers else ["serve"]
--- a/standins/crowd/relay.py
+++ b/standins/crowd/relay.py
@@ -37,7 +37,7 @@
         self.members, self.streams = spec["members"], spec["streams"]
         self.names = {("127.0.0.1", row["real"]): name for name, row in self.members.items()}
         self.dice, self.shown, self.waiting, self.count = random.Random(spec["seed"]), {}, [], 0
-        self.open, self.packets, self.bytes, self.stream_bytes, self.dropped = set(), {}, {}, 0, 0
+        self.open, self.packets, self.bytes, self.streamed, self.dropped = set(), {}, {}, {}, 0
         self.cuts, self.servers, self.timer, self.processes = set(), [], None, {}
         self.heal()
 
@@ -127,7 +127,7 @@
     async def _pump(self, reader, writer, sender, to):
         try:
             while piece := await reader.read(PIECE):
-                self.stream_bytes += len(piece)
+                self.streamed[sender] = self.streamed.get(sender, 0) + len(piece)
                 if self.stream_delay:
                     await asyncio.sleep(self.stream_delay)
                 if not self._is_cut(sender, to):
@@ -181,12 +181,13 @@
             far.transport.abort()
 
     def carried(self):
-        """{"packets", "bytes": by sender, "stream_bytes", "dropped"} since the start."""
+        """{"packets", "bytes", "streamed" (bytes): by sender, "stream_bytes", "dropped"} since the start."""
         strip = {name or "": value for name, value in self.packets.items()}
         return {
             "packets": strip,
             "bytes": {name or "": value for name, value in self.bytes.items()},
-            "stream_bytes": self.stream_bytes,
+            "streamed": {name or "": value for name, value in self.streamed.items()},
+            "stream_bytes": sum(self.streamed.values()),
             "dropped": self.dropped,
         }
 
--- /dev/null
+++ b/standins/hollow/__main__.py
@@ -0,0 +1,136 @@
+"""python -m standins.hollow CONFIG.json: hollow routers in one process until SIGTERM; reports on stdout."""
+
+import gc
+import resource
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.internet.error import CannotListenError
+
+from hookrouter.command import DONE, ended_by, run_until, tell_uncaught
+from hookrouter.errors import Trouble
+from hookrouter.errors.listening import Taken
+from hookrouter.log import Log
+
+from .configuration import Configuration, read_configuration, read_sections
+from .reporter import Reporter
+from .router import HollowRouter
+
+START_EVERY = 0.005  # seconds between two routers' starts
+LEAVE_FOR = 0.2  # seconds in which others are told that these routers end
+DESCRIPTORS = 16  # of one router: two ports, streams to keepers, feed, renewals, lists of neighbours
+SPARE_DESCRIPTORS = 64  # of the process
+
+
+class TooFewDescriptors(Trouble):
+    """The process may not open as many files as its routers need."""
+
+    code = "hollow-descriptors"
+    advice = "put fewer routers into one process, or raise the hard limit of open files; nothing was started"
+    exit = 2
+
+
+def raise_descriptors(routers: int) -> None:
+    """Takes what the hard limit allows; TooFewDescriptors where that is not enough."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    needed = DESCRIPTORS * routers + SPARE_DESCRIPTORS
+    if hard != resource.RLIM_INFINITY and hard < needed:
+        raise TooFewDescriptors(f"{routers} routers need {needed} descriptors, {hard} are allowed")
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
+def named_log(log: Log, name: str) -> Callable[..., None]:
+    """A log whose lines name the router."""
+
+    def tell(kind: str, detail: str = "", level: str = "info", **values: Any) -> None:
+        log(kind, detail, level, hollow=name, **values)
+
+    return tell
+
+
+class Host:
+    """All hollow routers of this process."""
+
+    def __init__(self, reactor: Any, configuration: Configuration, log: Log) -> None:
+        """Reads each router's file: ConfigurationRefused where one cannot be used."""
+        self.reactor, self.log, self.stopping = reactor, log, False
+        self.routers = [
+            HollowRouter(
+                reactor,
+                read_sections(place),
+                configuration.seed,
+                configuration.caches,
+                named_log(log, place.name),
+            )
+            for place in configuration.routers
+        ]
+        self.reporter = Reporter(
+            reactor, configuration.report_every_s, lambda: [one.report() for one in self.routers], sys.stdout
+        )
+        self.failure: Taken | None = None
+
+    def start(self) -> None:
+        """One router after the other, so that their timers are spread."""
+        for n, router in enumerate(self.routers):
+            self.reactor.callLater(n * START_EVERY, self._start, router)
+        self.reporter.start()
+
+    def _start(self, router: HollowRouter) -> None:
+        if self.stopping:
+            return
+        try:
+            router.start()
+        except CannotListenError as wrong:
+            self.failure = Taken(f"{router.name} cannot listen: {wrong}")
+            self.stop()
+
+    def stop(self) -> None:
+        """Others are told, a last report is written, and the process ends."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.log("stopping")
+        for router in self.routers:
+            router.leave()
+        self.reactor.callLater(LEAVE_FOR, self._end)
+
+    def _end(self) -> None:
+        self.reporter.write()
+        for router in self.routers:
+            router.end()
+        self.reactor.callLater(LEAVE_FOR / 2, self.reactor.stop)
+
+
+def run(path: str) -> None:
+    """Until SIGTERM; Trouble where it cannot start."""
+    configuration = read_configuration(path)
+    raise_descriptors(len(configuration.routers))
+    log = Log()
+    tell_uncaught(log)
+    host = Host(reactor, configuration, log)
+    gc.collect()
+    gc.freeze()  # as serve does, so that both spend alike on collections
+    host.start()
+    log("hollow routers serve", routers=len(host.routers))
+    run_until(host.stop, reactor)
+    log.close()
+    if host.failure is not None:
+        raise host.failure
+
+
+def main(words: list[str]) -> int:
+    """The exit code."""
+    if len(words) != 1:
+        print("usage: python -m standins.hollow CONFIG.json", file=sys.stderr)
+        return 2
+    try:
+        run(words[0])
+    except Trouble as wrong:
+        return ended_by(wrong)
+    return DONE
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/standins/hollow/counted.py
@@ -0,0 +1,53 @@
+"""Runs a command of the program with its control traffic counted and reported as hollow routers' is.
+
+python -m standins.hollow.counted REPORTS EVERY_S serve --site FILE
+
+So a real router beside hollow ones is measured by the same hooks at the same sockets: no hop is added,
+lookups and caches are not touched. REPORTS gets one JSON line each EVERY_S seconds (see report.py). FILE has
+to have [fleet].
+"""
+
+import sys
+from typing import Any
+
+from hookrouter.node.signals import Signals
+
+signals = Signals()  # before all that takes time, as the program itself does
+
+from twisted.internet import reactor  # noqa: E402
+
+from hookrouter.command import ended_by  # noqa: E402
+from hookrouter.command import main as run  # noqa: E402
+from hookrouter.errors import Trouble  # noqa: E402
+from hookrouter.site import read  # noqa: E402
+
+from .report import RouterReport, Traffic  # noqa: E402
+from .reporter import Reporter  # noqa: E402
+from .sockets import SocketCounter  # noqa: E402
+
+
+def count_real_router(reactor: Any, reports: str, every: float, site: str) -> None:
+    """From the reactor's start on, appended to the file reports. site: the operator's file."""
+    fleet, traffic = read(site)["fleet"], Traffic()
+    SocketCounter(reactor, traffic, fleet["keepers"])
+    out = open(reports, "a", encoding="utf-8")  # noqa: SIM115  for as long as the process lasts
+    reporter = Reporter(reactor, every, lambda: [RouterReport(fleet["name"], traffic)], out)
+    reactor.callWhenRunning(reporter.start)
+    reactor.addSystemEventTrigger("before", "shutdown", reporter.write)
+
+
+def main(words: list[str]) -> int:
+    """The exit code of the command."""
+    if len(words) < 5 or "--site" not in words[:-1]:
+        print("usage: python -m standins.hollow.counted REPORTS EVERY_S serve --site FILE", file=sys.stderr)
+        return 2
+    reports, every, *command = words
+    try:
+        count_real_router(reactor, reports, float(every), command[command.index("--site") + 1])
+    except Trouble as wrong:
+        return ended_by(wrong)
+    return run(command, signals)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/test_hollow.py
@@ -0,0 +1,274 @@
+"""Hollow routers beside a real one and three keepers: seen, purged, counted, killed; wrong files are refused."""
+
+import json
+import subprocess
+import sys
+import time
+
+import pytest
+
+from standins.crowd import Crowd
+from standins.crowd.layout import Layout
+from standins.hollow import ConfigurationRefused, HollowProcess
+from standins.hollow.configuration import read_configuration, read_sections
+from standins.hollow.loads import MadeUpState
+from standins.hollow.meters import FrameMeter, HttpMeter
+from standins.hollow.process import read_reports
+from standins.hollow.report import Flow
+from standins.rig import ROOT
+
+HOLLOW = 12
+EVERY = 0.25  # seconds between reports
+KINDS = ("view", "purge_feed", "keeper_stream", "sharing")
+
+
+def waited(what, within=15.0):
+    end = time.monotonic() + within
+    while not (found := what()) and time.monotonic() < end:
+        time.sleep(0.1)
+    return found
+
+
+def flows(traffic):
+    """{(kind, direction): Flow}."""
+    found = {(kind, "out"): getattr(traffic, kind).out for kind in KINDS}
+    return found | {(kind, "in"): getattr(traffic, kind).received for kind in KINDS}
+
+
+def command(crowd, *words):
+    ran = subprocess.run(
+        [sys.executable, "-m", "hookrouter", *words, "--json", "--site", str(crowd.folder / "people.ini")],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert ran.returncode == 0, ran.stdout + ran.stderr
+    return json.loads(ran.stdout.splitlines()[-1])
+
+
+def submitted(crowd, tag):
+    """Its number, (epoch, n), once it is in effect at every member."""
+    told = command(crowd, "purges", "submit", "--tag", tag, "--wait")
+    assert told["in_effect_ms"]
+    return tuple(map(int, told["numbers"][0].split(".")))
+
+
+# ---- processes
+
+
+@pytest.fixture
+def crowd(tmp_path):
+    sections = {
+        "fleet": {},
+        "sharing": {"pull within": "0 s"},  # no lists over streams: sharing is datagrams, told apart outside
+        "purges": {"lease": "1 s", "skew": "1 ms"},
+    }
+    real = ("standins.hollow.counted", str(tmp_path / "r0.reports"), str(EVERY))
+    with Crowd(
+        tmp_path,
+        1,
+        2,
+        zones=1,
+        sections=sections,
+        hollow=HOLLOW,
+        desk=True,
+        program=lambda name: real if name == "r0" else ("hookrouter",),
+    ) as made:
+        yield made
+
+
+def test_all_are_seen_purged_and_counted_and_a_kill_is_noticed(crowd):
+    with HollowProcess(crowd.layout.configure_hollow("hollow", crowd.layout.hollow, 7, EVERY)) as hollow:
+        of = len(crowd.members)
+        assert waited(lambda: all(row.members_alive == of for row in hollow.next_report().routers))
+        assert waited(lambda: f"view has settled: members={of}" in crowd.processes.log("r0"))
+        assert [row.name for row in hollow.reports()[-1].routers] == crowd.layout.hollow
+
+        newest = submitted(crowd, "sheet")
+        report = hollow.next_report()
+        assert {(row.newest_purge.epoch, row.newest_purge.n) for row in report.routers} == {newest}
+        assert {row.lease for row in report.routers} == {"current"}
+        assert {row.purges_received for row in report.routers} == {1}
+
+        counted_from_outside(crowd, hollow)
+        counts_grow(hollow.reports())
+        counts_grow(read_reports(crowd.folder / "r0.reports"))
+
+        so_far = len(crowd.processes.log("r0"))
+        hollow.kill()
+        assert waited(lambda: "member suspect: member=h" in crowd.processes.log("r0")[so_far:])
+        began = time.monotonic()
+        again = submitted(crowd, "sheet two")  # the dead are waited for no longer than a lease
+        assert again > newest and time.monotonic() - began < 6
+    assert "Traceback" not in hollow.log() + "".join(map(crowd.processes.log, crowd.members))
+
+
+def counted_from_outside(crowd, hollow):
+    """What the relay between all members has carried lies between two reports, before and after."""
+    real = crowd.folder / "r0.reports"
+
+    def sent():
+        rows = [*hollow.next_report().routers, *read_reports(real)[-1].routers]
+        return {row.name: row.traffic for row in rows}
+
+    before = sent()
+    time.sleep(0.1)  # for what is on its way
+    carried = crowd.links.carried()
+    time.sleep(2 * EVERY)
+    after = sent()
+    assert len(before) == HOLLOW + 1
+    for name in before:
+        least, most = (told[name].view.out.bytes + told[name].sharing.out.bytes for told in (before, after))
+        assert least <= carried["bytes"][name] <= most
+        least, most = (
+            told[name].view.out.messages + told[name].sharing.out.messages for told in (before, after)
+        )
+        assert least <= carried["packets"][name] <= most
+        least, most = (told[name].keeper_stream.out.bytes for told in (before, after))
+        assert least <= carried["streamed"][name] <= most
+
+
+def counts_grow(reports):
+    """Each count only grows, all are above 0 in the end, and the process's are the sum of its routers'."""
+    assert len(reports) > 3
+    for before, after in zip(reports, reports[1:]):
+        assert after.time > before.time and after.cpu_user_s >= before.cpu_user_s
+        for was, now in zip((before, *before.routers), (after, *after.routers)):
+            for key, flow in flows(was.traffic).items():
+                later = flows(now.traffic)[key]
+                assert later.messages >= flow.messages and later.bytes >= flow.bytes
+    last = reports[-1]
+    for key, flow in flows(last.traffic).items():
+        each = [flows(row.traffic)[key] for row in last.routers]
+        assert all(one.messages > 0 and one.bytes > one.messages for one in each), key
+        assert flow == Flow(sum(one.messages for one in each), sum(one.bytes for one in each))
+    assert last.resident_bytes > 1_000_000 and 0 <= last.reactor_lag_s < 5
+
+
+def test_a_process_that_stands_still_says_how_late_it_was(tmp_path):
+    with HollowProcess(layout(tmp_path).configure_hollow("hollow", ["h0", "h1"], 1, EVERY)) as hollow:
+        hollow.next_report()
+        hollow.pause()
+        time.sleep(0.6)
+        hollow.resume()
+        assert hollow.next_report().reactor_lag_s > 0.3
+        assert hollow.end() == 0
+    last = hollow.reports()[-1]
+    assert [(row.lease, row.newest_purge) for row in last.routers] == [("off", None)] * 2
+
+
+# ---- files
+
+
+def layout(folder, sections=None):
+    """Two hollow routers without the rest of their fleet."""
+    made = Layout(folder, 0, 1, 1, 1, sections or {"fleet": {}}, None, 3, hollow=2, direct=True)
+    made.write()
+    return made
+
+
+def test_the_layout_gives_each_hollow_router_a_file_that_the_program_reads(tmp_path):
+    made = Layout(
+        tmp_path, 1, 1, 2, 1, {"fleet": {}, "sharing": {}}, None, 3, hollow=3, direct=True, desk=True
+    )
+    made.write()
+    configuration = read_configuration(made.configure_hollow("one", ["h0", "h2"], 5, 0.5))
+    assert [place.name for place in configuration.routers] == ["h0", "h2"]
+    assert (configuration.seed, configuration.report_every_s) == (5, 0.5)
+    sections = read_sections(configuration.routers[1])
+    assert sections["fleet"]["zone"] == "z0" and sections["fleet"]["listen"] == ("127.0.0.1", made.real["h2"])
+    assert [port for _, port in sections["purges"]["desk"]] == list(made.desks.values())
+    assert sections["fleet"]["keepers"]["k1"] == ("127.0.0.1", made.real["k1"])
+
+
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("{", "truncated"),
+        ('{"seed": 1}', "`routers`"),
+        ('{"seed": "a", "routers": []}', "`$.seed`"),
+        ('{"seed": 1, "routers": [], "speed": 2}', "`speed`"),
+        ('{"seed": 1, "routers": []}', "one at least"),
+        ('{"seed": 1, "report_every_s": 0, "routers": [{"name": "a", "site": "a"}]}', "report_every_s"),
+        (
+            '{"seed": 1, "routers": [{"name": "a", "site": "a"}, {"name": "a", "site": "b"}]}',
+            "a stands 2 times",
+        ),
+    ],
+)
+def test_a_configuration_that_cannot_be_used_is_refused_by_its_key(tmp_path, text, said):
+    path = tmp_path / "wrong.json"
+    path.write_text(text)
+    with pytest.raises(ConfigurationRefused) as wrong:
+        read_configuration(path)
+    assert said in wrong.value.told() and "correct what is named" in wrong.value.told()
+
+
+def test_an_operators_file_by_which_no_hollow_router_can_run_is_refused(tmp_path):
+    place = read_configuration(layout(tmp_path).configure_hollow("one", ["h0"], 1)).routers[0]
+    path = tmp_path / "h0.ini"
+    good = path.read_text()
+    warming = "\n[sharing]\n\n[warming]\n"
+    for text, said in [
+        ("", "[fleet] is missing"),
+        (good.replace("name = h0", "name = h9"), "[fleet] name is h9, not h0"),
+        (good.replace("name = h0", "name = k0") + "store = k0.db\n", "[fleet] name is k0, not h0"),
+        (good + warming, "[warming] needs lookups"),
+        (good.replace("zone = z0", "zone = z 0"), "[fleet] zone: "),
+    ]:
+        path.write_text(text)
+        with pytest.raises(ConfigurationRefused) as wrong:
+            read_sections(place)
+        assert said in wrong.value.told() and "nothing was started" in wrong.value.told(), wrong.value.told()
+    path.unlink()
+    with pytest.raises(ConfigurationRefused, match="h0.ini"):
+        read_sections(place)
+
+
+def test_the_command_says_what_to_do_and_ends(tmp_path):
+    for words, said in [
+        ([], "usage: python -m standins.hollow CONFIG.json"),
+        ([str(tmp_path / "none.json")], "No such file or directory; do: correct what is named"),
+    ]:
+        ran = subprocess.run(
+            [sys.executable, "-m", "standins.hollow", *words],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+        assert ran.returncode == 2 and said in ran.stderr and "Traceback" not in ran.stderr
+
+
+# ---- parts
+
+
+def test_frames_are_counted_however_a_stream_is_cut():
+    frames = [b"", b"a", b"bc" * 300, b"\0" * 5]
+    stream = b"".join(len(frame).to_bytes(4, "big") + frame for frame in frames)
+    for size in (1, 2, 3, 5, 7, 64, len(stream)):
+        meter = FrameMeter()
+        pieces = [stream[at : at + size] for at in range(0, len(stream), size)]
+        assert sum(map(meter.feed, pieces)) == len(frames)
+    assert FrameMeter().feed(stream[:-1]) == len(frames) - 1
+
+
+def test_requests_answers_and_events_are_counted_however_a_stream_is_cut():
+    stream = b'HTTP/1.1 200 OK\r\nA: b\r\n\r\n{"n":1}HTTP/1.1 200 OK\r\n\r\n12\r\n: here\n\n\r\ndata: {}\n\n'
+    for size in (1, 2, 3, 9, len(stream)):
+        meter = HttpMeter()
+        assert sum(meter.feed(stream[at : at + size]) for at in range(0, len(stream), size)) == 4
+
+
+def test_made_up_loads_follow_from_the_seed_and_stay_in_their_bounds():
+    def told(seed):
+        state = MadeUpState(seed, ["c1", "c0"])
+        return [state.loads(now) for now in range(50)], state.learnt()
+
+    assert told("1/h0") == told("1/h0") != told("1/h1")
+    rows = [row for loads in told("1/h0")[0] for row in loads]
+    assert [row.cache for row in rows[:2]] == ["c0", "c1"]
+    assert all(0 <= row.out <= 4 and 0 <= row.rate <= 20 for row in rows)
+    state = MadeUpState("1/h0", ["c0"])
+    assert state.adopt([told("1/h1")[1]]) == 4
