--- a/standins/crowd/hollow.py
+++ b/standins/crowd/hollow.py
@@ -1,6 +1,5 @@
 """Processes of hollow routers of a crowd, and what their reports say, read as they are written."""
 
-import json
 import time
 from collections.abc import Iterable
 from pathlib import Path
@@ -104,16 +103,8 @@
         return made
 
     def _group(self, names: list[str]) -> HollowGroup:
-        number = int(names[0][1:])
-        path = self.layout.folder / f"hollow-{names[0]}.json"
-        routers = [{"name": name, "site": self.layout.site(name)} for name in names]
-        told = {
-            "seed": self.seed + number,
-            "report_every_s": REPORT_EVERY,
-            "routers": routers,
-            "caches": [row["name"] for row in self.layout.rows],
-        }
-        path.write_text(json.dumps(told))
+        name, seed = f"hollow-{names[0]}", self.seed + int(names[0][1:])
+        path = Path(self.layout.configure_hollow(name, names, seed, REPORT_EVERY))
         return HollowGroup(names, path)
 
     def read(self) -> None:
--- a/standins/crowd/regions.py
+++ b/standins/crowd/regions.py
@@ -58,13 +58,14 @@
             {"fleet": {"lease": plan.duty_lease}},
             {},
             KEEPERS,
+            direct=True,
+            desk=True,
         )
         self.plain = self.routers[plan.real :]
         self.zone.update(dict.fromkeys(self.keepers, CONTROL))
-        self.desks = {name: self.ports.take() for name in self.keepers}
+        self.streams = {pair: self.ports.take() for pair in self._stream_pairs()}
         self.top_relays = {f"top-{region}": self.ports.take() for region in self.regions}
         self.zone_relays = {f"relay-{zone}": self.ports.take() for zone in self.zones}
-        self.hollow = []
 
     def _stream_pairs(self):
         keepers = [(region, name) for region in self.regions for name in self.keepers]
