--- a/benchmarks/scale/__init__.py
+++ b/benchmarks/scale/__init__.py
@@ -72,7 +72,9 @@
         session.measured += _grow(session, settings, settings.sizes, lag)
         for scene in scenes:
             if not session.late():
+                begun = time.time()
                 scene(session)
+                session.scenes[scene.__name__] = begun, time.time()
         if settings.beyond:
             submitter.change_rate(settings.beyond_purges_per_s)
             session.beyond += _grow(session, settings, settings.beyond, lag)
--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -10,7 +10,7 @@
 from standins.crowd.remote import ROOT
 
 from . import room
-from .judge import Verdict, effect_spans, percentile
+from .judge import Acknowledged, Verdict, effect_spans, percentile
 from .results import SCHEMA, Machine, Measurement, Results, Slope, rounded
 from .session import Measured, Session
 from .slopes import LEAST_SIZES, Point, fit, predict_largest
@@ -120,6 +120,9 @@
         "acknowledged_worst_s": _short(_acknowledged_worst(session)),
         "effect_p99_s": _short(percentile(spans, 0.99)),
         "effect_worst_s": _short(spans[-1] if spans else None),
+        **{
+            f"effect_worst_{scene}_s": _short(_worst(purges, *span)) for scene, span in session.scenes.items()
+        },
         "effect_over_budget": sum(span > EFFECT_BUDGET_S for span in spans),
         "back_after_region_s": _short(session.back.get("region")),
         "back_after_kill_s": _short(session.back.get("kill")),
@@ -135,6 +138,12 @@
     }
 
 
+def _worst(purges: Iterable[Acknowledged], start: float, end: float) -> float | None:
+    """The longest span to effect of the purges submitted in that time."""
+    spans = effect_spans(purge for purge in purges if start <= purge.submitted <= end)
+    return spans[-1] if spans else None
+
+
 def _acknowledged_worst(session: Session) -> float | None:
     """The longest that a submitter waited for the desk's answer."""
     spans = (each.acknowledged - each.submitted for each in session.submitter.acknowledged())
--- a/benchmarks/scale/scenes.py
+++ b/benchmarks/scale/scenes.py
@@ -3,10 +3,11 @@
 import time
 from collections.abc import Callable, Iterable
 
-from .session import Session
+from .session import Session, hand_over_desk, who_has_what
 
 CUT_FOR = 6.0  # seconds: several leases, so that each router of the region is fenced
 KILLED_FOR = 2.0  # seconds until a group that was killed is started again
+TAKEN_OVER_FOR = 3.0  # seconds: what the former owner took is in effect after two leases
 BACK_WITHIN = 30.0  # seconds in which each router has to have the newest purge again
 LOOK_EVERY = 0.2  # seconds
 RESTARTED = 0.3  # share of hollow routers that restart: of 1,200, 350 do on an ordinary day
@@ -56,8 +57,19 @@
     session.back["restarts"] = seconds_until_back(session, time.monotonic())
 
 
+def desk_taken_over(session: Session) -> None:
+    """The keeper that owns the desk gives it up under purges, another keeper takes it over."""
+    crowd = session.crowd
+    roles = who_has_what(crowd)
+    heir = next(name for name in crowd.keepers if name not in roles)
+    crowd.tell(f"the desk goes from {roles.desk} to {heir}")
+    hand_over_desk(crowd, heir)
+    time.sleep(TAKEN_OVER_FOR)
+    session.look_at_desk()
+
+
 Scene = Callable[[Session], None]
-SCENES: tuple[Scene, ...] = (region_cut, group_killed, restarts)
+SCENES: tuple[Scene, ...] = (region_cut, group_killed, restarts, desk_taken_over)
 
 
 def seconds_until_back(session: Session, begun: float) -> float | None:
--- a/benchmarks/scale/session.py
+++ b/benchmarks/scale/session.py
@@ -77,6 +77,7 @@
     starved: list[str] = field(default_factory=list)
     in_effect: dict[int, float] = field(default_factory=dict)  # number -> Unix seconds
     listed: set[int] = field(default_factory=set)
+    scenes: dict[str, tuple[float, float]] = field(default_factory=dict)  # begin and end, Unix seconds
     back: dict[str, float | None] = field(default_factory=dict)  # scene -> seconds, None: not in time
     ended_by: str | None = None  # what kept it from a further size
     unfenced: int = 0  # routers that held a lease while their region was cut off
@@ -201,11 +202,16 @@
         if owner and owner != status["leader"]:
             return Roles(status["leader"], owner)
         other = next(name for name in crowd.keepers if name != status["leader"])
-        _command(crowd, "hand-over", DUTY, "--to", other)
+        hand_over_desk(crowd, other)
         time.sleep(0.5)
     raise NotReady("no keeper but the leader has the desk")
 
 
+def hand_over_desk(crowd: RegionCrowd, to: str) -> None:
+    """Its owner gives it up, that keeper takes it."""
+    _command(crowd, "hand-over", DUTY, "--to", to)
+
+
 def _command(crowd: RegionCrowd, *words: str) -> str:
     site = crowd.layout.site("people")
     ran = subprocess.run(
