Scale: the first statement of when a purge is in effect counts; roles in a module of their own

A keeper that takes the desk over states its predecessor's purges anew, two leases after each was taken.

--- a/benchmarks/scale/__init__.py
+++ b/benchmarks/scale/__init__.py
@@ -17,8 +17,9 @@
 from .figures import results_of, summary
 from .judge import Verdict
 from .results import write
+from .roles import who_has_what
 from .scenes import SCENES, Scene
-from .session import Measured, Session, Settings, finish, measure_size, open_session, wanted, who_has_what
+from .session import Measured, Session, Settings, finish, measure_size, open_session, wanted
 from .snapshot import LagMeter
 
 DATA_FILE = ROOT / "docs" / "results" / "scale.json"
--- a/benchmarks/scale/scenes.py
+++ b/benchmarks/scale/scenes.py
@@ -3,7 +3,8 @@
 import time
 from collections.abc import Callable, Iterable
 
-from .session import Session, hand_over_desk, who_has_what
+from .roles import hand_over_desk, who_has_what
+from .session import Session
 
 CUT_FOR = 6.0  # seconds: several leases, so that each router of the region is fenced
 KILLED_FOR = 2.0  # seconds until a group that was killed is started again
@@ -62,6 +63,7 @@
     crowd = session.crowd
     roles = who_has_what(crowd)
     heir = next(name for name in crowd.keepers if name not in roles)
+    session.look_at_desk()
     crowd.tell(f"the desk goes from {roles.desk} to {heir}")
     hand_over_desk(crowd, heir)
     time.sleep(TAKEN_OVER_FOR)
