--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -14,6 +14,7 @@
     "purges",
     "replicas",
     "retention",
+    "scale",
     "sharing",
     "spread",
     "view",
--- a/benchmarks/retention/former.py
+++ b/benchmarks/retention/former.py
@@ -6,7 +6,7 @@
 
 from zlib import crc32
 
-from hookrouter.purges import words as w
+from hookrouter.purges import types as w
 
 from .copies import Lookup
 from .stock import Named, concerns
--- a/benchmarks/retention/sample.py
+++ b/benchmarks/retention/sample.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from hookrouter.purges import Guard
-from hookrouter.purges import words as w
+from hookrouter.purges import types as w
 
 from .copies import Lookup, Lookups
 from .stock import GLOB_DIGITS, KIND, PREFIX_DIGITS, Named, group_of, tags_of
--- a/benchmarks/retention/stock.py
+++ b/benchmarks/retention/stock.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import NamedTuple
 
-from hookrouter.purges import words as w
+from hookrouter.purges import types as w
 
 SECOND = 10_000  # tenths of a millisecond
 OBJECTS = 3_900_000_000
--- a/tests/test_retention_benchmark.py
+++ b/tests/test_retention_benchmark.py
@@ -9,7 +9,7 @@
 from benchmarks.retention.filters import ways
 from benchmarks.retention.former import MOST_NAMES, FormerBounds
 from hookrouter.purges import Purge
-from hookrouter.purges import words as w
+from hookrouter.purges import types as w
 
 DAY, SECOND = copies.DAY, stock.SECOND
 NAMES = 3_000  # in a filter of these tests
