Retention: sealing does not hold clearing up; a purge of time 0 is kept

Found by the schedules: with one digest a step, sealing kept dropped columns from being cleared, so the open slice went on and its bound rose. A purge of time 0 counted as covered where there were no slices.

--- a/hookrouter/purges/retention/sealed.py
+++ b/hookrouter/purges/retention/sealed.py
@@ -37,7 +37,7 @@
 
     def covers(self, name: str, made: int) -> bool:
         """Whether a slice binds the name as strictly as a purge of that time would."""
-        return made <= self.slices.newest and made <= self._bound_at(name)
+        return bool(self.slices) and made <= self.slices.newest and made <= self._bound_at(name)
 
     def seal(self, name: str, bound: Bound) -> None:
         """Takes a purge over from the exact table. The bound must bind every answer by now."""
--- a/hookrouter/purges/retention/slices.py
+++ b/hookrouter/purges/retention/slices.py
@@ -106,11 +106,10 @@
         return gone
 
     def step(self) -> None:
-        """One bounded piece of the work that waits: sealing first, then clearing dropped columns."""
-        if self._unsealed:
-            if self._bank.seal(self._unsealed[0].column):
-                self._unsealed.popleft()
-        elif self._dropped and self._bank.clear(self._dropped[0]):
+        """One bounded piece of each work that waits: sealing, and clearing dropped columns."""
+        if self._unsealed and self._bank.seal(self._unsealed[0].column):
+            self._unsealed.popleft()
+        if self._dropped and self._bank.clear(self._dropped[0]):
             self._clean.append(self._dropped.popleft())
 
     def _expired(self, now: int) -> bool:
--- a/tests/retention_mistakes.py
+++ b/tests/retention_mistakes.py
@@ -56,8 +56,7 @@
     def step(self):
         if self._dropped:
             self._clean.append(self._dropped.popleft())
-        else:
-            super().step()
+        super().step()
 
 
 class LostAtTheSeal(SealedNames):
@@ -85,7 +84,7 @@
     """A purge counts as known wherever its name was ever sealed."""
 
     def covers(self, name, made):
-        return self._bound_at(name) > 0
+        return bool(self.slices) and self._bound_at(name) > 0
 
 
 class TrueTimeLost(SealedNames):
