--- a/tests/retention_play.py
+++ b/tests/retention_play.py
@@ -9,6 +9,7 @@
 from hookrouter.purges import PurgeTerms
 from hookrouter.purges import words as w
 from hookrouter.purges.names import Kept
+from hookrouter.purges.retention.bank import COLUMNS
 from hookrouter.purges.retention.slices import SLICES
 
 GRACE, LENGTH = 500, 1_000
@@ -164,7 +165,7 @@
         for n in range(3):
             now = 2 * HOLD + span * LENGTH + n * GRACE
             index.add(w.OBJECT, f"{span}.{n}", now, now)
-            old = f"{span - SLICES - 4}.{n}"
+            old = f"{span - COLUMNS - 8}.{n}"
             if index.newest("clip", old, "1", ()) >= now - HOLD:
                 breaks.append(f"{now}: {old} is held past its hold")
     return breaks if len(breaks) > MOST_HELD * 3 * spans else []
