--- a/hookrouter/site.py
+++ b/hookrouter/site.py
@@ -190,7 +190,7 @@
         ),
         "tags": Key(word(w.ANSWERS, w.FILE), w.ANSWERS, "where the tags of objects come from"),
         "tag file": Key(file, None, "a line an object: its id, then its tags"),
-        "names": Key(count(100, 10_000_000), 100_000, "objects and tags that a router keeps one by one"),
+        "names": Key(count(100, 10_000_000), 25_000, "objects and tags that a router keeps one by one"),
         "sealed": Key(
             count(0, 100_000_000), 3_000_000, "purges in a hold that a router's slices are sized for"
         ),
