--- a/benchmarks/retention/bench.py
+++ b/benchmarks/retention/bench.py
@@ -60,6 +60,7 @@
         "old_copies_answered": sum(run.judged.answered for run in runs),
         "longest_step_ms": round(guard_run.longest_step_ms(once, again), 2),
         "longest_step_once_ms": round(max(once.slow.values(), default=guard_run.SLOW) * 1e3, 2),
+        "longest_step_mix_once_ms": round(max(mixed.slow.values(), default=guard_run.SLOW) * 1e3, 2),
         "told_us": round(min(once.told_us, again.told_us), 2),
         "told_mix_us": round(mixed.told_us, 2),
     }
