--- a/benchmarks/scale/__init__.py
+++ b/benchmarks/scale/__init__.py
@@ -85,7 +85,9 @@
     return session, verdict
 
 
-def _grow(session: Session, settings: Settings, sizes: tuple[int, ...], lag: LagMeter) -> Iterator[Measured]:
+def _grow(
+    session: Session, settings: Settings, sizes: tuple[int, ...], lag: LagMeter, settle: float
+) -> Iterator[Measured]:
     """From size to size, until one is not reached or cannot be measured: what ended it is told."""
     for hollow in sizes:
         if session.late():
