--- a/benchmarks/scale/__init__.py
+++ b/benchmarks/scale/__init__.py
@@ -1,5 +1,6 @@
 """The scale run: hollow routers beside real ones, measured by role and kind of message at several sizes."""
 
+import json
 import os
 import signal
 import sys
@@ -23,6 +24,7 @@
 from .snapshot import LagMeter
 
 DATA_FILE = ROOT / "docs" / "results" / "scale.json"
+FIGURES_FILE = DATA_FILE.with_name("scale-figures.json")  # the last line of that run
 VERBOSE = "SCALE_VERBOSE"  # in the environment: progress is shown on other than a terminal, too
 SPARE_LOOKUPS_S = 900.0  # seconds of lookups that are begun; they end with the run
 
@@ -53,9 +55,11 @@
 
     with tempfile.TemporaryDirectory(prefix="scale-") as folder:
         session, verdict = play(Path(folder), FULL if full else QUICK, tell)
+    figures = summary(session, verdict)
     if full:
         write(DATA_FILE, results_of(session))
-    return summary(session, verdict)
+        FIGURES_FILE.write_text(json.dumps(figures, indent=1) + "\n", encoding="utf-8")
+    return figures
 
 
 def play(
--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -3,6 +3,7 @@
 python -m benchmarks.scale.page writes the page and its chart; --check fails where the page is another one.
 """
 
+import json
 import sys
 from collections.abc import Iterable, Sequence
 from pathlib import Path
@@ -15,19 +16,23 @@
 from .slopes import FORMULAS
 
 FOLDER = ROOT / "docs" / "results"
-DATA_FILE, PAGE, CHART = FOLDER / "scale.json", FOLDER / "scale.md", FOLDER / "scale.svg"
-TEXT = Path(__file__).with_name("page.md")  # prose around {runs}, {measurements}, {slopes}, {machine}
+DATA_FILE, FIGURES_FILE = FOLDER / "scale.json", FOLDER / "scale-figures.json"
+PAGE, CHART = FOLDER / "scale.md", FOLDER / "scale.svg"
+TEXT = Path(__file__).with_name(
+    "page.md"
+)  # prose around {runs}, {measurements}, {slopes}, {figures}, {machine}
 UNITS = {"bytes_per_s": "B/s", "messages_per_s": "/s", "cpu_core_share": "core", "memory_mb": "MB"}
 
 
-def page(results: Results) -> str:
-    """The whole page of those results."""
+def page(results: Results, figures: dict[str, object]) -> str:
+    """The whole page of those results. figures: the last line of the run that gave them."""
     machine = results.machine
     parts = {
         "machine": f"{machine.cores} cores, {machine.memory_mb:,} MB, Python {machine.python}, "
         f"{machine.system}; {results.measured_at}, commit {results.commit[:12]}",
         "runs": table(RUN_HEADS, (_run_row(run) for run in results.runs)),
         "measurements": table(_measurement_heads(results.runs), _measurement_rows(results.runs)),
+        "figures": table(("figure", "value"), ((name, str(value)) for name, value in figures.items())),
         "slopes": table(SLOPE_HEADS, (_slope_row(slope) for slope in results.slopes)),
     }
     text = TEXT.read_text(encoding="utf-8")
@@ -92,7 +97,8 @@
 def main(words: Sequence[str]) -> int:
     """The exit code: 1 where --check finds another page."""
     results = read(DATA_FILE)
-    made = {PAGE: page(results), CHART: chart(results)}
+    figures = json.loads(FIGURES_FILE.read_text(encoding="utf-8"))
+    made = {PAGE: page(results, figures), CHART: chart(results)}
     if "--check" in words:
         other = [path.name for path, text in made.items() if path.read_text(encoding="utf-8") != text]
         if other:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -251,12 +251,13 @@
 
 
 def test_the_page_and_its_chart_are_made_of_the_data_file_alone():
-    made = page(data_file())
+    made = page(data_file(), {"purges_lost": 0, "ended_by": None})
+    assert "| purges_lost | 0 |" in made and "| ended_by | None |" in made
     assert "| 60 | 3 | 3 | 8 | 10.0 | 32.0 | 0.020 |" in made
     assert "| router | view | out | B/s | 812 |" in made
     assert "| router | view | out | B/s | 1 + 0.5 n | 0.125 | 6 % |" in made
     assert "{" not in made
-    assert made != page(data_file(runs=()))
+    assert made != page(data_file(runs=()), {})
     assert chart(data_file()).startswith("<svg") and "812" in chart(data_file())
 
 
