--- a/hookrouter/fleet/member/records.py
+++ b/hookrouter/fleet/member/records.py
@@ -9,12 +9,12 @@
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
 
-from ...desk.own import taken
+from ...decisions.owners import words as w
+from ...decisions.owners.duties import FIRST_SEAL
+from ...decisions.replicas import copy as c
+from ...desk.local_store import replayed
 from ...stores import PurgeLog, Unusable
 from ...stores.purge_log import Damaged, Differs
-from ..decisions.owners import words as w
-from ..decisions.owners.duties import FIRST_SEAL
-from ..decisions.replicas import copy as c
 
 DUTY = "purges"
 PART = 400_000  # bytes of records sent to one that fetches, at a time: a frame takes them
@@ -176,11 +176,11 @@
         return self.copy.state == c.WHOLE
 
     def read(self, hold, epoch):
-        """A Deferred of (tail, keys, loaded), as own.Own gives it."""
+        """A Deferred of Read, as LocalStore gives it."""
 
         def reading():
             loaded = self.store.load()
-            return *taken(loaded, hold, epoch), loaded
+            return replayed(loaded, hold, epoch)
 
         return self._threaded(reading)
 
--- a/hookrouter/site/__init__.py
+++ b/hookrouter/site/__init__.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ..errors.site import Refused, Wrong
-from ..purges import words as w
+from ..purges import types
 from .file import read, read_text
 from .sections import SECTIONS
 from .values import Address, Secret, address
@@ -27,9 +27,9 @@
 ]
 
 
-def purge_terms(purges: dict[str, Any]) -> w.PurgeTerms:
+def purge_terms(purges: dict[str, Any]) -> types.PurgeTerms:
     """The section [purges] as a router's PurgeTerms."""
-    return w.PurgeTerms(
+    return types.PurgeTerms(
         lease=purges["lease"],
         hold=purges["hold"],
         grace=purges["grace"],
--- a/hookrouter/site/sections.py
+++ b/hookrouter/site/sections.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from ..purges import words as w
+from ..purges import types
 from ..terms import SECOND
 from .values import (
     SIZES,
@@ -53,11 +53,11 @@
         ),
         "skew": Key(span(0, 4_000, "20 ms"), 200, "between the clocks of desk, origin and routers, at most"),
         "fenced": Key(
-            word(w.YOUNG, w.NACK),
-            w.YOUNG,
+            word(types.YOUNG, types.NACK),
+            types.YOUNG,
             "a router without a lease answers from copies younger than the lease, or nacks",
         ),
-        "tags": Key(word(w.ANSWERS, w.FILE), w.ANSWERS, "where the tags of objects come from"),
+        "tags": Key(word(types.ANSWERS, types.FILE), types.ANSWERS, "where the tags of objects come from"),
         "tag file": Key(file, None, "a line an object: its id, then its tags"),
         "names": Key(count(100, 10_000_000), 100_000, "objects and tags that a router keeps one by one"),
         "tagged": Key(count(0, 10_000_000), 50_000, "objects whose tags a router remembers"),
@@ -180,5 +180,5 @@
         )
     if purges["hold"] < 10 * purges["lease"]:
         yield Contradiction("purges", "hold", "ten leases at least are wanted")
-    if (purges["tags"] == w.FILE) != (purges["tag file"] is not None):
+    if (purges["tags"] == types.FILE) != (purges["tag file"] is not None):
         yield Contradiction("purges", "tag file", "wanted where tags = file, and only there")
--- a/tests/test_purge_follower.py
+++ b/tests/test_purge_follower.py
@@ -5,11 +5,13 @@
 from purging import SECOND, event, purges, site
 from scenes import BEGAN
 
-from hookrouter.desk.above import SLOW, Above, Stream
+from hookrouter.desk.publisher import Publisher
+from hookrouter.desk.stream import SLOW, Stream
 from hookrouter.feed.purges import PurgeFeed
 from hookrouter.purges import wire
-from hookrouter.purges.members import Members
+from hookrouter.purges.followers import Followers
 from hookrouter.purges.tail import Tail
+from hookrouter.purges.types import Position
 from hookrouter.tables.deadlines import Deadlines
 
 
@@ -179,10 +181,10 @@
         self.aborted = True
 
 
-class Lone(Above):
+class Lone(Publisher):
     def __init__(self, net, recent):
         super().__init__(net, lambda *args, **more: None)
-        self.tail, self.members = Tail(1 << 60, 5, recent=recent), Members(SECOND, 0, 0, 0)
+        self.tail, self.followers = Tail(1 << 60, 5, recent=recent), Followers(SECOND, 0, 0, 0)
         self.clock, self.names, self.asked = (lambda: 77), set(), []
 
     def noted(self, name, generation):
@@ -191,23 +193,29 @@
 
 
 def test_no_lease_is_given_before_its_name_would_outlive_a_crash():
-    above = Lone(Net(), 10)
+    publisher = Lone(Net(), 10)
     asked = wire.Renew("r1", 1, 0, 0, 0, 0, 0, 0)
-    assert above.renew(asked).span == 0 and above.members.rows == {} and above.asked == ["r1"]
-    above.names.add("r1")
-    assert above.renew(asked).span == SECOND and list(above.members.rows) == ["r1"]
-    assert above.renew(wire.Renew("r1", 0, 0, 0, 0, 0, 0, 0)) is None
+    assert publisher.renew(asked).span == 0 and publisher.followers.rows == {} and publisher.asked == ["r1"]
+    publisher.names.add("r1")
+    assert publisher.renew(asked).span == SECOND and list(publisher.followers.rows) == ["r1"]
+    assert publisher.renew(wire.Renew("r1", 0, 0, 0, 0, 0, 0, 0)) is None
+
+
+def test_a_follower_that_knows_a_later_epoch_than_its_relay_comes_again(tmp_path):
+    publisher, request = Lone(Net(), 10), Request()
+    assert publisher.follow(request, Position(6, 3), 6) is False
+    assert publisher.streams == {} and request.written == []
 
 
 def test_a_follower_that_does_not_read_holds_no_more_than_it_was_given_and_is_cut(tmp_path):
     net = Net()
-    above, request = Lone(net, 2_000), Request()
-    stream = Stream(above, request, 0, None)
-    above.streams[stream] = True
+    publisher, request = Lone(net, 2_000), Request()
+    stream = Stream(publisher, request, 0, None)
+    publisher.streams[stream] = True
     stream.pauseProducing()
     for n in range(1, 1_501):
-        above.tail.add(purges(n)[0])
-        above.tell()
+        publisher.tail.add(purges(n)[0])
+        publisher.publish()
     assert request.written == []
     stream.resumeProducing()
     net.advance(0)
@@ -216,9 +224,9 @@
     stream.pauseProducing()
     net.advance(SLOW + 1)
     stream.beat()
-    assert request.aborted and above.streams == {}
-    late = Stream(above, Request(), 100, None)
+    assert request.aborted and publisher.streams == {}
+    late = Stream(publisher, Request(), 100, None)
     for n in range(1_501, 5_000):
-        above.tail.add(purges(n)[0])
+        publisher.tail.add(purges(n)[0])
     late.pump()
     assert late.request.aborted  # too far behind: it comes again, for a snapshot
