--- a/benchmarks/scale/session.py
+++ b/benchmarks/scale/session.py
@@ -21,6 +21,7 @@
 MOST_BUSY = 0.95  # of all cores: beyond that processes wait for each other, and work is done in larger lots
 LISTED = 1_000  # purges that the desk shows at a time
 LOOKUP_SLACK = 1.0  # seconds beyond each time of the lookups' rules: few cores for many processes
+GROWN_WITHIN = 60.0  # seconds, and not beyond the budget
 SETTLED_WITHIN = 15.0  # seconds in which every router has the newest purge
 
 
@@ -140,7 +141,7 @@
     None where all tries were starved.
     """
     crowd = session.crowd
-    crowd.grow(hollow)
+    crowd.grow(hollow, min(GROWN_WITHIN, max(0.0, session.until - time.monotonic())))
     for tried in range(settings.tries):
         if tried and session.late():
             break
