Capacity: the page's arithmetic, its data files, and a measurement of the program's tables

Every table of docs/CAPACITY.md is to be computed from slopes and measurements; the page itself waits for the slopes of the scale run.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,17 +6,35 @@
 
 import click
 
-NAMES = ("admission", "lab", "loss", "owners", "purges", "replicas", "sharing", "spread", "view", "warming")
+NAMES = (
+    "admission",
+    "capacity",
+    "lab",
+    "loss",
+    "owners",
+    "purges",
+    "replicas",
+    "sharing",
+    "spread",
+    "view",
+    "warming",
+)
 
 
 @click.command()
 @click.argument("name", type=click.Choice(NAMES))
 @click.option("--quick", is_flag=True, help="Within 40 s; of the fleet's parts 150 s.")
 @click.option("--full", is_flag=True, help="Minutes: all ways, schedules and processes, where it knows more.")
-def main(name, quick, full):
+@click.option("--check", "only_check", is_flag=True, help="capacity: holds the page against the data files.")
+@click.option("--measure-state", is_flag=True, help="capacity: measures tables, messages and work anew.")
+def main(name, quick, full, **more):
     """Example: python -m benchmarks purges --quick"""
     run = import_module(f".{name}", __package__).run
-    more = {"full": True} if full and "full" in signature(run).parameters else {}
+    more = {option: True for option, wanted in {"full": full, **more}.items() if wanted}
+    unknown = sorted(more.keys() - signature(run).parameters.keys() - {"full"})
+    if unknown:
+        raise click.UsageError(f"{name} knows no {', '.join(unknown).replace('_', ' ')}")
+    more = {option: wanted for option, wanted in more.items() if option in signature(run).parameters}
     figures = run(quick and not full, **more)
     width = max(map(len, figures))
     for key, value in figures.items():
--- /dev/null
+++ b/benchmarks/capacity/measure_costs.py
@@ -0,0 +1,165 @@
+"""What work costs: a purge taken in, patterns, a lookup, a store read, and names held without need."""
+
+import multiprocessing
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+from benchmarks.purges.costs import lookup_cost
+from hookrouter.purges import Guard, Purge
+from hookrouter.purges.tail import Tail
+from hookrouter.stores import PurgeLog
+from standins.crowd.clients import SERVED
+from standins.crowd.crowd import Crowd
+from standins.crowd.processes import cpu
+
+from .lookups import SERVED_SECONDS
+from .measure_tables import DAY, EPOCH, SECOND, TERMS, guard_told, purges_off_the_wire
+
+PATTERN_SIZES = (1_024, 2_048, 4_096)
+TAKE_IN_SIZES = (25_000, 50_000, 100_000)
+STORE_SIZES = (20_000, 40_000, 80_000)
+HELD_SIZES = (100_000, 110_000, 120_000, 140_000)
+LOOKUP_PATTERNS = (250, 500, 1_000, 2_000)
+ASKED = 2_000  # names never purged that are asked for
+SERVED_RATES = (50, 100, 200, 300)  # lookups a second of one router's client
+MICROSECONDS = 1e6
+
+
+class Point(NamedTuple):
+    """One value at one size."""
+
+    name: str
+    size: int
+    value: float
+
+
+def take_in_seconds(kind: str, size: int) -> float:
+    """Processor time in which a new guard takes in so many purges of a kind."""
+    purges = list(purges_off_the_wire(kind, size, Random(size)))
+    guard = Guard(TERMS)
+    guard.granted(0, 1 << 60)
+    began = time.process_time()
+    for purge in purges:
+        guard.told(purge.made, purge)
+    return time.process_time() - began
+
+
+def resident_bytes() -> int:
+    """Of this process, as the system counts it."""
+    with open("/proc/self/status") as status:
+        line = next(line for line in status if line.startswith("VmRSS"))
+    return int(line.split()[1]) * 1_024
+
+
+def pattern_points(kind: str, size: int) -> list[Point]:
+    """Bytes and processor time of so many patterns; run in a process of its own."""
+    purges = list(purges_off_the_wire(kind, size, Random(size)))
+    guard = Guard(TERMS)
+    guard.granted(0, 1 << 60)
+    before, began, longest = resident_bytes(), time.process_time(), 0.0
+    for purge in purges:
+        step = time.process_time()
+        guard.told(purge.made, purge)
+        longest = max(longest, time.process_time() - step)
+    took = time.process_time() - began
+    return [
+        Point(f"purge_index.{kind}", size, resident_bytes() - before),
+        Point(f"take_in.{kind}", size, took * MICROSECONDS),
+        Point(f"longest_take_in.{kind}", size, longest * MICROSECONDS),
+    ]
+
+
+def all_pattern_points() -> list[Point]:
+    """The patterns of each kind and size, each in a fresh process so that its memory is its own."""
+    jobs = [(kind, size) for kind in ("prefix", "glob", "regex") for size in PATTERN_SIZES]
+    context = multiprocessing.get_context("spawn")
+    points = []
+    for job in jobs:
+        with context.Pool(1) as pool:
+            points += pool.apply(pattern_points, job)
+    return points
+
+
+def pattern_lookup_points() -> list[Point]:
+    """Processor time in which a name not seen lately is held against so many globs."""
+    dice, points = Random(3), []
+    for size in LOOKUP_PATTERNS:
+        guard = guard_told("glob", size, dice)
+        began = time.process_time()
+        for _ in range(ASKED):
+            guard.oldest(SECOND, "clip", f"{dice.getrandbits(64):016x}", 1)
+        took = time.process_time() - began
+        points.append(Point("lookup_by_patterns", size, took * MICROSECONDS / ASKED))
+    return points
+
+
+def held_points() -> list[Point]:
+    """Share of names never purged that a bound holds all the same, their tags known to be none."""
+    dice = Random(4)
+    guard, told, points = Guard(TERMS), 0, []
+    guard.granted(0, 1 << 60)
+    for size in HELD_SIZES:
+        for number in range(told, size):
+            name = f"{dice.getrandbits(64):016x}"
+            guard.told(SECOND + number, Purge(EPOCH, number + 1, SECOND + number, "object", name))
+        told, held = size, 0
+        for _ in range(ASKED):
+            newest, _, _ = guard.index.row("clip", f"never-{dice.getrandbits(64):x}", "1", ())
+            held += newest > 0
+        points.append(Point("held_share", size, held / ASKED))
+    return points
+
+
+def take_in_points() -> list[Point]:
+    """Processor time of purges of the kinds that are looked up by name."""
+    return [
+        Point(f"take_in.{kind}", size, take_in_seconds(kind, size) * MICROSECONDS)
+        for kind in ("object", "tag")
+        for size in TAKE_IN_SIZES
+    ]
+
+
+def store_points() -> list[Point]:
+    """Processor time in which a desk reads its store anew, by the purges in it."""
+    points = []
+    for size in STORE_SIZES:
+        with tempfile.TemporaryDirectory(prefix="capacity-") as folder:
+            path = str(Path(folder) / "purges.db")
+            log = PurgeLog(path)
+            log.load()
+            purges = list(purges_off_the_wire("object", size, Random(size)))
+            log.append([(purge, f"{purge.n:032x}") for purge in purges])
+            log.close()
+            began = time.process_time()
+            log = PurgeLog(path, must_exist=True)
+            tail, keys = Tail(DAY, EPOCH), {}
+            for purge, key in log.load().rows:
+                tail.add(purge)
+                keys[key] = (purge,)
+            points.append(Point("store_read", size, (time.process_time() - began) * MICROSECONDS))
+            log.close()
+    return points
+
+
+def served_points(folder: Path) -> list[Point]:
+    """Processor time of one real router for so many lookups, between a stand-in client and caches."""
+    points, seen = [], 0
+    with Crowd(folder, 1, 8) as crowd:
+        crowd.ready()
+        process = crowd.processes.held[crowd.routers[0]].pid
+        for rate in SERVED_RATES:
+            before = cpu(process)
+            rows = crowd.load.run(SERVED_SECONDS, float(rate))["lookups"]
+            used = cpu(process) - before
+            answered = sum(row[3] == SERVED for row in rows) - seen
+            seen += answered
+            points.append(Point("served_lookups", answered, used * MICROSECONDS))
+    return points
+
+
+def lookup_figures(rounds: int = 1) -> dict[str, float]:
+    """What a lookup's decisions cost, by benchmarks/purges/costs.py: ratios, and microseconds."""
+    return lookup_cost(rounds)
--- /dev/null
+++ b/benchmarks/capacity/roles_state.py
@@ -0,0 +1,157 @@
+"""The tables that each role keeps: entries at the size, bytes, what they grow with, and their bounds."""
+
+from dataclasses import dataclass
+
+from .assumptions import assumed
+from .figures import Figure, Standing, bound, given, least, standing_only, total, value_only
+from .inputs import MEGA, Inputs
+from .retention import ORDINARY, Retained, kept_and_shared
+from .size import BOUNDS, SECONDS_A_DAY, SIZE
+from .tables import DOES_NOT_FIT, FITS, UNBOUNDED, table
+
+HEADS = ("table", "grows with", "entries wanted", "bound", "entries held", "bytes each", "MB", "standing", "")
+AT_SIZE = Retained(ORDINARY, BOUNDS.hold_s)
+GROUPS = 256
+
+
+@dataclass(frozen=True)
+class StateRow:
+    """One table. most: its bound, None where it has none; disk: it takes no memory."""
+
+    name: str
+    grows_with: str
+    wanted: Figure
+    most: Figure | None
+    measurement: str
+    disk: bool = False
+
+    @property
+    def held(self) -> Figure:
+        """What is there at the size."""
+        return self.wanted if self.most is None else least((self.wanted, self.most))
+
+    @property
+    def fits(self) -> bool:
+        """Whether all that is wanted is within the bound."""
+        return self.most is None or self.wanted.value <= self.most.value
+
+    @property
+    def verdict(self) -> str:
+        """As it stands on the page."""
+        if self.most is None:
+            return UNBOUNDED
+        return FITS if self.fits else DOES_NOT_FIT
+
+    def size(self, inputs: Inputs) -> Figure:
+        """Bytes that it takes."""
+        return inputs.table_bytes(self.measurement, self.held)
+
+    def cells(self, inputs: Inputs) -> tuple[str, ...]:
+        """As a row of the page."""
+        size = self.size(inputs)
+        return (
+            self.name + (" (on disk)" if self.disk else ""),
+            self.grows_with,
+            value_only(self.wanted),
+            "none" if self.most is None else value_only(self.most),
+            value_only(self.held),
+            value_only(inputs.each(self.measurement)),
+            value_only(size, MEGA),
+            standing_only(size),
+            self.verdict,
+        )
+
+
+RATE_AND_HOLD, BEYOND, ASKED_FOR = "purges a second, hold", "names beyond those", "objects asked for"
+GROWS_WITH_A_HOLD = (RATE_AND_HOLD, BEYOND, ASKED_FOR)  # so that a run of minutes shows none of it
+MOST_ROSTER = 20_000  # rows of a view
+
+
+def router() -> tuple[StateRow, ...]:
+    """Tables of one router."""
+    names = bound(BOUNDS.names)
+    _, shared = kept_and_shared(AT_SIZE.live(ORDINARY.objects), BOUNDS.names)
+    gone = SIZE.restarts_per_day * BOUNDS.forget_s / SECONDS_A_DAY
+    rows = assumed("sharing_caches") * BOUNDS.tellers
+    patterns = bound(BOUNDS.router_patterns)
+    return (
+        StateRow(
+            "purged objects", RATE_AND_HOLD, AT_SIZE.live(ORDINARY.objects), names, "purge_index.object"
+        ),
+        StateRow("purged tags", RATE_AND_HOLD, AT_SIZE.live(ORDINARY.tags), names, "purge_index.tag"),
+        StateRow("shared bounds", BEYOND, shared, bound(BOUNDS.shared), "purge_index.group"),
+        StateRow("purged groups", "groups", bound(GROUPS), bound(GROUPS), "purge_index.group"),
+        StateRow("prefixes", RATE_AND_HOLD, AT_SIZE.live(ORDINARY.prefixes), patterns, "purge_index.prefix"),
+        StateRow(
+            "globs, regexes", RATE_AND_HOLD, AT_SIZE.live(ORDINARY.patterns), patterns, "purge_index.glob"
+        ),
+        StateRow("tags of objects", ASKED_FOR, given(SIZE.objects), bound(BOUNDS.tagged), "object_tags"),
+        StateRow(
+            "remembered bounds",
+            "objects asked for",
+            given(SIZE.objects),
+            bound(BOUNDS.remembered),
+            "remembered_bounds",
+        ),
+        StateRow("roster", "routers, restarts", given(SIZE.routers + gone), bound(MOST_ROSTER), "roster"),
+        StateRow("board of loads", "caches", rows, bound(BOUNDS.tellers * BOUNDS.teller_rows), "board"),
+    )
+
+
+def relay(inputs: Inputs) -> tuple[StateRow, ...]:
+    """Tables of one relay."""
+    return (
+        StateRow("order of purges", RATE_AND_HOLD, AT_SIZE.live(), None, "tail"),
+        StateRow(
+            "followers",
+            "routers of the relay",
+            given(inputs.followers_of_relay),
+            bound(BOUNDS.desk_members),
+            "desk_members",
+        ),
+    )
+
+
+def desk() -> tuple[StateRow, ...]:
+    """Tables of the owner of the desk's duty."""
+    live, most = AT_SIZE.live(), bound(BOUNDS.most_live)
+    return (
+        StateRow("order of purges", RATE_AND_HOLD, live, most, "tail"),
+        StateRow("idempotency keys", RATE_AND_HOLD, live, most, "ledger_keys"),
+        StateRow("followers", "relays", given(SIZE.machines), bound(BOUNDS.desk_members), "desk_members"),
+    )
+
+
+def keeper() -> tuple[StateRow, ...]:
+    """Tables of one keeper, leading or following."""
+    return (
+        StateRow(
+            "log in memory", "batches", bound(BOUNDS.log_entries), bound(BOUNDS.log_entries), "keeper_log"
+        ),
+        StateRow(
+            "copy of the order", RATE_AND_HOLD, AT_SIZE.live(), bound(BOUNDS.most_live), "store.purge", True
+        ),
+        StateRow("roster", "routers, restarts", given(SIZE.routers), bound(MOST_ROSTER), "roster"),
+    )
+
+
+def memory_of(rows: tuple[StateRow, ...], inputs: Inputs) -> Figure:
+    """Bytes of all tables that are in memory."""
+    return total(row.size(inputs) for row in rows if not row.disk)
+
+
+def state_table(rows: tuple[StateRow, ...], inputs: Inputs) -> str:
+    """The table of one role, with its sum."""
+    whole = memory_of(rows, inputs)
+    sum_row = ("all in memory", "", "", "", "", "", value_only(whole, MEGA), standing_only(whole), "")
+    return table(HEADS, [*(row.cells(inputs) for row in rows), sum_row])
+
+
+def live_index_bytes(inputs: Inputs) -> Figure:
+    """Of a router's memory, what the live purges of the size add to that of the scale run."""
+    rows = [
+        row
+        for row in router()
+        if row.grows_with in (RATE_AND_HOLD, "names beyond those", "objects asked for")
+    ]
+    return Figure(memory_of(tuple(rows), inputs).value, Standing.ASSUMED)
--- /dev/null
+++ b/benchmarks/capacity/size.py
@@ -0,0 +1,79 @@
+"""The size to design for and the budgets, as the operators give them, and bounds that the code sets."""
+
+from dataclasses import dataclass
+
+from hookrouter.fleet.decisions.owners.words import Terms as KeeperTerms
+from hookrouter.fleet.decisions.sharing.words import Terms as SharingTerms
+from hookrouter.fleet.decisions.view.words import Terms as ViewTerms
+from hookrouter.purges.guard import ROUNDING
+from hookrouter.purges.index import MOST_PATTERNS, REMEMBERED, SHARED
+from hookrouter.purges.members import DRIFT, MOST_MEMBERS
+from hookrouter.purges.tail import RECENT
+from hookrouter.purges.wire import MOST_IN_EVENT
+
+SECONDS_A_DAY = 86_400
+SECONDS_AN_HOUR = 3_600
+TENTHS_A_SECOND = 10_000  # of a millisecond: the unit of spans in the code
+
+
+@dataclass(frozen=True)
+class Size:
+    """The operators' figures."""
+
+    routers: int = 1_200
+    sites: int = 59
+    caches: int = 200
+    lookups_per_s: float = 1.2e6
+    traffic_bits_per_s: float = 4e12
+    objects: float = 3.9e9
+    purges_per_s: float = 32.0
+    effect_s: float = 1.4
+    regions: int = 13
+    zones: int = 38
+    changes_per_day: int = 5_800
+    change_s: float = 10.0
+    machines: int = 12
+    machines_lost: int = 2
+    machine_failures_per_day: int = 4
+    restarts_per_day: int = 350
+
+
+@dataclass(frozen=True)
+class Budget:
+    """What the control of one router may take."""
+
+    core_share: float = 0.023
+    memory_mb: float = 64.0
+    bytes_per_s: float = 5_000.0
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """Limits set in the code, and the defaults of the operator's file."""
+
+    names: int = 100_000
+    tagged: int = 50_000
+    most_live: int = 200_000
+    most_desk_patterns: int = 1_000
+    hold_s: int = SECONDS_A_DAY
+    lease_s: float = 2.0
+    skew_s: float = 0.020
+    shared: int = SHARED
+    router_patterns: int = MOST_PATTERNS
+    remembered: int = REMEMBERED
+    recent: int = RECENT
+    purges_in_event: int = MOST_IN_EVENT
+    desk_members: int = MOST_MEMBERS
+    drift: float = DRIFT
+    rounding_s: float = ROUNDING / TENTHS_A_SECOND
+    duty_lease_s: float = 1.0
+    election_s: float = KeeperTerms("", 0, ()).most_wait / TENTHS_A_SECOND
+    log_entries: int = KeeperTerms("", 0, ()).most_log + KeeperTerms("", 0, ()).lag
+    keepers: int = 5
+    tellers: int = SharingTerms().tellers
+    teller_rows: int = SharingTerms().most_caches
+    forget_s: float = ViewTerms().forget / TENTHS_A_SECOND
+    renewals_in_lease: int = 4
+
+
+SIZE, BUDGET, BOUNDS = Size(), Budget(), Bounds()
