Capacity: renewals apart from the feed, work for a purge, bounds beside their arithmetic

All that a router sends on its purge feed is renewals, so they can be told apart from the events. The shares held by shared bounds stand beside the arithmetic that the page uses.

--- a/benchmarks/capacity/arithmetic.py
+++ b/benchmarks/capacity/arithmetic.py
@@ -1,6 +1,7 @@
 """Plain arithmetic of the page: budgets, holds, popularity, times until a purge is in effect, catching up."""
 
 import math
+from functools import cache
 
 EXACT_RANKS = 1_000  # summed one by one; beyond them an integral is near enough
 STEPS_A_DECADE = 200  # of the numeric integral over ranks
@@ -55,6 +56,7 @@
 # ---- popularity by Zipf's law
 
 
+@cache
 def harmonic(ranks: float, exponent: float) -> float:
     """The sum of rank ** -exponent up to there, beyond EXACT_RANKS by its integral."""
     exact = min(int(ranks), EXACT_RANKS)
@@ -73,6 +75,7 @@
     return harmonic(min(top, objects), exponent) / harmonic(objects, exponent)
 
 
+@cache
 def distinct_objects(requests: float, objects: float, exponent: float) -> float:
     """Different objects that so many requests ask for, on the mean."""
     norm = harmonic(objects, exponent)
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -13,6 +13,7 @@
     machines,
     missing,
     provenance,
+    purge_work,
     ranking,
     roles_messages,
     roles_state,
@@ -33,7 +34,11 @@
     "tags": lambda inputs: missing.tags_table(),
     "router-budget": roles_messages.router_budget,
     "router-state": lambda inputs: roles_state.state_table(roles_state.router(), inputs),
-    "router-messages": lambda inputs: roles_messages.messages_table(roles_messages.router(inputs)),
+    "router-messages": lambda inputs: roles_messages.messages_table(
+        roles_messages.router(inputs), roles_messages.router_rows(inputs)
+    ),
+    "purge-work": purge_work.work_table,
+    "held": purge_work.held_table,
     "renewals": roles_messages.renewals_text,
     "relay-state": lambda inputs: roles_state.state_table(roles_state.relay(inputs), inputs),
     "relay-messages": lambda inputs: roles_messages.messages_table(
--- a/benchmarks/capacity/ranking.py
+++ b/benchmarks/capacity/ranking.py
@@ -7,7 +7,7 @@
 from .days import catching_up, fenced_origin_fills, link_share, lookups_per_region
 from .figures import Figure, bound, given, shown
 from .inputs import Inputs
-from .retention import ORDINARY, tag_refill_share
+from .retention import MOST_REFILLED, ORDINARY, tag_refill_share
 from .roles_messages import both_ways, router, router_memory
 from .roles_state import AT_SIZE
 from .scale_file import CPU
@@ -15,8 +15,6 @@
 from .tables import table
 from .times import SHORT_LEASE_S, effect, effect_through_takeover
 
-MOST_REFILLED = 0.01  # share of lookups that may be filled anew without need
-
 
 class Harm(IntEnum):
     """What a line that breaks does to the service, the worst first."""
--- a/benchmarks/capacity/retention.py
+++ b/benchmarks/capacity/retention.py
@@ -44,6 +44,7 @@
     ORDINARY,
     Mix("many prefixes", 0.70, 0.10, 0.19, 0.01),
 )
+MOST_REFILLED = 0.01  # share of lookups that may be filled anew without need
 HOLDS = (("1 h", SECONDS_AN_HOUR), ("24 h", SECONDS_A_DAY), ("7 days", 7 * SECONDS_A_DAY))
 
 
