--- a/benchmarks/capacity/measure.py
+++ b/benchmarks/capacity/measure.py
@@ -18,6 +18,8 @@
 from .measure_wire import MESSAGES, Sized
 from .measurements import SCHEMA, Machine, Measurement, StateFile
 
+REPEATS = 2  # of work that is timed: the spread is between them
+NO_FORMULA = ("held_share", "longest_take_in")  # a share with a bend, and steps
 COMMAND = "python -m benchmarks capacity --measure-state"
 SEEDS = (1, 2)  # a table is built once for each: the spread is between them
 UNITS = {  # name, or its part before the dot -> unit, what a step of the size is, how it was measured
@@ -81,7 +83,7 @@
     method: str,
     sizes: tuple[int, ...],
     values: list[float],
-    spread: float,
+    spread: float | None,
 ) -> Measurement:
     """A measurement with its line of least squares."""
     line = fit_line(sizes, values)
@@ -97,10 +99,15 @@
         tuple(sizes),
         tuple(round(value, 4) for value in values),
         round(residual, 4),
-        round(spread, 4),
+        None if spread is None else round(spread, 4),
     )
 
 
+def repeated(points: Callable[[], list[costs.Point]]) -> list[costs.Point]:
+    """The same measurement again and again."""
+    return [point for _ in range(REPEATS) for point in points()]
+
+
 def measured_points(points: list[costs.Point]) -> list[Measurement]:
     """Points of one name as one measurement; where a size comes more than once, their spread is kept."""
     by_name = defaultdict(lambda: defaultdict(list))
@@ -110,9 +117,14 @@
     for name, by_size in by_name.items():
         unit, per, method = UNITS[name if name in UNITS else name.partition(".")[0]]
         sizes = tuple(sorted(by_size))
-        spread = max(relative_spread(by_size[size]) for size in sizes)
+        repeated = all(len(by_size[size]) > 1 for size in sizes)
+        spread = round(max(relative_spread(by_size[size]) for size in sizes), 4) if repeated else None
         values = [fmean(by_size[size]) for size in sizes]
-        found.append(linear(name, unit, per, method, sizes, values, spread))
+        if name.partition(".")[0] in NO_FORMULA:
+            points = tuple(round(value, 4) for value in values)
+            found.append(Measurement(name, unit, per, method, "points", (), sizes, points, 0.0, spread))
+        else:
+            found.append(linear(name, unit, per, method, sizes, values, spread))
     return found
 
 
@@ -125,7 +137,7 @@
         "lookup_cost_ratio_to_off": ("ratio", "lookup", "elapsed time, median of 6 rounds"),
     }
     return [
-        Measurement(name, *kind, "constant", (figures[name],), (), (figures[name],), 0.0, 0.0)
+        Measurement(name, *kind, "constant", (figures[name],), (), (figures[name],), 0.0, None)
         for name, kind in kinds.items()
     ]
 
@@ -156,11 +168,11 @@
             "lookups": measured_lookup,
             "tables": lambda: [measured_table(table) for table in TABLES],
             "messages": lambda: [measured_message(message) for message in MESSAGES],
-            "patterns": lambda: measured_points(costs.all_pattern_points()),
-            "lookups by patterns": lambda: measured_points(costs.pattern_lookup_points()),
-            "held names": lambda: measured_points(costs.held_points()),
-            "purges taken in": lambda: measured_points(costs.take_in_points()),
-            "store": lambda: measured_points(costs.store_points()),
+            "patterns": lambda: measured_points(repeated(costs.all_pattern_points)),
+            "lookups by patterns": lambda: measured_points(repeated(costs.pattern_lookup_points)),
+            "held names": lambda: measured_points(repeated(costs.held_points)),
+            "purges taken in": lambda: measured_points(repeated(costs.take_in_points)),
+            "store": lambda: measured_points(repeated(costs.store_points)),
         }
         for name, group in groups.items():
             began = time.monotonic()
--- a/benchmarks/capacity/measure_tables.py
+++ b/benchmarks/capacity/measure_tables.py
@@ -164,7 +164,7 @@
     return lambda size, dice: guard_told(kind, size, dice)
 
 
-OF_MANY = (25_000, 50_000, 100_000)  # up to the bound of names that are kept one by one
+OF_MANY = (10_000, 40_000, 100_000)  # up to the bound of names that are kept one by one
 
 TABLES = (
     Table("purge_index.object", "live purge", OF_MANY, _guard_of("object")),
--- a/benchmarks/capacity/measurements.py
+++ b/benchmarks/capacity/measurements.py
@@ -25,12 +25,12 @@
     unit: str  # "bytes", "us", "share", "ratio"
     per: str  # what one step of the size is: "live purge", "member", ...
     method: str  # "tracemalloc", "resident memory", "encoded length", "file size", "processor time"
-    formula: str  # "constant" or "linear"
+    formula: str  # "constant", "linear", or "points" where no formula fits: then values alone count
     coefficients: tuple[float, ...]
     sizes: tuple[int, ...]
     values: tuple[float, ...]
     residual: float
-    spread: float
+    spread: float | None  # None: each size was measured once
 
     @property
     def each(self) -> float:
--- a/benchmarks/capacity/provenance.py
+++ b/benchmarks/capacity/provenance.py
@@ -3,6 +3,7 @@
 from .assumptions import ASSUMPTIONS
 from .figures import plain
 from .inputs import Inputs
+from .measurements import Measurement
 from .scale_file import ScaleFile
 from .tables import table
 
@@ -15,6 +16,12 @@
     return f"{min(sizes):,} to {max(sizes):,}" if sizes else "one size"
 
 
+def _each(found: Measurement) -> str:
+    if found.formula == "points":
+        return ", ".join(plain(value) for value in found.values) + f" {found.unit}"
+    return f"{plain(found.each)} {found.unit} a {found.per}"
+
+
 def slopes_table(inputs: Inputs) -> str:
     """All slopes of scale.json, in the order of the file."""
     rows = [
@@ -64,13 +71,13 @@
     rows = [
         (
             f"`{found.name}`",
-            f"{plain(float(f'{found.each:.4g}'))} {found.unit} a {found.per}",
+            _each(found),
             found.method,
             found.formula,
             str(len(found.sizes)) if found.sizes else "1",
             _range(found.sizes),
             f"{found.residual:.1%}",
-            f"{found.spread:.1%}",
+            "not repeated" if found.spread is None else f"{found.spread:.1%}",
         )
         for found in inputs.state.measurements
     ]
--- a/benchmarks/capacity/scale_file.py
+++ b/benchmarks/capacity/scale_file.py
@@ -92,8 +92,15 @@
                     f"direction {name.direction!r}, quantity {name.quantity!r}"
                 )
             return not_measured(str(name))
-        standing = Standing.MEASURED if slope.covers(routers) else Standing.EXTRAPOLATED
-        return Figure(slope.at(routers), standing)
+        if slope.covers(routers):
+            return Figure(slope.at(routers), Standing.MEASURED)
+        # A cost that falls with the size is not followed beyond the range: it would end below nothing.
+        value = (
+            max(slope.at(routers), slope.at(max(slope.sizes)))
+            if routers > max(slope.sizes)
+            else slope.at(routers)
+        )
+        return Figure(value, Standing.EXTRAPOLATED)
 
 
 BYTES, MESSAGES, CPU, MEMORY = "bytes_per_s", "messages_per_s", "cpu_core_share", "memory_mb"
