--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
 
 NAMES = (
     "admission",
+    "capacity",
     "lab",
     "loss",
     "owners",
@@ -22,14 +23,23 @@
 )
 
 
+OPTIONS_OF_FEW = {"only_check": "--check", "measure_state": "--measure-state"}
+
+
 @click.command()
 @click.argument("name", type=click.Choice(NAMES))
 @click.option("--quick", is_flag=True, help="Within 40 s; of the fleet's parts 150 s.")
 @click.option("--full", is_flag=True, help="Minutes: all ways, schedules and processes, where it knows more.")
-def main(name, quick, full):
+@click.option("--check", "only_check", is_flag=True, help="capacity: holds the page against the data files.")
+@click.option("--measure-state", is_flag=True, help="capacity: measures tables, messages and work anew.")
+def main(name, quick, full, **more):
     """Example: python -m benchmarks purges --quick"""
     run = import_module(f".{name}", __package__).run
-    more = {"full": True} if full and "full" in signature(run).parameters else {}
+    more = {option: True for option, wanted in {"full": full, **more}.items() if wanted}
+    known = signature(run).parameters
+    for option in more.keys() & OPTIONS_OF_FEW.keys() - known.keys():
+        raise click.UsageError(f"{name} knows no {OPTIONS_OF_FEW[option]}")
+    more = {option: wanted for option, wanted in more.items() if option in known}
     figures = run(quick and not full, **more)
     width = max(map(len, figures))
     for key, value in figures.items():
