--- a/benchmarks/capacity/measure.py
+++ b/benchmarks/capacity/measure.py
@@ -19,7 +19,7 @@
 from .measurements import SCHEMA, Machine, Measurement, StateFile
 
 REPEATS = 2  # of work that is timed: the spread is between them
-NO_FORMULA = ("held_share", "longest_take_in")  # a share with a bend, and steps
+NO_FORMULA = ("bound_by_slices", "longest_take_in")  # a share with a bend, and steps
 COMMAND = "python -m benchmarks capacity --measure-state"
 SEEDS = (1, 2)  # a table is built once for each: the spread is between them
 UNITS = {  # name, or its part before the dot -> unit, what a step of the size is, how it was measured
@@ -27,7 +27,7 @@
     "take_in": ("us", "purge", "processor time"),
     "longest_take_in": ("us", "purge", "processor time"),
     "lookup_by_patterns": ("us", "live pattern", "processor time"),
-    "held_share": ("share", "live purge", "names asked for"),
+    "bound_by_slices": ("share", "live purge", "names asked for"),
     "store_read": ("us", "purge", "processor time"),
     "served_lookups": ("us", "lookup", "processor time"),
 }
@@ -170,7 +170,7 @@
             "messages": lambda: [measured_message(message) for message in MESSAGES],
             "patterns": lambda: measured_points(repeated(costs.all_pattern_points)),
             "lookups by patterns": lambda: measured_points(repeated(costs.pattern_lookup_points)),
-            "held names": lambda: measured_points(repeated(costs.held_points)),
+            "names bound by slices": lambda: measured_points(repeated(costs.held_points)),
             "purges taken in": lambda: measured_points(repeated(costs.take_in_points)),
             "store": lambda: measured_points(repeated(costs.store_points)),
         }
--- a/benchmarks/capacity/measure_costs.py
+++ b/benchmarks/capacity/measure_costs.py
@@ -103,7 +103,7 @@
 
 def held_points() -> list[Point]:
     """Share of names never purged that a slice binds all the same, their tags known to be none."""
-    return [Point("held_share", size, held_share(size, Random(size))) for size in HELD_SIZES]
+    return [Point("bound_by_slices", size, held_share(size, Random(size))) for size in HELD_SIZES]
 
 
 def held_share(size: int, dice: Random) -> float:
--- a/benchmarks/capacity/purge_work.py
+++ b/benchmarks/capacity/purge_work.py
@@ -59,7 +59,7 @@
 
 def held_table(inputs: Inputs) -> str:
     """The arithmetic of false positives beside what was measured, with slices of a smaller size."""
-    measurement = inputs.measured("held_share")
+    measurement = inputs.measured("bound_by_slices")
     slices = geometries(BOUNDS.hold_s, HELD_SEALED)[w.OBJECT]
     rows = [
         (
--- a/tests/capacity_fixture.py
+++ b/tests/capacity_fixture.py
@@ -32,7 +32,7 @@
     "longest_take_in.prefix": 0.01,
     "longest_take_in.glob": 0.01,
     "longest_take_in.regex": 0.01,
-    "held_share": 0.00001,
+    "bound_by_slices": 0.00001,
     "served_lookups": 500.0,
     "lookup_us_off": 70.0,
     "lookup_cost_ratio_to_off": 1.2,
