--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -7,6 +7,7 @@
 
 from . import (
     days,
+    formulas,
     lines_budget,
     lines_service,
     lookups,
@@ -55,6 +56,7 @@
     "desk-messages": lambda inputs: roles_messages.messages_table(roles_messages.desk_traffic(inputs)),
     "processes": roles_messages.process_table,
     "machine": roles_messages.machine_table,
+    "formulas": formulas.formulas_table,
     "times": times.times_table,
     "restarts": days.restarts_table,
     "failures": days.failures_table,
--- a/benchmarks/capacity/scale_file.py
+++ b/benchmarks/capacity/scale_file.py
@@ -56,6 +56,21 @@
         return min(self.sizes) <= routers <= max(self.sizes)
 
 
+class RunMeasurement(msgspec.Struct, frozen=True):
+    """One mean value of a role in one window."""
+
+    role: str
+    kind: str
+    direction: str
+    quantity: str
+    value: float
+
+    @property
+    def name(self) -> SlopeName:
+        """What it is a value of."""
+        return SlopeName(self.role, self.kind, self.direction, self.quantity)
+
+
 class Run(msgspec.Struct, frozen=True):
     """What the page needs of one window of the scale run."""
 
@@ -66,6 +81,7 @@
     seconds: float = 0.0
     lag_worst_s: float = 0.0
     purges_per_s: float = 0.0
+    measurements: tuple[RunMeasurement, ...] = ()
 
 
 class ScaleFile(msgspec.Struct, frozen=True):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -15,7 +15,18 @@
 import pytest
 
 from benchmarks.capacity import arithmetic as a
-from benchmarks.capacity import command, errors, fit, inputs, missing, page, ranking, retention, scale_file
+from benchmarks.capacity import (
+    command,
+    errors,
+    fit,
+    formulas,
+    inputs,
+    missing,
+    page,
+    ranking,
+    retention,
+    scale_file,
+)
 from benchmarks.capacity.assumptions import ASSUMPTIONS, assumed
 from benchmarks.capacity.figures import (
     Figure,
@@ -285,6 +296,24 @@
     assert inputs.breaks_at(data, lambda at: given(1), 5_000) is None
 
 
+def test_a_straight_line_through_the_windows_stands_beside_the_formula():
+    data = fixture.inputs()
+    name = scale_file.SlopeName("desk", "all", "none", "cpu_core_share")
+    assert formulas.straight_line(data, name, 1_200).missing == (str(name),)
+    runs = tuple(
+        msgspec.structs.replace(
+            run,
+            measurements=(
+                scale_file.RunMeasurement("desk", "all", "none", "cpu_core_share", run.hollow / 100),
+            ),
+        )
+        for run in data.scale.runs
+    )
+    data = replace(data, scale=msgspec.structs.replace(data.scale, runs=runs))
+    assert formulas.straight_line(data, name, 1_200).value == pytest.approx(11.88)
+    assert "11.9 (extrapolated)" in formulas.formulas_table(data)
+
+
 # ---- the page
 
 
