--- a/benchmarks/capacity/measure.py
+++ b/benchmarks/capacity/measure.py
@@ -162,6 +162,7 @@
 def measure(say: Callable[[str], None] = print) -> StateFile:
     """All measurements in turn, each group's time said."""
     measurements: list[Measurement] = []
+    commit = this_commit()
     with tempfile.TemporaryDirectory(prefix="capacity-") as folder:
         groups = {
             "served lookups": lambda: measured_points(costs.served_points(Path(folder))),
@@ -180,4 +181,4 @@
             say(f"{name}: {time.monotonic() - began:.1f} s")
     now = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime())
     measurements.sort(key=lambda measurement: measurement.name)
-    return StateFile(SCHEMA, this_machine(), this_commit(), now, COMMAND, tuple(measurements))
+    return StateFile(SCHEMA, this_machine(), commit, now, COMMAND, tuple(measurements))
