--- a/tests/retention_mistakes.py
+++ b/tests/retention_mistakes.py
@@ -56,8 +56,7 @@
     def step(self):
         if self._dropped:
             self._clean.append(self._dropped.popleft())
-        else:
-            super().step()
+        super().step()
 
 
 class LostAtTheSeal(SealedNames):
@@ -85,7 +84,7 @@
     """A purge counts as known wherever its name was ever sealed."""
 
     def covers(self, name, made):
-        return self._bound_at(name) > 0
+        return bool(self.slices) and self._bound_at(name) > 0
 
 
 class TrueTimeLost(SealedNames):
@@ -125,7 +124,7 @@
             sealed.__class__ = parts["sealed"]
         filter_of = parts.get("filter", SteppedFilter if stepped else None)
         make_bank = (
-            sealed.slices._make_bank if filter_of is None else lambda made=filter_of: SeparateFilters(made, 2)
+            sealed.slices._make_bank if filter_of is None else lambda made=filter_of: SeparateFilters(made, 1)
         )
         sealed.slices = parts.get("slices", Slices)(terms.hold, sealed.slices.capacity, make_bank)
     return index
