Scale: the desk's list is read during a long growth, too

Need: a run whose fleet of 315 was not there after 49 s called 503 of 1,897 purges lost. The desk shows the newest 1,000, 31 s at 32 a second; nothing read its list meanwhile, so what passed by unseen counted as missing (reckoned: 49 s less 31 s are 570; that run's list was not kept, so this cause is likely, not proven). Change: grow calls the session's look at the desk each 10 s.

--- a/benchmarks/capacity/measure_tables.py
+++ b/benchmarks/capacity/measure_tables.py
@@ -22,7 +22,9 @@
 SECOND = 10_000  # tenths of a millisecond
 DAY = 86_400 * SECOND
 EPOCH = 1_700_000_000_000
-TERMS = PurgeTerms(2 * SECOND, DAY, 5_000, 200, "young", 100_000, 50_000)  # names for the largest size that is measured
+TERMS = PurgeTerms(
+    2 * SECOND, DAY, 5_000, 200, "young", 100_000, 50_000
+)  # names for the largest size that is measured
 TAGS_OF_AN_OBJECT = 3
 ROWS_IN_A_MESSAGE = 64
 TELLERS = 16
--- a/benchmarks/scale/session.py
+++ b/benchmarks/scale/session.py
@@ -141,7 +141,8 @@
     None where all tries were starved.
     """
     crowd = session.crowd
-    crowd.grow(hollow, min(GROWN_WITHIN, max(0.0, session.until - time.monotonic())))
+    within = min(GROWN_WITHIN, max(0.0, session.until - time.monotonic()))
+    crowd.grow(hollow, within, meanwhile=session.look_at_desk)  # the desk shows half a minute of purges
     for tried in range(settings.tries):
         if tried and session.late():
             break
--- a/standins/crowd/region_crowd.py
+++ b/standins/crowd/region_crowd.py
@@ -12,6 +12,7 @@
 from .regions import PURGES_SECRET, Plan, RegionLayout
 
 LOOK_EVERY = 0.1  # seconds between looks whether something has come about
+MEANWHILE_EVERY = 10.0  # seconds between two calls in a long wait
 REAL_REPORT_EVERY = "0.5"  # seconds, of the real routers and keepers that are counted
 READY_WITHIN = 30.0  # seconds for each step of the start
 
@@ -104,17 +105,32 @@
         self.hollow.end()
         super().end()
 
-    def wait(self, what: str, found: Callable[[], Any], within: float = READY_WITHIN) -> Any:
-        """The first true value of found(); NotReady where none comes in time."""
-        until = time.monotonic() + within
+    def wait(
+        self,
+        what: str,
+        found: Callable[[], Any],
+        within: float = READY_WITHIN,
+        meanwhile: Callable[[], None] | None = None,
+    ) -> Any:
+        """The first true value of found(); NotReady where none comes in time. meanwhile: see grow."""
+        begun = called = time.monotonic()
         while not (value := found()):
-            if time.monotonic() > until:
+            now = time.monotonic()
+            if now > begun + within:
                 raise NotReady(f"{what} is not there after {within:g} s")
+            if meanwhile is not None and now > called + MEANWHILE_EVERY:
+                meanwhile()
+                called = now
             time.sleep(LOOK_EVERY)
         return value
 
-    def grow(self, hollow: int, within: float = 2 * READY_WITHIN) -> None:
-        """Until there are so many hollow routers, all with a lease, and all see all alive."""
+    def grow(
+        self, hollow: int, within: float = 2 * READY_WITHIN, meanwhile: Callable[[], None] | None = None
+    ) -> None:
+        """Until there are so many hollow routers, all with a lease, and all see all alive.
+
+        meanwhile: called each MEANWHILE_EVERY seconds of the wait, for what must not go unseen that long.
+        """
         if not self.hollow.groups and self.plan.alone:
             self.alone = self.hollow.start(self.plan.alone, in_process=1)
         further = hollow - self.hollow.count()
@@ -122,7 +138,7 @@
         if further > 0:
             self.hollow.start(further)
         members = hollow + len(self.routers) + len(self.keepers)
-        self.wait(f"a fleet of {members}", lambda: self.whole(members), within)
+        self.wait(f"a fleet of {members}", lambda: self.whole(members), within, meanwhile)
 
     def whole(self, members: int) -> bool:
         """Whether each hollow router has a lease and sees so many members alive."""
