--- a/benchmarks/scale/__init__.py
+++ b/benchmarks/scale/__init__.py
@@ -44,6 +44,9 @@
 FULL = replace(QUICK, seconds=20.0, settle=4.0, budget=600.0)
 
 
+SHOWN = 5  # breaks of each rule that are printed; the figures count all
+
+
 def run(quick: bool, full: bool = False) -> dict[str, object]:
     """Figures of the run; with full the data file is written, too."""
     begun = time.monotonic()
@@ -55,6 +58,8 @@
 
     with tempfile.TemporaryDirectory(prefix="scale-") as folder:
         session, verdict = play(Path(folder), FULL if full else QUICK, tell)
+    for broken in (*verdict.lost[:SHOWN], *verdict.said_too_early[:SHOWN], *verdict.old_copies[:SHOWN]):
+        print(f"rule broken: {broken}", file=sys.stderr)
     figures = summary(session, verdict)
     if full:
         write(DATA_FILE, results_of(session))
