Capacity and the scale run reckon formulas by one function

Need: the value of a fitted formula was worked out in benchmarks/scale/slopes.py and again in capacity's reader. Change: slopes.value_of is public, capacity calls it and takes the known formulas from there.

--- a/benchmarks/capacity/scale_file.py
+++ b/benchmarks/capacity/scale_file.py
@@ -1,16 +1,15 @@
 """docs/results/scale.json: how bytes, messages, processor time and memory grow with the number of routers."""
 
-import math
 from pathlib import Path
 
 import msgspec
 
+from ..scale.slopes import FORMULAS, value_of
 from .errors import MissingSlope, UnreadableData
 from .figures import Figure, Standing, not_measured
 from .measurements import Machine
 
 SCHEMA = 1
-INPUTS = {"constant": None, "linear": float, "logarithmic": math.log}
 
 
 class SlopeName(msgspec.Struct, frozen=True):
@@ -46,10 +45,7 @@
 
     def at(self, routers: float) -> float:
         """What the formula gives for so many routers."""
-        transform = INPUTS[self.formula]
-        if transform is None:
-            return self.coefficients[0]
-        return self.coefficients[0] + self.coefficients[1] * transform(routers)
+        return value_of(self.formula, self.coefficients, routers)
 
     def covers(self, routers: float) -> bool:
         """Whether so many routers lie within the range that was measured."""
@@ -140,6 +136,6 @@
         raise UnreadableData(f"{path}: schema {scale.schema}, this program reads {SCHEMA}")
     for slope in scale.slopes:
         wanted = 1 if slope.formula == "constant" else 2
-        if slope.formula not in INPUTS or len(slope.coefficients) != wanted or not slope.sizes:
+        if slope.formula not in FORMULAS or len(slope.coefficients) != wanted or not slope.sizes:
             raise UnreadableData(f"{path}: the slope {slope.name} has no usable formula")
     return scale
--- a/benchmarks/scale/slopes.py
+++ b/benchmarks/scale/slopes.py
@@ -34,7 +34,7 @@
 
     def at(self, routers: float) -> float:
         """The value that the formula gives for so many routers."""
-        return _value(self.formula, self.coefficients, routers)
+        return value_of(self.formula, self.coefficients, routers)
 
     def extrapolates(self, routers: float) -> bool:
         """Whether so many routers lie outside of the range that was measured."""
@@ -73,7 +73,7 @@
     chosen = _choose(errors)
     coefficients = _least_squares(chosen, ordered)
     residual = _root_mean_square(
-        point.value - _value(chosen, coefficients, point.routers) for point in ordered
+        point.value - value_of(chosen, coefficients, point.routers) for point in ordered
     )
     return Fit(chosen, coefficients, sizes, residual, _spread(ordered, sizes), errors[chosen])
 
@@ -99,7 +99,8 @@
     return "constant"
 
 
-def _value(formula: str, coefficients: Sequence[float], routers: float) -> float:
+def value_of(formula: str, coefficients: Sequence[float], routers: float) -> float:
+    """What a formula with these coefficients gives for so many routers."""
     transform = FORMULAS[formula]
     if transform is None:
         return coefficients[0]
@@ -126,7 +127,7 @@
     for left_out in sizes:
         others = [point for point in points if point.routers != left_out]
         coefficients = _least_squares(formula, others)
-        misses.append(_mean_at(points, left_out) - _value(formula, coefficients, left_out))
+        misses.append(_mean_at(points, left_out) - value_of(formula, coefficients, left_out))
     return _root_mean_square(misses)
 
 
