Tests take ports that the system gives to nobody, free for datagrams too

Rigs asked the system for a free TCP port, closed it and had a process listen there later, for streams and for datagrams. Such ports lie in the range that outgoing connections and the rig's own datagram sockets get theirs from, and nobody had looked whether they were free for datagrams.

Change: standins/ports.py (formerly of the crowd alone) for rigs, storms, tests and benchmarks: below the system's range, tried for streams and datagrams, never given twice in a process. tests/processes.free_port and standins/rig.free_port are gone.

--- a/benchmarks/owners/costs.py
+++ b/benchmarks/owners/costs.py
@@ -96,7 +96,7 @@
     from fleet import configuration, endpoint, members, message
     from processes import Cache, FeedStandIn, Standing, ask
 
-    from standins.rig import free_port
+    from standins.ports import free_port
 
     shares = {}
     for fleet in (True, False):
--- a/benchmarks/replicas/costs.py
+++ b/benchmarks/replicas/costs.py
@@ -6,7 +6,8 @@
 import time
 from pathlib import Path
 
-from standins.rig import Rig, free_port, holder
+from standins.ports import free_port
+from standins.rig import Rig, holder
 
 from ..owners.costs import at
 from .campaign import caught_up
--- a/standins/crowd/layout.py
+++ b/standins/crowd/layout.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..hollow.configuration import Configuration, RouterPlace
-from .ports import Ports
+from ..ports import free_port
 from .settings import configuration, settings
 
 KEEPERS = 3
@@ -37,7 +37,7 @@
         desk=False,
         **more,
     ):
-        self.folder, self.ports = Path(folder).resolve(), Ports()
+        self.folder = Path(folder).resolve()
         self.folder.mkdir(parents=True, exist_ok=True)
         self.zones = [f"z{n}" for n in range(zones)]
         self.routers = [f"r{n}" for n in range(routers)]
@@ -52,14 +52,14 @@
         self.by_zone = {zone: sum(self.zone[name] == zone for name in self.routers) for zone in self.zones}
         self.sections, self.keeper_sections = sections, keeper_sections or {}
         self.port, self.feed_port, self.real, self.desks = (
-            {name: self.ports.take() for name in names}
+            {name: free_port() for name in names}
             for names in (self.routers, self.routers, self.members, self.keepers if desk else ())
         )
         self.direct = direct
         self.shown, self.streams = self.real, {}
         if not direct:
-            self.shown = {name: self.ports.take() for name in self.members}
-            self.streams = {(a, b): self.ports.take() for a in self.members for b in self.keepers if a != b}
+            self.shown = {name: free_port() for name in self.members}
+            self.streams = {(a, b): free_port() for a in self.members for b in self.keepers if a != b}
         self.rows = self._caches(caches, parents, **more)
 
     def _caches(
@@ -80,7 +80,7 @@
                 "weight": able,
                 "since_ms": 0,
                 "room": kept,
-                "port": self.ports.take(),
+                "port": free_port(),
             }
 
         edge = [row(f"c{n}", self.zones[n % len(self.zones)], "box", weight, room) for n in range(caches)]
--- a/standins/crowd/regions.py
+++ b/standins/crowd/regions.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from ..ports import free_port
 from .layout import KEEPERS, SECRET, Layout
 
 CONTROL = "control"  # region and zone of keepers and desks
@@ -63,9 +64,9 @@
         )
         self.plain = self.routers[plan.real :]
         self.zone.update(dict.fromkeys(self.keepers, CONTROL))
-        self.streams = {pair: self.ports.take() for pair in self._stream_pairs()}
-        self.top_relays = {f"top-{region}": self.ports.take() for region in self.regions}
-        self.zone_relays = {f"relay-{zone}": self.ports.take() for zone in self.zones}
+        self.streams = {pair: free_port() for pair in self._stream_pairs()}
+        self.top_relays = {f"top-{region}": free_port() for region in self.regions}
+        self.zone_relays = {f"relay-{zone}": free_port() for zone in self.zones}
 
     def _stream_pairs(self):
         keepers = [(region, name) for region in self.regions for name in self.keepers]
@@ -97,7 +98,7 @@
         names = [f"h{n}" for n in range(first, first + count)]
         for n, name in enumerate(names, first):
             self.zone[name] = self.zones[n % len(self.zones)]
-            self.real[name] = self.ports.take()
+            self.real[name] = free_port()
             self._file(name, self._router(name))
         self.hollow += names
         return names
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -6,7 +6,6 @@
 import os
 import resource
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -15,17 +14,13 @@
 
 from .exchange import Exchange
 from .links import Link
+from .ports import free_port
 
 FULL = 16_384  # bytes of any file of a process whose disk is full: a few pages
+LAST_SAID = 500  # characters of a log
 ROOT = Path(__file__).resolve().parent.parent
 
 
-def free_port():
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
-
-
 class Rig:
     """folder: for stores, files and logs. keepers: names; members: further names that bear duties only.
     purges: the keepers bear the desk, and have a copy of the order each. sections: text that each one's file
@@ -269,6 +264,14 @@
             link.close()
         self.exchange.close()
 
+    def ended(self):
+        """{name: the last it said} of processes that are over: why a fleet does not come together."""
+        return {
+            name: self.log(name)[-LAST_SAID:]
+            for name, process in self.processes.items()
+            if process.poll() is not None
+        }
+
     def log(self, name):
         path = self.folder / f"{name}.log"
         return path.read_text() if path.exists() else ""
--- a/standins/storm.py
+++ b/standins/storm.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 
 from .links import Link
-from .rig import ROOT, free_port
+from .ports import free_port
+from .rig import ROOT
 
 SECRET = "0123456789abcdef"
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,7 +1,6 @@
 """A router as a process on loopback, and small stand-ins for what it talks to."""
 
 import os
-import socket
 import socketserver
 import subprocess
 import sys
@@ -37,12 +36,6 @@
         self.request.recv(1)
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Standing:
     def __init__(self, handler):
         self.server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), handler)
--- a/tests/test_admission_network.py
+++ b/tests/test_admission_network.py
@@ -4,11 +4,12 @@
 import time
 
 from fleet import answer, configuration, endpoint, members
-from processes import Cache, Standing, free_port
+from processes import Cache, Standing
 from purging import event, purges, site
 from test_purge_follower import Following
 
 from hookrouter.feed.paced import Pacing
+from standins.ports import free_port
 from standins.storm import Storm
 
 
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -8,10 +8,12 @@
 import pytest
 from crossings import CALL, LOCAL, Machine, StandIn, event, sockets_for
 from fleet import answer, answers, configuration, endpoint, members, message
-from processes import FeedStandIn, Standing, free_port, serving
+from processes import FeedStandIn, Standing, serving
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
+from standins.ports import free_port
+
 # ---- the watch
 
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -3,14 +3,15 @@
 import os
 import socket
 import time
+from pathlib import Path
 
 import pytest
 from crowd_mistakes import MISTAKES
 
 from standins.crowd import Crowd, objects
-from standins.crowd.ports import Ports
 from standins.crowd.remote import Remote
 from standins.crowd.settings import TIMES
+from standins.ports import free_port
 
 
 def waited(what, within=15.0):
@@ -88,8 +89,16 @@
     return int(data.split(" ")[1]), data.partition("X-Result: ")[2].partition("\r\n")[0]
 
 
+def test_no_port_is_given_twice_and_none_that_the_system_gives_to_others():
+    first = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    given = [free_port() for _ in range(50)]
+    assert len(set(given)) == len(given) and max(given) < first
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:  # in use for datagrams alone
+        taken.bind(("127.0.0.1", given[-1] + 1))
+        assert free_port() != given[-1] + 1
+
+
 def test_a_cache_keeps_copies_refuses_late_numbers_and_drops_what_is_purged(tmp_path):
-    ports = Ports()
     rows = [
         {
             "name": name,
@@ -99,7 +108,7 @@
             "weight": 8,
             "since_ms": 0,
             "room": 10_000,
-            "port": ports.take(),
+            "port": free_port(),
         }
         for name, sort in (("c0", "box"), ("o0", "origin"))
     ]
@@ -132,9 +141,8 @@
 
 
 def test_the_relay_cuts_one_way_holds_doubles_and_loses(tmp_path):
-    ports = Ports()
     rows = {
-        name: {"zone": zone, "real": ports.take(), "shown": ports.take()}
+        name: {"zone": zone, "real": free_port(), "shown": free_port()}
         for name, zone in (("a", "z0"), ("b", "z1"))
     }
     relay = Remote("relay", {"members": rows, "streams": [], "seed": 1}, tmp_path)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -10,7 +10,9 @@
 from pathlib import Path
 
 from fleet import configuration, endpoint, members, message
-from processes import Cache, FeedStandIn, Standing, ask, free_port
+from processes import Cache, FeedStandIn, Standing, ask
+
+from standins.ports import free_port
 
 ROOT = Path(__file__).parent.parent
 # Runs the module as `run` does, with an audit hook (PEP 578) that sees each start of a program and each socket.
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,7 +19,8 @@
 from hookrouter.decisions.owners import words as w
 from hookrouter.stores import Unusable
 from hookrouter.stores.keeper_log import KeeperLog
-from standins.rig import Rig, free_port, holder
+from standins.ports import free_port
+from standins.rig import Rig, holder
 
 DUTY = "drill/a"
 
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -8,9 +8,11 @@
 import sys
 
 from fleet import configuration, endpoint, members, message
-from processes import Cache, FeedStandIn, Standing, ask, free_port, serving
+from processes import Cache, FeedStandIn, Standing, ask, serving
 from scenes import FLEET
 
+from standins.ports import free_port
+
 EARLY = """
 import os, signal, sys
 from hookrouter import __main__
--- a/tests/test_purge_processes.py
+++ b/tests/test_purge_processes.py
@@ -10,10 +10,11 @@
 
 import pytest
 from fleet import configuration, endpoint, members, message
-from processes import Cache, Standing, ask, free_port
+from processes import Cache, Standing, ask
 from purging import NAME, site
 
 from hookrouter.desk.clock import Clock
+from standins.ports import free_port
 
 
 class Run:
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -6,7 +6,9 @@
 import socket
 
 from fleet import configuration, endpoint, members, message
-from processes import FeedStandIn, Standing, ask, free_port, serving
+from processes import FeedStandIn, Standing, ask, serving
+
+from standins.ports import free_port
 
 READY = 10.0  # seconds that the operators allow
 SHARE = 1 / 5  # of a core, the narrowest that the trial has been seen with
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -13,7 +13,7 @@
 from fleet import FLEET, configuration, endpoint, members, message, router
 from hypothesis import given, settings
 from hypothesis import strategies as s
-from processes import Cache, FeedStandIn, Standing, ask, free_port
+from processes import Cache, FeedStandIn, Standing, ask
 from sharing_mistakes import MISTAKES
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
@@ -31,6 +31,7 @@
 from hookrouter.node.tally import Tally  # noqa: E402
 from hookrouter.node.told import Told  # noqa: E402
 from hookrouter.site import Refused, read_text  # noqa: E402
+from standins.ports import free_port
 from standins.rig import Rig  # noqa: E402
 
 NOW = 1_000_000
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -14,10 +14,11 @@
 import test_feed
 import test_front
 from fleet import answer, answers, configuration, endpoint, members, message
-from processes import Cache, FeedStandIn, Standing, free_port, serving
+from processes import Cache, FeedStandIn, Standing, serving
 
 from hookrouter import interface as i
 from hookrouter.feed import follower
+from standins.ports import free_port
 
 # ---- the end, in made-up time: `at` is after SIGTERM, and the pages have lookups come up to 0.6 s after it
 
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -152,7 +152,7 @@
     made = Rig(tmp_path, keepers=3, members=7)
     made.start()
     try:
-        assert agree(made, made.names) is not None
+        assert agree(made, made.names) is not None, made.ended()
         yield made
     finally:
         made.stop()
