--- a/hookrouter/node/purging.py
+++ b/hookrouter/node/purging.py
@@ -97,10 +97,14 @@
 
     def _merge(self, steps, done):
         until = self.watch() + SLICE
-        for _ in steps:
-            if self.watch() > until:
-                self.deadlines.after(0, self._merge, steps, done)
-                return
+        try:
+            for _ in steps:
+                if self.watch() > until:
+                    self.deadlines.after(0, self._merge, steps, done)
+                    return
+        except Exception:  # it is fetched and tried again: without it there is no lease
+            done.errback()
+            return
         self.count("slices_taken")
         done.callback(None)
 
--- a/hookrouter/purges/retention/archive.py
+++ b/hookrouter/purges/retention/archive.py
@@ -15,9 +15,8 @@
 from .filters import BloomFilter, resized
 from .geometry import PROBES, SHARES, SLICES, log2_bits, sealed_name
 
-MOST_SLICES = len(types.SEALABLE_KINDS) * (
-    SLICES + 2
-)  # live at a time: a hold, the stretch that began, one that ends
+# Slices that may be listed at a time: a hold has 26 of each kind, more for a while after it was changed.
+MOST_SLICES = 1_024
 SEEDS = {kind: seed_of(kind) for kind in types.SEALABLE_KINDS}
 
 
@@ -97,8 +96,8 @@
         self._slice(self.key_of(purge)).add(purge)
 
     def merge(self, other: SliceState) -> None:
-        """Takes in a slice of the same order that was made elsewhere."""
-        self._slice(other.key).merge(other)
+        """Takes in a slice of the same order that was made elsewhere, perhaps for another hold."""
+        self._slice(SliceKey(other.key.kind, other.bound // self.length)).merge(other)
 
     def fold(self, before: int) -> list[SliceKey]:
         """Drops the slices whose every purge is older than that; which they were."""
--- a/hookrouter/purges/retention/sealed.py
+++ b/hookrouter/purges/retention/sealed.py
@@ -68,7 +68,7 @@
         return dropped
 
     def _adopting(self, other: SliceState, bound: int) -> Slice:
-        return self.slices.adopt(other.key.span, bound, other.keys)
+        return self.slices.adopt(other.bound, bound, other.keys)
 
     def _sealed_into(self, name: str, bound: Bound) -> Slice:
         self._remembered.clear()
--- a/hookrouter/purges/retention/slices.py
+++ b/hookrouter/purges/retention/slices.py
@@ -75,14 +75,15 @@
         current.bound = self._bounds[current.column] = max(current.bound, made)
         return current
 
-    def adopt(self, span: int, bound: int, keys: int) -> Slice:
-        """The slice into which one that was made elsewhere is merged; its bound counts from now on.
+    def adopt(self, newest: int, bound: int, keys: int) -> Slice:
+        """The slice into which one that was made elsewhere is merged. newest: the time of its newest purge,
+        which says its stretch; bound: the same with what is added for clocks, which counts from now on.
 
         The one of that stretch, else a new one in its place, else, where no column is free, one of a later
         stretch, whose bound is newer: the safe side. merge() follows.
         """
         self._have_bank()
-        found = self._adopting(span)
+        found = self._adopting(newest // self.length)
         found.bound = self._bounds[found.column] = max(found.bound, bound)
         found.keys = max(found.keys, keys)
         return found
--- a/tests/test_sealed_order.py
+++ b/tests/test_sealed_order.py
@@ -392,6 +392,27 @@
         assert guard.index.newest("clip", f"n{span}", "1", ()) >= span * length + 5
 
 
+def test_slices_of_another_hold_stand_in_the_order_of_their_times():
+    """After the operators changed the hold, those of before are still dropped, and stretches begin anew."""
+    for former, hold in ((24 * SECOND, 240 * SECOND), (240 * SECOND, 24 * SECOND)):
+        before, after = Archive(former, SEALED), Archive(hold, SEALED)
+        for n in range(1, 500):
+            before.add(purge(n, at=n * SECOND))
+        guard = Guard(TERMS._replace(hold=hold))
+        guard.granted(0, 1 << 60)
+        for one in before.live():
+            after.merge(one.state())
+            for _ in guard.adopt(500 * SECOND, one.state()):
+                pass
+        assert all(one.bound // after.length == one.key.span for one in after.live())
+        sealed = guard.index.objects.sealed.slices
+        spans = [one.span for one in sealed.live()]
+        assert spans == sorted(spans) and spans[-1] == 499 * SECOND // sealed.length
+        for n in range(500, 1_500):
+            guard.told(n * SECOND, purge(n, at=n * SECOND))
+        assert guard.index.newest("clip", "o400", "1", ()) == 0 and len(sealed) <= 26
+
+
 def test_a_slice_that_is_dropped_while_it_is_merged_leaves_nothing_behind():
     guard = Guard(TERMS._replace(hold=24 * SECOND, most_sealed=3_000_000))
     guard.granted(0, 1 << 60)
