Scale run: each acknowledged purge is asked for, a router that never was up is told apart

The judge counted as lost each acknowledged purge that stood in none of the desk's lists of 1,000 that happened to be read (49 s without a read: some 570 of them), and each of 172 routers whose processes were still starting when the run ended, at position -1, as one that lacks the newest purge.

Change: what no list showed is asked of the desk by its number, all of them, not only those above the oldest listed. A run that ends while routers are starting waits 30 s more for them; one that never had a lease by its own reports answered nothing by it, it is shown as routers_never_up and is no lost purge. One that had a lease is judged as before, the real ones always. Tests of both.

--- a/benchmarks/scale/__init__.py
+++ b/benchmarks/scale/__init__.py
@@ -58,6 +58,8 @@
 
     with tempfile.TemporaryDirectory(prefix="scale-") as folder:
         session, verdict = play(Path(folder), FULL if full else QUICK, tell)
+    for name in verdict.never_up[:SHOWN]:
+        print(f"never up: {name}", file=sys.stderr)
     for broken in (*verdict.lost[:SHOWN], *verdict.said_too_early[:SHOWN], *verdict.old_copies[:SHOWN]):
         print(f"rule broken: {broken}", file=sys.stderr)
     figures = summary(session, verdict)
--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -105,6 +105,7 @@
         "rule_breaks": verdict.breaks() + len(session.crowd_breaks) + session.unfenced,
         "purges": len(purges),
         "purges_lost": len(verdict.lost),
+        "routers_never_up": len(verdict.never_up),
         "said_too_early": len(verdict.said_too_early) + len(verdict.old_copies),
         "prediction_error_bytes": _short(prediction_error(measured, BYTES)),
         "prediction_error_cpu": _short(prediction_error(measured, CPU)),
--- a/benchmarks/scale/judge.py
+++ b/benchmarks/scale/judge.py
@@ -1,7 +1,7 @@
 """Rules that a scale run must keep, judged from what was acknowledged, stated and seen; no clock, no I/O."""
 
 import bisect
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Sequence, Set
 from typing import NamedTuple
 
 CURRENT = "current"
@@ -36,11 +36,14 @@
 
 
 class Verdict(NamedTuple):
-    """Each break in words; empty where the rules were kept."""
+    """Each break in words; empty where the rules were kept. never_up: routers that never had a lease, so that
+    they answered nothing by it and lack nothing.
+    """
 
     lost: list[str]
     said_too_early: list[str]
     old_copies: list[str]
+    never_up: list[str]
 
     def breaks(self) -> int:
         """Of all rules together."""
@@ -49,26 +52,35 @@
 
 def judge(
     purges: Sequence[Acknowledged],
-    listed: Iterable[int],
+    held: Iterable[int],
     final: dict[str, int],
+    started: Set[str],
     seen: Iterable[Seen],
     answers: Iterable[Answer],
     skew_ms: float,
 ) -> Verdict:
-    """listed: numbers that the desk shows at the end; final: the newest purge of each router then."""
+    """held: numbers that the desk has shown, or was asked for one by one; final: the newest purge of each
+    router at the end, -1 where it has no lease; started: routers of which seen tells all that they said.
+    """
+    seen = list(seen)
+    up = {state.name for state in seen if state.lease == CURRENT}
+    never_up = sorted(name for name, position in final.items() if position < 0 and name in started - up)
+    judged = {name: position for name, position in final.items() if name not in never_up}
     return Verdict(
-        lost(purges, listed, final), said_too_early(purges, seen), old_copies(purges, answers, skew_ms)
+        lost(purges, held, judged),
+        said_too_early(purges, seen),
+        old_copies(purges, answers, skew_ms),
+        never_up,
     )
 
 
-def lost(purges: Sequence[Acknowledged], listed: Iterable[int], final: dict[str, int]) -> list[str]:
+def lost(purges: Sequence[Acknowledged], held: Iterable[int], final: dict[str, int]) -> list[str]:
     """Purges that the desk acknowledged and lacks, and routers that have not come up to the newest."""
-    known, newest = set(listed), max((purge.number for purge in purges), default=0)
-    oldest = min(known, default=0)  # the desk shows the newest ones alone
+    known, newest = set(held), max((purge.number for purge in purges), default=0)
     broken = [
         f"purge {purge.number} was acknowledged, and the desk does not have it"
         for purge in purges
-        if purge.number >= oldest and purge.number not in known
+        if purge.number not in known
     ]
     broken += [
         f"{router} ends at purge {position}, {newest} was acknowledged"
--- a/benchmarks/scale/session.py
+++ b/benchmarks/scale/session.py
@@ -23,6 +23,7 @@
 LOOKUP_SLACK = 1.0  # seconds beyond each time of the lookups' rules: few cores for many processes
 GROWN_WITHIN = 60.0  # seconds, and not beyond the budget
 SETTLED_WITHIN = 15.0  # seconds in which every router has the newest purge
+STARTED_WITHIN = 30.0  # further seconds for routers that had not come up when the run ended
 
 
 @dataclass(frozen=True)
@@ -95,6 +96,14 @@
                 # A later owner of the desk states a later time, for it was not there: the first one counts.
                 self.in_effect[number] = min(stated, self.in_effect.get(number, stated))
 
+    def ask_for_unlisted(self) -> None:
+        """Asks the desk for each acknowledged purge that was in no list: more may come between two."""
+        for each in self.submitter.acknowledged():
+            if each.number not in self.listed:
+                found = self.crowd.desk.call("GET", f"/v1/purges/{each.number}")
+                if found is not None and found["what"] == each.name:
+                    self.listed.add(each.number)
+
     def routers(self) -> list[str]:
         """All, real and hollow ones."""
         return [*self.crowd.routers, *self.crowd.layout.hollow]
@@ -178,11 +187,13 @@
 def finish(session: Session) -> Verdict:
     """No more purges; once all routers have the newest, or had the time for it, what came is judged."""
     session.submitter.stop()
-    until = time.monotonic() + SETTLED_WITHIN
-    while (behind := session.behind()) and time.monotonic() < until:
-        time.sleep(0.2)
-    session.look_at_desk()
     crowd = session.crowd
+    behind = _wait_until_none_is_behind(session, SETTLED_WITHIN)
+    if any(position < 0 for position in behind.values()):
+        crowd.tell(f"{len(behind)} routers are behind or not up, waited for")
+        behind = _wait_until_none_is_behind(session, STARTED_WITHIN)
+    session.look_at_desk()
+    session.ask_for_unlisted()
     crowd.read()
     crowd.load.wait()
     session.crowd_breaks = crowd.verdict(LOOKUP_SLACK).broken
@@ -193,7 +204,16 @@
     ]
     seen = (Seen(*state) for state in crowd.hollow.states())
     skew_ms = 1.0
-    return judge(session.purges(), session.listed, behind, seen, answers, skew_ms)
+    started = set(crowd.layout.hollow)
+    return judge(session.purges(), session.listed, behind, started, seen, answers, skew_ms)
+
+
+def _wait_until_none_is_behind(session: Session, within: float) -> dict[str, int]:
+    """Those that still are after so many seconds."""
+    until = time.monotonic() + within
+    while (behind := session.behind()) and time.monotonic() < until:
+        time.sleep(0.2)
+    return behind
 
 
 def _snapshots(crowd: RegionCrowd, seconds: float, lag: LagMeter) -> list[Snapshot]:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -19,6 +19,7 @@
     Seen,
     Verdict,
     effect_spans,
+    judge,
     lost,
     old_copies,
     percentile,
@@ -135,6 +136,15 @@
     return Acknowledged(number, name, made_ms, submitted, in_effect)
 
 
+def test_a_router_that_never_had_a_lease_lacks_nothing_and_one_that_had_is_judged():
+    purges = [Acknowledged(n, f"o{n}", 0.0, 1.0, None) for n in (1, 2)]
+    seen = [Seen(1.0, "h1", 1, "current"), Seen(2.0, "h1", 1, "fenced"), Seen(2.0, "h2", 0, "never")]
+    final = {"h1": -1, "h2": -1, "real": -1}
+    verdict = judge(purges, [1, 2], final, {"h1", "h2"}, seen, [], 1.0)
+    assert verdict.never_up == ["h2"]
+    assert [line.split()[0] for line in verdict.lost] == ["h1", "real"] and verdict.breaks() == 2
+
+
 def test_a_purge_that_the_desk_lacks_and_a_router_that_stays_behind_are_lost():
     purges = [purge(1), purge(2), purge(3)]
     assert lost(purges, [1, 2, 3], {}) == []
@@ -236,7 +246,7 @@
         judge_starved=False,  # who else works on the machine says nothing of the rules
     )
     session, verdict = play(tmp_path, settings, lambda text: None, scenes=(region_cut, group_killed))
-    assert verdict == Verdict([], [], []) and session.crowd_breaks == [] and session.unfenced == 0
+    assert verdict == Verdict([], [], [], []) and session.crowd_breaks == [] and session.unfenced == 0
     assert len(session.measured) == 3 and session.ended_by is None
     assert session.back["region"] is not None and session.back["kill"] is not None
     assert all(process.poll() is not None for process in session.crowd.processes.held.values())
