Renewals, a copy's steps and the keepers' door are modules of their own; bounds of names once

The index remembers a name's bounds apart from those of tags. `names` is 20,000 by default, as many as a desk keeps in its order. Behaviour is as before but for that.

--- a/benchmarks/capacity/measure_costs.py
+++ b/benchmarks/capacity/measure_costs.py
@@ -117,8 +117,10 @@
     for number in range(size):
         now = SECOND + number * (DAY // size)
         guard.told(now, Purge(EPOCH, number + 1, now, "object", f"{dice.getrandbits(64):016x}"))
-    rows = (guard.index.row("clip", f"never-{dice.getrandbits(64):x}", "1", ()) for _ in range(HELD_ASKED))
-    return sum(row.newest > 0 for row in rows) / HELD_ASKED
+    newest = (
+        guard.index.newest("clip", f"never-{dice.getrandbits(64):x}", "1", ()) for _ in range(HELD_ASKED)
+    )
+    return sum(bound > 0 for bound in newest) / HELD_ASKED
 
 
 def take_in_points() -> list[Point]:
--- a/benchmarks/capacity/measure_tables.py
+++ b/benchmarks/capacity/measure_tables.py
@@ -17,7 +17,7 @@
 from hookrouter.purges import Guard, Purge, PurgeTerms, wire
 from hookrouter.purges.followers import Followers, Renewal
 from hookrouter.purges.tail import Tail
-from hookrouter.stores.purge_log import pack
+from hookrouter.stores.purge_rows import pack
 
 SECOND = 10_000  # tenths of a millisecond
 DAY = 86_400 * SECOND
--- a/benchmarks/capacity/size.py
+++ b/benchmarks/capacity/size.py
@@ -56,7 +56,7 @@
 class Bounds:
     """Limits set in the code, and the defaults of the operator's file."""
 
-    names: int = 25_000
+    names: int = 20_000
     tagged: int = 50_000
     most_live: int = 4_000_000
     most_desk_patterns: int = 4_000
--- a/hookrouter/feed/purges.py
+++ b/hookrouter/feed/purges.py
@@ -7,17 +7,10 @@
 from ..purges import wire
 from ..purges.place import Place
 from ..purges.types import Position
-from ..terms import SECOND
-from .caller import Caller
 from .follower import Feed
+from .renewals import Renewals
 from .slices import SliceFetcher
 
-RENEWALS = 4  # in one lease: three may be lost
-CALL_WITHIN = 1.0  # seconds, and never longer than from one renewal to the next two
-# Seconds until the next try where there was no lease: noting a name, or catching up, is quick.
-DENIED_PAUSE = 0.05
-LEAST_PAUSE = 0.002  # seconds between renewals: what comes in one burst is answered for at once
-
 
 def steady():
     """A clock that no one sets, and that goes on while the machine sleeps; tenths of a millisecond."""
@@ -50,11 +43,9 @@
         super().__init__(reactor, deadlines, desk, addresses[0], 0, log, count)
         self.addresses, self.hint = tuple(addresses), None
         self.place, self.name, self.relay = Place(), name, relay
-        self.wall, self.steady = wall, steady
         self.generation = int(wall() * 1_000)  # a later life has a later one
         self.secret, self.skew = purges["secret"], purges["skew"]
-        self.every = purges["lease"] / SECOND / RENEWALS
-        self.caller = Caller(reactor, deadlines, addresses[0])
+        self.renewals = Renewals(reactor, deadlines, addresses[0], self, purges, log, count, wall, steady)
         self.slices = SliceFetcher(
             reactor,
             deadlines,
@@ -65,7 +56,6 @@
             log,
             count,
         )
-        self.again, self.timer, self.leaving = False, None, False
         self.pacing = None
 
     def pace(self):
@@ -95,8 +85,7 @@
         if self.pacing is not None:
             self.pacing.go()
         super().start()
-        if self.timer is None and not self.stopped:
-            self._renew_later(0)
+        self.renewals.start()
 
     # ---- what comes
 
@@ -198,101 +187,50 @@
 
     def _turn(self, address):
         self.host, self.port = address
-        self.caller.stop()
-        self.caller = Caller(self.reactor, self.deadlines, address)
+        self.renewals.move(address)
 
     # ---- the lease
 
     def renew_soon(self):
-        """Once the call that is out has ended, or a moment from now."""
-        if self.caller.busy():
-            self.again = True
-        elif not self.stopped and not self.leaving:
-            self._renew_later(LEAST_PAUSE)
-
-    def _renew_later(self, seconds):
-        if self.timer is not None and not self.deadlines.sooner(self.timer, seconds):
-            return
-        self.deadlines.drop(self.timer)
-        self.timer = self.deadlines.after(seconds, self._renew)
+        """It has news: what it has applied is answered for."""
+        self.renewals.soon()
 
-    def _renew(self):
-        self.timer = None
-        if self.caller.busy() or self.stopped:
-            return
-        self.again = False
-        asked, wall = self.steady(), int(self.wall() * SECOND)
-        call = self._call(False)
-        call.addCallbacks(self._renewed, self._not_renewed, callbackArgs=(asked, wall))
-        call.addErrback(lambda failure: self.log("renewal failed", failure.getTraceback(), level="error"))
-        call.addCallback(self._call_ended)
-        self._renew_later(self.every)
-
-    def _call(self, leave):
+    def renewal(self, leave):
         # Nothing is answered for while slices are missing.
         least, every = (-1, -1) if self.catching_up() else self.desk.place(self.place.position.n)
-        body = wire.write(
-            wire.Renew(
-                self.name,
-                self.generation,
-                *self.place.position,
-                least,
-                every,
-                self.place.seen,
-                self.skew,
-                self.relay,
-                leave,
-            )
+        return wire.Renew(
+            self.name,
+            self.generation,
+            *self.place.position,
+            least,
+            every,
+            self.place.seen,
+            self.skew,
+            self.relay,
+            leave,
         )
-        fields = self._secret_field()
-        return self.caller.start(b"POST", b"/v1/renew", fields, body, min(CALL_WITHIN, 2 * self.every))
 
-    def _renewed(self, answer, asked, wall):
-        status, body = answer
-        if status == 503:  # not the desk any more, or not yet
-            self.count("renewals_failed")
-            return
-        if status != 200:
-            self.log("renewal of the lease refused", f"status {status}", level="error")
-            self.count("renewals_refused")
-            return
-        granted = wire.read_granted(body)
+    def granted(self, asked, wall, granted):
         if not self.place.epoch(granted.epoch):
-            self.count("renewals_refused")
-            return
+            return False
         self.desk.granted(asked, wall, granted.span, granted.at)
-        if self.again or not granted.span:
-            self._renew_later(LEAST_PAUSE if self.again else DENIED_PAUSE)
-
-    def _not_renewed(self, failure):
-        self.count("renewals_failed")
-
-    def _call_ended(self, _):
-        """A renewal that came due while the last one was out follows at once."""
-        if self.timer is None and not self.stopped and not self.leaving:
-            self._renew_later(LEAST_PAUSE)
+        return True
 
     def move(self, addresses):
         """The desk is elsewhere now; place and lease go on."""
         self.addresses, self.hint = tuple(addresses), None
         if (self.host, self.port) not in self.addresses:
-            address = self.addresses[0]
-            self.caller.stop()
-            self.caller = Caller(self.reactor, self.deadlines, address)
-            super().move(address)
+            self.renewals.move(self.addresses[0])
+            super().move(self.addresses[0])
 
     def stop(self):
         super().stop()
         self.slices.stop()
-        self.deadlines.drop(self.timer)
-        self.caller.stop()
+        self.renewals.stop()
 
     def leave(self):
         """Says that it answers nothing any more, then stops. A Deferred that fires in any case."""
-        self.leaving = True
-        self.deadlines.drop(self.timer)
-        self.caller.stop()
-        return self._call(True).addErrback(lambda _: None).addCallback(lambda _: self.stop())
+        return self.renewals.leave().addErrback(lambda _: None).addCallback(lambda _: self.stop())
 
 
 EVENTS = {
--- a/hookrouter/fleet/member/purges.py
+++ b/hookrouter/fleet/member/purges.py
@@ -9,15 +9,12 @@
 import time
 
 from twisted.internet.defer import fail, gatherResults, succeed
-from twisted.web import resource, server
 
 from ...decisions.owners.duties import DECLARE, KEEP, NAMES, OPEN, SWEEP
 from ...desk import web
 from ...desk.desk import Desk
 from ...desk.paced import paced
-from ...feed.caller import Caller
-from ...stores.purge_log import pack
-from ...tables.deadlines import Deadlines
+from ...stores.purge_rows import pack
 from .asker import Lost
 from .records import DUTY
 
@@ -26,9 +23,6 @@
 BEGIN_WITHIN = 2.0  # seconds; an owner that cannot begin by then lets another try
 MOST_BATCH = 1_000  # purges in one entry of the log: a message takes as many of the longest
 MOST_NAMES = 1_000  # followers' names in one entry
-PASS_WITHIN = 2.5  # seconds for the owner's answer: less than a submitter waits for this one
-MOST_PASSED = 256  # requests that wait for the owner's answer
-OF_FOLLOWERS = b"/v1/feed", b"/v1/renew", b"/v1/slices"  # paths that are not passed on to the owner
 SWEEP_EVERY = 2.0  # seconds between steps
 MOST_SWEPT = 5_000  # purges folded away in one step: some milliseconds of each copy's disk
 
@@ -187,81 +181,3 @@
     def _swept(self, result, upto):
         if result[0] == "done":
             self.log("purges folded away", upto=upto, step=result[2])
-
-
-# ---- the face of every keeper
-
-
-class Door(resource.Resource):
-    """The owner's own desk, or the way to it."""
-
-    def __init__(self, duty, reactor, owner):
-        """owner(): "HOST:PORT" of the owner that the log knows last, or ""."""
-        super().__init__()
-        self.duty, self.reactor, self.owner = duty, reactor, owner
-        self.deadlines, self.passed = Deadlines(reactor), 0
-        self.secret = duty.purges["secret"]
-
-    def count(self, name):
-        """Strangers are counted where the desk is."""
-
-    def getChild(self, name, request):
-        if self.duty.live():
-            return self.duty.tree.getChildWithDefault(name, request)
-        return Passed(self, self.secret)
-
-
-class Passed(web.Face):
-    """Submissions and questions go on to the owner; followers are told where it is."""
-
-    isLeaf = True
-
-    def render_GET(self, request):
-        return self._pass(request)
-
-    def render_POST(self, request):
-        return self._pass(request)
-
-    def _pass(self, request):
-        door = self.desk
-        where = door.owner()
-        host, _, port = where.rpartition(":")
-        off = not port or where == door.duty.where or request.getHeader(b"x-passed") is not None
-        if off or request.path.startswith(OF_FOLLOWERS) or door.passed >= MOST_PASSED:
-            fields = {} if off else {"X_Desk": where}
-            return web.answer(
-                request,
-                503,
-                {"error": "the desk is elsewhere" if not off else "nobody owns the desk now"},
-                Retry_After=1,
-                **fields,
-            )
-        body = request.content.read()
-        fields = [
-            (b"Authorization", b"Bearer " + self.secret.value),
-            (b"X-Passed", b"1"),
-            (b"Content-Type", b"application/json"),
-        ]
-        caller, gone = Caller(door.reactor, door.deadlines, (host, int(port))), []
-        request.notifyFinish().addErrback(gone.append)
-        door.passed += 1
-        caller.start(request.method, request.uri, fields, body, PASS_WITHIN).addBoth(
-            self._came, request, caller, gone
-        )
-        return server.NOT_DONE_YET
-
-    def _came(self, came, request, caller, gone):
-        self.desk.passed -= 1
-        caller.stop()
-        if gone:
-            return
-        if isinstance(came, tuple):
-            status, body = came
-            request.setResponseCode(status)
-            request.setHeader(b"Content-Type", b"application/json")
-            if status == 503:
-                request.setHeader(b"Retry-After", b"1")
-        else:
-            body = web.answer(request, 503, {"error": "the owner of the desk does not answer"}, Retry_After=1)
-        request.write(body)
-        request.finish()
--- a/hookrouter/fleet/member/records.py
+++ b/hookrouter/fleet/member/records.py
@@ -14,8 +14,8 @@
 from ...decisions.replicas import copy as c
 from ...desk.desk import SEAL_AGAIN, SEAL_EVERY
 from ...desk.local_store import SEALED_AT_ONCE, replayed
+from ...errors.stores import Damaged, Differs
 from ...stores import PurgeLog, Unusable
-from ...stores.purge_log import Damaged, Differs
 
 DUTY = "purges"
 PART = 400_000  # bytes of records sent to one that fetches, at a time: a frame takes them
--- a/hookrouter/fleet/member/service.py
+++ b/hookrouter/fleet/member/service.py
@@ -69,7 +69,8 @@
 
     def _bear_purges(self, sections):
         from ...desk.local_store import sealing_terms
-        from .purges import SWEEPING, Door, PurgesDuty, Sweeping
+        from .purge_door import Door
+        from .purges import SWEEPING, PurgesDuty, Sweeping
         from .records import DUTY, Records
 
         others = [name for name in self.fleet["keepers"] if name != self.name]
--- a/hookrouter/purges/guard.py
+++ b/hookrouter/purges/guard.py
@@ -111,7 +111,7 @@
         tags = self.tags.known(name)
         if tags is None and first_send and self.trials >= TRIAL_COST and kind in self.judged:
             tags = ()  # those that the answer names will be asked about
-        newest, floor = self.index.row(kind, name, GROUPS[group], tags).newest, now - self.age
+        newest, floor = self.index.newest(kind, name, GROUPS[group], tags), now - self.age
         return newest if newest > floor else floor
 
     def refused(
@@ -133,7 +133,7 @@
         if made < began - self.age - self.terms.skew:
             return True
         own, group_name = self.tags.known(name) if tags is None else tags, GROUPS[group]
-        if made >= self.index.row(kind, name, group_name, own).newest:
+        if made >= self.index.newest(kind, name, group_name, own):
             return False
         told_by = max(began - self.settling, now - self.terms.grace, self.caught_up)
         return made < self.index.due(told_by, kind, name, group_name, own)
@@ -157,7 +157,7 @@
             self.trials = max(0, self.trials - TRIAL_COST)
         elif tags is not None:
             self.trials = min(self.trials + 1, MOST_TRIALS * TRIAL_COST)
-            self.tags.learn(name, made or 0, tags)
+            self.learn(name, made or 0, tags)
         return refused
 
     def learn(self, name: str, made: int, tags: Sequence[str] | None) -> None:
--- a/hookrouter/purges/index.py
+++ b/hookrouter/purges/index.py
@@ -21,22 +21,14 @@
 REMEMBERED = 4_096  # names whose bounds are remembered: a lookup asks three times, and few are asked for most
 
 
-class Row(NamedTuple):
-    """What counts for a copy of an object."""
-
-    newest: int  # the newest purge
-    told: int  # when the last of the purges was told
-    bounds: tuple[Bound, ...]
-
-
-class Asked(NamedTuple):
-    """A row, and what it was asked with."""
+class Named(NamedTuple):
+    """What counts for a copy of an object whatever its tags, and what it was asked with."""
 
     version: int
     kind: str
     group: str
-    tags: Sequence[str] | None
-    row: Row
+    newest: int  # the newest purge
+    bounds: tuple[Bound, ...]
 
 
 class Index:
@@ -53,8 +45,10 @@
         self.patterns = Patterns(MOST_PATTERNS)
         self.any_tag: Bound | None = None  # the newest purge of any tag, for objects whose tags are not known
         self.all: Bound | None = None  # the newest that counts against every name
-        # Name -> what it was asked with and its bounds; void after each change.
-        self.version, self.asked = 0, {}
+        # Name -> its bounds but for those of tags; void after each change. A lookup asks three times, and by
+        # other tags once an answer has named them.
+        self.version = 0
+        self.named: dict[str, Named] = {}
         self.tables = {
             w.OBJECT: self.objects,
             w.GROUP: self.groups,
@@ -111,52 +105,47 @@
             if table.forget(before, now):
                 self.version += 1
 
-    def row(self, kind: str, name: str, group: str, tags: Sequence[str] | None) -> Row:
-        """What counts for a copy of an object; remembered, for a lookup asks three times.
+    def newest(self, kind: str, name: str, group: str, tags: Sequence[str] | None) -> int:
+        """No copy of the object from before that may be asked for; 0 where any will do.
 
         tags: of the copy or object, None where they are not known.
         """
-        asked = self.asked.get(name)
-        if (
-            asked is not None
-            and asked.version == self.version
-            and asked.tags == tags
-            and asked.kind == kind
-            and asked.group == group
-        ):
-            return asked.row
-        bounds = tuple(bound for bound in self._bounds(kind, name, group, tags) if bound is not None)
-        row = Row(
-            max((bound.newest for bound in bounds), default=0),
-            max((bound.told for bound in bounds), default=0),
-            bounds,
-        )
-        if asked is None and len(self.asked) >= REMEMBERED:
-            del self.asked[next(iter(self.asked))]
-        self.asked[name] = Asked(self.version, kind, group, tags, row)
-        return row
-
-    def newest(self, kind: str, name: str, group: str, tags: Sequence[str] | None) -> int:
-        """No copy from before that may be asked for; 0 where any will do."""
-        return self.row(kind, name, group, tags).newest
+        newest = self._named(kind, name, group).newest
+        if tags is None:
+            return newest if self.any_tag is None else max(newest, self.any_tag.newest)
+        if tags and self.tags:
+            newest = max(newest, max((bound.newest for bound in self._of_tags(tags)), default=0))
+        return newest
 
     def due(self, since: int, kind: str, name: str, group: str, tags: Sequence[str] | None) -> int:
         """No copy from before that may answer: the newest of the purges that were told by then."""
-        newest, told, bounds = self.row(kind, name, group, tags)
-        if told <= since:
-            return newest
+        bounds = (*self._named(kind, name, group).bounds, *self._of_tags(tags))
         return max((bound.newest if bound.told <= since else bound.settled for bound in bounds), default=0)
 
-    def _bounds(self, kind: str, name: str, group: str, tags: Sequence[str] | None) -> list[Bound | None]:
+    def _named(self, kind: str, name: str, group: str) -> Named:
+        known = self.named.get(name)
+        if (
+            known is not None
+            and known.version == self.version
+            and known.group == group
+            and known.kind == kind
+        ):
+            return known
         found = [*self.objects.find(name), *self.groups.find(group), self.all]
-        if tags is None:
-            found.append(self.any_tag)
-        else:
-            for tag in tags:
-                found += self.tags.find(tag)
         if self.prefixes or self.patterns.known:
             found.append(self._matching(f"{kind}/{name}"))
-        return found
+        bounds = tuple(bound for bound in found if bound is not None)
+        if known is None and len(self.named) >= REMEMBERED:
+            del self.named[next(iter(self.named))]
+        newest = max((bound.newest for bound in bounds), default=0)
+        row = self.named[name] = Named(self.version, kind, group, newest, bounds)
+        return row
+
+    def _of_tags(self, tags: Sequence[str] | None) -> list[Bound]:
+        """Bounds of these tags; of any where they are not known."""
+        if tags is None:
+            return [] if self.any_tag is None else [self.any_tag]
+        return [bound for tag in tags for bound in self.tags.find(tag) if bound is not None]
 
     def _matching(self, name: str) -> Bound | None:
         """One bound of all prefixes and patterns that match."""
--- a/hookrouter/purges/retention/__init__.py
+++ b/hookrouter/purges/retention/__init__.py
@@ -7,16 +7,13 @@
 
 from .bank import BitSlicedBloom, FilterBank
 from .digests import digest_of, seed_of
-from .filters import BloomFilter, SliceFilter
-from .separate import SeparateFilters
+from .filters import BloomFilter
 from .slices import Slices
 
 __all__ = [
     "BitSlicedBloom",
     "BloomFilter",
     "FilterBank",
-    "SeparateFilters",
-    "SliceFilter",
     "Slices",
     "digest_of",
     "seed_of",
--- a/hookrouter/purges/retention/filters.py
+++ b/hookrouter/purges/retention/filters.py
@@ -1,30 +1,8 @@
-"""A filter of one slice: the interface that any approximate set can stand behind, and a Bloom filter."""
-
-from typing import Protocol
+"""A filter of one slice as desk, relays and stores keep it: Bloom's."""
 
 LOW_BITS = 64  # of a digest: where the probes start; the upper bits are the stride between them
 
 
-class SliceFilter(Protocol):
-    """An approximate set of digests without false negatives.
-
-    Digests are added while it is open. It is then sealed in bounded steps. `may_contain` holds for each
-    added digest at any time, also while the filter is being sealed.
-    """
-
-    def add(self, digest: int) -> None:
-        """Adds a digest; only while the filter is open."""
-
-    def seal(self, most: int) -> bool:
-        """Works off at most so many digests; true once the filter is sealed."""
-
-    def may_contain(self, digest: int) -> bool:
-        """False only where the digest was never added."""
-
-    def bytes(self) -> int:
-        """Memory of the filter's table."""
-
-
 class BloomFilter:
     """Bloom's filter (1970) with double hashing (Kirsch and Mitzenmacher, 2006); needs no building."""
 
@@ -44,10 +22,6 @@
             self._bits[position >> 3] |= 1 << (position & 7)
             position += stride
 
-    def seal(self, most: int) -> bool:
-        """Nothing is left to do."""
-        return True
-
     def may_contain(self, digest: int) -> bool:
         """Whether all of the digest's bits are set."""
         position, stride = digest, (digest >> LOW_BITS) | 1
--- a/hookrouter/stores/purge_log.py
+++ b/hookrouter/stores/purge_log.py
@@ -10,11 +10,12 @@
 import struct
 from typing import NamedTuple
 
-from ..errors.stores import Damaged, Differs, Foreign
+from ..errors.stores import Damaged, Foreign
 from ..purges.types import MOST_SEALED, Purge
-from ..tables.seals import FIRST_SEAL, sealed
+from ..tables.seals import FIRST_SEAL
 from . import purge_slices
-from .purge_rows import pack, seal, unpack
+from .purge_rows import seal
+from .purge_steps import INSERT, CopySteps
 from .sqlite import BUSY, create, empty, not_opened, transaction
 
 MARK = 0x686B7072  # the file's application id: "hkpr"
@@ -22,7 +23,6 @@
 FORMER_VERSION = 1  # without a sealed part: it is added when the file is opened
 ROWS = 10_000  # read at once
 DEFAULT_HOLD = 864_000_000  # 24 h in tenths of a millisecond, where whoever reads does not say
-INSERT = "INSERT INTO purges (epoch, n, made, sort, what, key, seal) VALUES (?, ?, ?, ?, ?, ?, ?)"
 
 SCHEMA = """
 CREATE TABLE facts (name TEXT PRIMARY KEY, value) WITHOUT ROWID;
@@ -42,7 +42,7 @@
     sealed: purge_slices.SealedPart  # of the purges up to the first row
 
 
-class PurgeLog:
+class PurgeLog(CopySteps):
     def __init__(self, path, must_exist=False):
         self.path = path
         try:
@@ -213,114 +213,3 @@
         """joined: (name, generation); left: names."""
         with transaction(self.file):
             self._step_names(joined, left)
-
-    # ---- as one of several copies
-
-    def position(self):
-        """(number of the newest purge, its seal, the floor, the entry of the log up to which all is here)."""
-        floor, index = self._fact("floor"), self.file.execute("SELECT value FROM facts WHERE name = 'index'")
-        row = self.file.execute("SELECT n, seal FROM purges ORDER BY n DESC LIMIT 1").fetchone()
-        return (*(row or (floor, self._fact("floor seal"))), floor, (index.fetchone() or (0,))[0])
-
-    def file_steps(self, steps, index):
-        """Steps of replicas.copy in one transaction. Differs: nothing of it was done."""
-        with transaction(self.file) as run:
-            for command, *fields in steps:
-                STEPS[command](self, *fields)
-            if index is not None:
-                run("INSERT OR REPLACE INTO facts VALUES ('index', ?)", (index,))
-
-    def _step_keep(self, first, bodies):
-        newest, before, _, _ = self.position()
-        if first != newest + 1:
-            raise Differs(f"{first} came after {newest}")
-        rows = []
-        for n, body in enumerate(bodies, first):
-            purge, key = unpack(body)
-            if purge.n != n:
-                raise Differs(f"{purge.n} came as {n}")
-            before = sealed(before, body)
-            rows.append((*purge, key, before))
-        self.file.executemany(INSERT, rows)
-
-    def _step_open(self, epoch):
-        self.file.execute("UPDATE facts SET value = max(value, ?) WHERE name = 'epoch'", (epoch,))
-
-    def _step_names(self, joined, left):
-        self.file.executemany("INSERT OR REPLACE INTO members VALUES (?, ?)", joined)
-        self.file.executemany("DELETE FROM members WHERE name = ?", [(name,) for name in left])
-
-    def _step_sweep(self, upto):
-        row = self.file.execute("SELECT seal FROM purges WHERE n = ?", (upto,)).fetchone()
-        if row is not None:
-            self._floor(upto, row[0])
-
-    def _floor(self, n, told):
-        run = self.file.execute
-        run("UPDATE facts SET value = ? WHERE name = 'floor'", (n,))
-        run("UPDATE facts SET value = ? WHERE name = 'floor seal'", (told,))
-        run("DELETE FROM purges WHERE n <= ?", (n,))
-
-    def _step_verify(self, n, told):
-        if self._seal_at(n) not in (None, told):
-            raise Differs(f"its seal at {n} is another")
-
-    def _seal_at(self, n):
-        """None where it is folded away, or not there."""
-        if n == self._fact("floor"):
-            return self._fact("floor seal")
-        row = self.file.execute("SELECT seal FROM purges WHERE n = ?", (n,)).fetchone()
-        return row and row[0]
-
-    def _step_compare(self, first, bodies):
-        for n, body in enumerate(bodies, first):
-            row = self.file.execute(
-                "SELECT epoch, n, made, sort, what, key FROM purges WHERE n = ?", (n,)
-            ).fetchone()
-            if row is not None and pack(Purge(*row[:5]), row[5]) != body:
-                raise Differs(f"purge {n} is another")
-
-    def part(self, after, told, most):
-        """(start, its seal, bodies behind it, whether that seal is this store's, too): most bytes of them."""
-        newest, _, floor, _ = self.position()
-        own = self._seal_at(after)
-        if after > newest:  # it has less than who asks
-            return after, told, [], True
-        if after < floor:
-            start, start_seal, agrees = floor, self._fact("floor seal"), True
-        else:
-            start, start_seal, agrees = after, own, own == told
-        bodies, size = [], 0
-        rows = self.file.execute(
-            "SELECT epoch, n, made, sort, what, key FROM purges WHERE n > ? ORDER BY n", (start,)
-        )
-        for row in rows:
-            bodies.append(pack(Purge(*row[:5]), row[5]))
-            size += len(bodies[-1])
-            if size > most:
-                break
-        rows.close()
-        return start, start_seal, bodies, agrees
-
-    def names(self):
-        return self.file.execute("SELECT name, generation FROM members ORDER BY name").fetchall()
-
-    def older(self, timestamp, most):
-        """The number of the last of the oldest purges from before that time, so many at most; 0: none."""
-        row = self.file.execute(
-            "SELECT max(n) FROM (SELECT n, made FROM purges ORDER BY n LIMIT ?) " "WHERE made < ?",
-            (most, timestamp),
-        ).fetchone()
-        return row[0] or 0
-
-
-# of hookrouter/replicas/copy.py -> what is done; within one transaction
-STEPS = {
-    "keep": PurgeLog._step_keep,
-    "open": PurgeLog._step_open,
-    "names": PurgeLog._step_names,
-    "sweep": PurgeLog._step_sweep,
-    "reset": PurgeLog._floor,
-    "verify": PurgeLog._step_verify,
-    "compare": PurgeLog._step_compare,
-}
--- a/tests/retention_mistakes.py
+++ b/tests/retention_mistakes.py
@@ -1,8 +1,10 @@
 """Mistakes of retention seeded on purpose, one each: what its checks must find."""
 
+from separate_filters import SeparateFilters
+
 from hookrouter.purges.bounds import Bound
 from hookrouter.purges.index import Index
-from hookrouter.purges.retention import SeparateFilters, Slices
+from hookrouter.purges.retention import Slices
 from hookrouter.purges.retention.sealed import SealedNames
 
 
--- a/hookrouter/purges/retention/separate.py
+++ b/tests/separate_filters.py
@@ -1,13 +1,35 @@
-"""A bank of separate filters, one a slice, of whatever implementation: a lookup asks each in turn."""
+"""A bank of separate filters, one a slice, of whatever implementation: what slices are tested with beside the
+bit-sliced one.
+"""
 
 from collections.abc import Callable
+from typing import Protocol
 
-from .bank import COLUMNS
-from .filters import SliceFilter
+from hookrouter.purges.retention.bank import COLUMNS
 
 SEALED_AT_ONCE = 64  # digests that one step of sealing works off
 
 
+class SliceFilter(Protocol):
+    """An approximate set of digests without false negatives.
+
+    Digests are added while it is open. It is then sealed in bounded steps. `may_contain` holds for each
+    added digest at any time, also while the filter is being sealed.
+    """
+
+    def add(self, digest: int) -> None:
+        """Adds a digest; only while the filter is open."""
+
+    def seal(self, most: int) -> bool:
+        """Works off at most so many digests; true once the filter is sealed."""
+
+    def may_contain(self, digest: int) -> bool:
+        """False only where the digest was never added."""
+
+    def bytes(self) -> int:
+        """Memory of the filter's table."""
+
+
 class SeparateFilters:
     """Adapts any SliceFilter to a FilterBank."""
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -13,9 +13,10 @@
 
 from benchmarks.replicas.world import CopyWorld, broken_by, standing
 from hookrouter.decisions.owners.duties import FIRST_SEAL, KEEP, Duties, sealed
+from hookrouter.errors.stores import Differs
 from hookrouter.purges import Purge
 from hookrouter.stores import PurgeLog
-from hookrouter.stores.purge_log import Differs, pack, unpack
+from hookrouter.stores.purge_rows import pack, unpack
 from standins.rig import Rig, holder
 
 # ---- the log's part
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 from retention_mistakes import MISTAKES, SteppedFilter, index_of
 from retention_play import GRACE, HOLD, LENGTH, Play, long_life
+from separate_filters import SeparateFilters
 
 from hookrouter.purges import Guard, Purge, PurgeTerms
 from hookrouter.purges import types as w
@@ -13,7 +14,6 @@
 from hookrouter.purges.retention import (
     BitSlicedBloom,
     BloomFilter,
-    SeparateFilters,
     Slices,
     digest_of,
     seed_of,
@@ -22,6 +22,15 @@
 from hookrouter.purges.retention.slices import EXTRA, SLICES
 
 SEED = seed_of(w.OBJECT)
+
+
+class SealedBloom(BloomFilter):
+    """Needs no building."""
+
+    def seal(self, most):
+        return True
+
+
 TERMS = PurgeTerms(
     lease=20_000,
     hold=HOLD,
@@ -184,7 +193,7 @@
 
 
 def test_the_bank_answers_as_separate_bloom_filters_of_its_geometry_do():
-    bank, plain = BitSlicedBloom(9, 5), SeparateFilters(lambda: BloomFilter(9, 5))
+    bank, plain = BitSlicedBloom(9, 5), SeparateFilters(lambda: SealedBloom(9, 5))
     for n in range(900):
         bank.add(n % 9, digest_of(SEED, f"o{n}"))
         plain.add(n % 9, digest_of(SEED, f"o{n}"))
