--- a/tests/test_purge_catch_up.py
+++ b/tests/test_purge_catch_up.py
@@ -2,17 +2,14 @@
 
 import http.client
 import json
-import os
 import re
-import shutil
 import signal
 import socket
-import sqlite3
 import time
 
 from fleet import answer, endpoint, message
 from processes import Cache, Standing, ask
-from purging import event, purges
+from purging import event, purges, sealed_upto
 from test_purge_follower import Following, Lone, Net, Request
 from test_purge_processes import Run, router_of
 
@@ -289,7 +286,7 @@
         assert waited(lambda: live(run.port, "depot", MANY + 1_000))
         assert waited(lambda: live(relay_port, "n1", MANY + 1_000))
 
-        assert waited(lambda: stored(desk, tmp_path) >= 1_000, 40)
+        assert waited(lambda: sealed_upto(tmp_path / "purges.db") >= 1_000, 40)
         desk.send_signal(signal.SIGTERM)
         said = desk.communicate(timeout=10)[1]
         assert desk.returncode == 0 and "Traceback" not in said, said
@@ -302,20 +299,3 @@
         relay.send_signal(signal.SIGTERM)
         assert "Traceback" not in relay.communicate(timeout=10)[1]
         link.close()
-
-
-def stored(desk, folder):
-    """Purges that a store's sealed part holds, as its file says while the desk runs."""
-    return os.path.exists(folder / "purges.db") and facts_of_file(folder / "purges.db")
-
-
-def facts_of_file(path):
-    for ending in ("", "-wal"):
-        shutil.copy(f"{path}{ending}", f"{path}.copy{ending}")
-    with sqlite3.connect(f"{path}.copy") as file:
-        try:
-            (sealed,) = file.execute("SELECT value FROM facts WHERE name = 'sealed'").fetchone()
-        except sqlite3.Error:
-            return 0
-    file.close()
-    return sealed
