Tags of a name are worked out once; sealing loop, facts, slices and secret in one place

Found in a read of the whole change: since bounds of names stand apart from those of tags, an index worked the tags' out anew at each of a lookup's questions. The sealing loop stood in the desk and in a keeper's copy, the reader of facts and the decoding of a stored slice twice, the secret's field was built twice; formatting had split comments.

Change: a name keeps the bound of the tags it was last asked about, void after each purge (test); desk/sealing.py, stores/sqlite.fact and Sealing._decoded serve both; Renewals is given its fields. A desk's first step of sealing comes 5 s after its start, as a keeper's did.

--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -20,11 +20,10 @@
 from .clock import Clock
 from .publisher import Publisher
 from .recent import MOST_LATEST, RecentPurges
+from .sealing import SealingLoop
 from .store import Read, Store
 
 FOLD_EVERY = 10.0  # seconds between looks at what is older than the hold
-SEAL_EVERY = 5.0  # seconds between looks whether old purges can be sealed in the store
-SEAL_AGAIN = 0.05  # seconds until the next step where more of them wait
 REOPEN_EVERY = 1.0  # seconds between tries to read a store that failed
 
 
@@ -53,6 +52,7 @@
         self.gone: set[str] = set()
         self.noting = False
         self.recent = RecentPurges()
+        self.sealing = SealingLoop(reactor, self._seal, log, "old purges cannot be sealed in the store")
         now = steady()
         self.ledger = g.Ledger(self.tail, keys, self.limits)
         self.followers = Followers(purges["lease"], purges["skew"], ROUNDING, now, loaded.followers)
@@ -158,7 +158,7 @@
         """Heartbeats and folding begin."""
         super().start()
         self._fold()
-        self._seal()
+        self.sealing.start()
 
     def _fold(self) -> None:
         if self.stopped:
@@ -170,20 +170,8 @@
             self.store.fold(upto).addErrback(self._not_noted)
         self.reactor.callLater(FOLD_EVERY, self._fold)
 
-    def _seal(self) -> None:
-        if self.stopped:
-            return
-        if self.ledger.state == g.BROKEN:
-            self.reactor.callLater(SEAL_EVERY, self._seal)
-            return
-        self.store.seal().addCallback(self._sealed).addErrback(self._not_sealed)
-
-    def _sealed(self, more: bool) -> None:
-        self.reactor.callLater(SEAL_AGAIN if more else SEAL_EVERY, self._seal)
-
-    def _not_sealed(self, failure: Failure) -> None:
-        self.log("old purges cannot be sealed in the store", failure.getErrorMessage(), level="error")
-        self.reactor.callLater(SEAL_EVERY, self._seal)
+    def _seal(self) -> Deferred[bool]:
+        return succeed(False) if self.ledger.state == g.BROKEN else self.store.seal()
 
     def noted(self, name: str, generation: int) -> bool:
         """Whether the store knows this follower; if not, it does soon."""
@@ -228,6 +216,7 @@
     def stop(self) -> Deferred[None]:
         """Fires once the store is closed."""
         super().stop()
+        self.sealing.stop()
         done = self.store.close() if self.ledger.state != g.BROKEN else succeed(None)
         done.addErrback(lambda _: None)
         return done.addCallback(lambda _: self.reactor.callLater(0, self.store.end))
--- a/hookrouter/feed/purges.py
+++ b/hookrouter/feed/purges.py
@@ -45,7 +45,18 @@
         self.place, self.name, self.relay = Place(), name, relay
         self.generation = int(wall() * 1_000)  # a later life has a later one
         self.secret, self.skew = purges["secret"], purges["skew"]
-        self.renewals = Renewals(reactor, deadlines, addresses[0], self, purges, log, count, wall, steady)
+        self.renewals = Renewals(
+            reactor,
+            deadlines,
+            addresses[0],
+            self,
+            self._secret_field(),
+            purges["lease"],
+            log,
+            count,
+            wall,
+            steady,
+        )
         self.slices = SliceFetcher(
             reactor,
             deadlines,
--- a/hookrouter/feed/renewals.py
+++ b/hookrouter/feed/renewals.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTCP
@@ -22,9 +22,8 @@
 CALL_WITHIN = 1.0  # seconds, and never longer than from one renewal to the next two
 # Seconds until the next try where there was no lease: noting a name, or catching up, is quick.
 DENIED_PAUSE = 0.05
-LEAST_PAUSE = (
-    0.002  # seconds until a renewal that news asks for: what comes in one burst is answered for at once
-)
+# Seconds until a renewal that news asks for: what comes in one burst is answered for at once.
+LEAST_PAUSE = 0.002
 NEWS_IN_LEASE = 10  # renewals for news in one lease: what comes in a stream is answered for together
 
 
@@ -47,18 +46,21 @@
         deadlines: Deadlines,
         address: tuple[str, int],
         host: RenewalHost,
-        purges: Mapping[str, Any],
+        fields: Sequence[tuple[bytes, bytes]],
+        lease: int,
         log: Log,
         count: Callable[[str], None],
         wall: Callable[[], float],
         steady: Callable[[], int],
     ) -> None:
-        """address: of desk or relay. purges: section of the file. Nothing is due before start()."""
+        """address: of desk or relay. fields: of each request. lease: in tenths of a millisecond. Nothing is
+        due before start().
+        """
         self._reactor, self._deadlines, self._host = reactor, deadlines, host
         self._log, self._count, self._wall, self._steady = log, count, wall, steady
-        self._fields = [(b"Authorization", b"Bearer " + purges["secret"].value)]
-        self._every = purges["lease"] / SECOND / RENEWALS
-        self._spacing = purges["lease"] / SECOND / NEWS_IN_LEASE  # seconds between two for news, at least
+        self._fields = list(fields)
+        self._every = lease / SECOND / RENEWALS
+        self._spacing = lease / SECOND / NEWS_IN_LEASE  # seconds between two for news, at least
         self._begun = -self._spacing  # when the last one left, by the deadlines' clock
         self._caller = Caller(reactor, deadlines, address)
         self._timer: object | None = None
--- a/hookrouter/fleet/member/records.py
+++ b/hookrouter/fleet/member/records.py
@@ -12,8 +12,8 @@
 from ...decisions.owners import words as w
 from ...decisions.owners.duties import FIRST_SEAL
 from ...decisions.replicas import copy as c
-from ...desk.desk import SEAL_AGAIN, SEAL_EVERY
 from ...desk.local_store import SEALED_AT_ONCE, replayed
+from ...desk.sealing import SealingLoop
 from ...errors.stores import Damaged, Differs
 from ...stores import PurgeLog, Unusable
 
@@ -28,7 +28,8 @@
     def __init__(self, reactor, path, terms, others, clock, log, send, filed, recall):
         """terms: how old purges are sealed. send(to, message), filed(index), recall(): the member's."""
         self.reactor, self.path, self.others, self.clock, self.log = reactor, path, others, clock, log
-        self.terms, self.sealing = terms, None  # sealing: the call of the next step
+        self.terms = terms
+        self.sealing = SealingLoop(reactor, self._seal, log, "old purges cannot be sealed in the copy")
         self.send, self.filed, self.recall = send, filed, recall
         self.stopped, self.call, self.serving, self.away = False, None, 0, 0
         self.pool = ThreadPool(1, 1, "copy of purges")
@@ -39,27 +40,11 @@
         except BaseException:
             self.pool.stop()
             raise
-        self._seal_in(SEAL_EVERY)
-
-    # ---- old purges are sealed, so that the next owner of the desk need not read them one by one
-
-    def _seal_in(self, seconds):
-        if not self.stopped:
-            self.sealing = self.reactor.callLater(seconds, self._seal)
+        self.sealing.start()
 
     def _seal(self):
-        self._threaded(self._seal_some).addCallbacks(
-            lambda count: self._seal_in(SEAL_AGAIN if count == SEALED_AT_ONCE else SEAL_EVERY),
-            self._not_sealed,
-        )
-
-    def _seal_some(self):
-        return self.store.seal_some(self.terms, SEALED_AT_ONCE)
-
-    def _not_sealed(self, failure):
-        if not self.stopped:
-            self.log("old purges cannot be sealed in the copy", failure.getErrorMessage(), level="error")
-        self._seal_in(SEAL_EVERY)
+        """A step that seals old purges, so that the next owner of the desk need not read them one by one."""
+        return self._threaded(lambda: self.store.seal_some(self.terms, SEALED_AT_ONCE) == SEALED_AT_ONCE)
 
     # ---- the store; blocks
 
@@ -212,8 +197,7 @@
 
     def stop(self):
         self.stopped = True
-        if self.sealing is not None and self.sealing.active():
-            self.sealing.cancel()
+        self.sealing.stop()
         if self.call is not None and self.call.active():
             self.call.cancel()
         if self.store is not None:
--- a/hookrouter/purges/catch_up.py
+++ b/hookrouter/purges/catch_up.py
@@ -49,7 +49,7 @@
         self._wanted.clear()
 
     def resumed(self) -> None:
-        """The order goes on without a snapshot from its start: nothing is sealed in it."""
+        """The order goes on from its start without a snapshot: all of it is told one by one."""
         self.list_anew = False
 
     def whole(self, position: Position) -> Position:
--- a/hookrouter/purges/index.py
+++ b/hookrouter/purges/index.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterator, Sequence
-from typing import NamedTuple
 
 from . import types as w
 from .bounds import Bound, raised
@@ -21,14 +20,19 @@
 REMEMBERED = 4_096  # names whose bounds are remembered: a lookup asks three times, and few are asked for most
 
 
-class Named(NamedTuple):
-    """What counts for a copy of an object whatever its tags, and what it was asked with."""
+class Named:
+    """What counts for a copy of an object, and what it was asked with.
 
-    version: int
-    kind: str
-    group: str
-    newest: int  # the newest purge
-    bounds: tuple[Bound, ...]
+    newest, bounds: but for those of tags; newest_tagged: with those of tags, the last that were asked about.
+    """
+
+    __slots__ = ("version", "kind", "group", "newest", "bounds", "tags", "newest_tagged")
+
+    def __init__(self, version: int, kind: str, group: str, bounds: tuple[Bound, ...]) -> None:
+        """Not asked about tags yet."""
+        self.version, self.kind, self.group, self.bounds = version, kind, group, bounds
+        self.newest = self.newest_tagged = max((bound.newest for bound in bounds), default=0)
+        self.tags: Sequence[str] = ()
 
 
 class Index:
@@ -110,10 +114,15 @@
 
         tags: of the copy or object, None where they are not known.
         """
-        newest = self._named(kind, name, group).newest
-        if self.any_tag is None:  # none was ever purged
-            return newest
-        return max(newest, max((bound.newest for bound in self._of_tags(tags)), default=0))
+        named = self._named(kind, name, group)
+        if self.any_tag is None or (tags is not None and not tags):
+            return named.newest
+        if tags is None:
+            return max(named.newest, self.any_tag.newest)
+        if tags != named.tags:
+            found = max((bound.newest for bound in self._of_tags(tags)), default=0)
+            named.tags, named.newest_tagged = tags, max(named.newest, found)
+        return named.newest_tagged
 
     def due(self, since: int, kind: str, name: str, group: str, tags: Sequence[str] | None) -> int:
         """No copy from before that may answer: the newest of the purges that were told by then."""
@@ -135,9 +144,8 @@
         bounds = tuple(bound for bound in found if bound is not None)
         if known is None and len(self.named) >= REMEMBERED:
             del self.named[next(iter(self.named))]
-        newest = max((bound.newest for bound in bounds), default=0)
-        row = self.named[name] = Named(self.version, kind, group, newest, bounds)
-        return row
+        named = self.named[name] = Named(self.version, kind, group, bounds)
+        return named
 
     def _of_tags(self, tags: Sequence[str] | None) -> list[Bound]:
         """Bounds of these tags; of any where they are not known."""
--- a/hookrouter/purges/ledger.py
+++ b/hookrouter/purges/ledger.py
@@ -149,7 +149,7 @@
             return Refused(
                 submission.token,
                 "busy",
-                f"{live} purges are live, {self.limits.most_live} may be; " "purge by tag, group or pattern",
+                f"{live} purges are live, {self.limits.most_live} may be; purge by tag, group or pattern",
                 RETRY,
             )
         self.patterns += matching
--- a/hookrouter/purges/retention/slices.py
+++ b/hookrouter/purges/retention/slices.py
@@ -145,9 +145,8 @@
             return current
         if not (due or full):
             return current
-        if (
-            not self._clean and current is not None
-        ):  # columns wait to be cleared: the open slice goes on, its bound rises
+        # Where columns wait to be cleared the open slice goes on, its bound rises.
+        if not self._clean and current is not None:
             self.overfull += full
             return current
         opened = self._opened(len(self._live), span if due else current.span, early=not due)
--- a/hookrouter/stores/purge_log.py
+++ b/hookrouter/stores/purge_log.py
@@ -16,7 +16,7 @@
 from . import purge_slices
 from .purge_rows import seal
 from .purge_steps import INSERT, CopySteps
-from .sqlite import BUSY, create, empty, not_opened, transaction
+from .sqlite import BUSY, create, empty, fact, not_opened, transaction
 
 MARK = 0x686B7072  # the file's application id: "hkpr"
 VERSION = 2
@@ -87,10 +87,7 @@
         self.file.close()
 
     def _fact(self, name):
-        row = self.file.execute("SELECT value FROM facts WHERE name = ?", (name,)).fetchone()
-        if row is None:
-            raise Damaged(f"{self.path}: its {name} is missing")
-        return row[0]
+        return fact(self.file, self.path, name)
 
     # ---- read
 
--- a/hookrouter/stores/purge_slices.py
+++ b/hookrouter/stores/purge_slices.py
@@ -15,10 +15,11 @@
 from ..errors.stores import Damaged
 from ..errors.wire import NotSlice
 from ..purges import slice_codec
-from ..purges.retention.archive import Archive, SliceKey
+from ..purges.retention.archive import Archive, SliceKey, SliceState
 from ..purges.tail import MOST_FIRSTS
 from ..purges.types import SEALABLE_KINDS, Purge
 from ..tables.seals import FIRST_SEAL
+from .sqlite import fact
 
 DIGEST_BYTES = 16
 
@@ -72,10 +73,7 @@
             raise Damaged(f"{self._path}: its sealed purges, up to {n}, are not as they were written")
         archive = Archive(hold, most_sealed)
         for digest, body in self._file.execute("SELECT digest, body FROM slices ORDER BY span, kind"):
-            try:
-                archive.merge(slice_codec.decode(body, digest))
-            except NotSlice as wrong:
-                raise Damaged(f"{self._path}: a slice of sealed purges is damaged: {wrong}") from None
+            archive.merge(self._decoded(digest, body))
         exact = [
             Purge(epoch, n, made, kind, what)
             for kind, what, epoch, n, made in self._file.execute(
@@ -118,10 +116,13 @@
             "SELECT digest, body FROM slices WHERE kind = ? AND span = ?", key
         ).fetchone()
         if row is not None:
-            try:
-                archive.merge(slice_codec.decode(row[1], row[0]))
-            except NotSlice as wrong:
-                raise Damaged(f"{self._path}: a slice of sealed purges is damaged: {wrong}") from None
+            archive.merge(self._decoded(*row))
+
+    def _decoded(self, digest: str, body: bytes) -> SliceState:
+        try:
+            return slice_codec.decode(body, digest)
+        except NotSlice as wrong:
+            raise Damaged(f"{self._path}: a slice of sealed purges is damaged: {wrong}") from None
 
     def _write(self, encoded: slice_codec.Encoded) -> None:
         row = encoded.row
@@ -153,10 +154,7 @@
         yield self._file.execute("SELECT kind, what, epoch, n, made FROM exact ORDER BY kind, what")
 
     def _fact(self, name: str) -> object:
-        row = self._file.execute("SELECT value FROM facts WHERE name = ?", (name,)).fetchone()
-        if row is None:
-            raise Damaged(f"{self._path}: its {name} is missing")
-        return row[0]
+        return fact(self._file, self._path, name)
 
     def _set(self, name: str, value: object) -> None:
         self._file.execute("INSERT OR REPLACE INTO facts VALUES (?, ?)", (name, value))
--- a/hookrouter/stores/sqlite.py
+++ b/hookrouter/stores/sqlite.py
@@ -39,6 +39,14 @@
     file.execute(f"PRAGMA application_id = {mark}")
 
 
+def fact(file, path, name):
+    """The value that a store of purges keeps under that name; Damaged where it has none."""
+    row = file.execute("SELECT value FROM facts WHERE name = ?", (name,)).fetchone()
+    if row is None:
+        raise Damaged(f"{path}: its {name} is missing")
+    return row[0]
+
+
 @contextmanager
 def transaction(file):
     """All of it is on disk when it ends, or none of it."""
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -257,6 +257,28 @@
     assert place.epoch(7) and not place.epoch(6)
 
 
+def test_a_names_bounds_are_those_of_the_tags_asked_about_and_void_after_a_purge():
+    index = Index(TERMS)
+    index.add(types.OBJECT, "x", 10, 10)
+    assert index.newest("clip", "x", "1", ("red",)) == index.newest("clip", "x", "1", None) == 10
+    for made, tag in ((20, "red"), (30, "blue")):
+        index.add(types.TAG, tag, made, made)
+    for _ in range(2):
+        for tags, newest in (
+            (("red",), 20),
+            (None, 30),
+            ((), 10),
+            (("blue",), 30),
+            (("red",), 20),
+            (["green"], 10),
+        ):
+            assert index.newest("clip", "x", "1", tags) == newest
+    index.add(types.TAG, "red", 40, 40)
+    assert index.newest("clip", "x", "1", ("red",)) == 40
+    # Both of red were told within a grace: the earlier time stands, so both are due from it on.
+    assert [index.due(since, "clip", "x", "1", ("red",)) for since in (5, 15, 20, 40)] == [0, 10, 40, 40]
+
+
 def test_a_batch_is_answered_only_once_written_and_a_failed_one_refused():
     tail = t.Tail(TERMS.hold, 3)
     desk = g.Ledger(tail, {}, g.Limits(10, 2))
