The log names the client and the open calls where a connection ends, and lookups given up

The line on the ended connection names neither the client nor the calls that were open, closes of idle connections and refused ones have no line, and neither have a lookup that is nacked or failed, nor a further send.

Change: each end of a client connection by the router is logged with its reason, the client's address and the ids of its open calls; these are counted by calls_cut_off.

--- a/hookrouter/front/connection.py
+++ b/hookrouter/front/connection.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from typing import NamedTuple
 
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol
@@ -22,6 +23,14 @@
 MAX_READS = 32  # in a row, 64 kB each: the maximum of open calls, each with the longest body
 
 
+class OpenCall(NamedTuple):
+    """A call that has not been answered."""
+
+    method: bytes
+    body_bytes: int
+    trace: str  # the client's id
+
+
 @implementer(IHalfCloseableProtocol)
 class Connection(Protocol):
     """Protocol of one client connection, created by Front."""
@@ -29,8 +38,9 @@
     def __init__(self, front):
         self.front = front
         self.frames = thrift.Frames(MAX_FRAME_BYTES)
-        self.open_calls = {}  # sequence number -> (method name, bytes of the body)
+        self.open_calls = {}  # sequence number -> OpenCall
         self.slot = self.drain_timer = None
+        self.peer = "unknown"  # address of the client, for the log
         self.latest_seqid = 0  # highest sequence number of a call
         self.queue = []  # pieces of replies that wait until the client has read earlier ones
         self.unread_bytes = 0  # bytes of these, or of the ones passed to the transport last
@@ -42,8 +52,11 @@
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
+        address = self.transport.getPeer()
+        self.peer = f"{address.host}:{address.port}"
         self.slot = self.front.register(self)
         if self.slot is None:
+            self.front.log("no descriptor for a client, connection refused", peer=self.peer)
             self.transport.abortConnection()
             return
         self.transport.registerProducer(self, True)
@@ -60,9 +73,8 @@
             else:
                 self._enqueue(messages, cancelled)
         except Malformed as error:
-            self.front.log("client sent what cannot be read, connection ended", error.user_message())
             self.front.count("clients_malformed")
-            self.abort()
+            self.abort("client sent what cannot be read, connection ended", error.user_message())
 
     def _process(self, messages, cancelled):
         """Processes messages once all input is read: a call's interrupt or the end of the connection may
@@ -144,15 +156,20 @@
         self._stop_drain()
         self.front.unregister(self)
 
-    def abort(self):
-        """Closes the connection at once and abandons its open calls."""
+    def abort(self, event, detail=""):
+        """Closes the connection at once and abandons its open calls; logs why."""
+        self.front.log_end(self, event, detail)
         self.ending = True
         self.transport.abortConnection()
         self.front.abandon(self)
 
-    def close(self):
-        """Lingering close: closing with unread input would reset the connection and lose the last replies."""
+    def close(self, event="idle client connection ended"):
+        """Lingering close: closing with unread input would reset the connection and lose the last replies.
+
+        event: why, for the log.
+        """
         if not self.ending:
+            self.front.log_end(self, event)
             self._begin_close()
             self.transport.loseWriteConnection()
             self.transport.doWrite()  # shuts down at once if all is written: no input is unread now
@@ -205,19 +222,22 @@
         self.front.body_memory.give_back(unread_bytes)
 
     def _on_drain_timeout(self):
-        self.front.log(
-            "client does not read its answers, connection ended", f"{self.unread_bytes} bytes waited"
-        )
         self.front.count("clients_not_reading")
-        self.abort()
+        self.abort("client does not read its answers, connection ended", f"{self.unread_bytes} bytes waited")
+
+    def add_call(self, message, request):
+        """Opens the call of a message; it is open until it is answered, withdrawn or abandoned."""
+        self.open_calls[message.seqid] = OpenCall(message.name, len(request.body), request.trace)
+        self.front.body_memory.take(len(request.body))
 
     def close_call(self, seqid):
         """Closes an open call; returns the name of its method, or None if it was not open."""
-        name, size = self.open_calls.pop(seqid, (None, 0))
-        self.front.body_memory.give_back(size)
+        call = self.open_calls.pop(seqid, None)
+        if call is not None:
+            self.front.body_memory.give_back(call.body_bytes)
         if not self.open_calls:
             self.front.mark_idle(self)
-        return name
+        return None if call is None else call.method
 
     def write(self, pieces):
         """Writes a reply, or queues it while the client does not read; too much unread data ends the
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -111,6 +111,13 @@
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
 
+    def log_end(self, connection, event, detail=""):
+        """Logs why the router ends a connection, with the ids of its open calls, and counts these."""
+        traces = [call.trace for call in connection.open_calls.values()]
+        for _ in traces:
+            self.count("calls_cut_off")
+        self.log(event, detail, peer=connection.peer, open_calls=len(traces), ids=",".join(traces) or "none")
+
     def on_data(self, connection, has_frames):
         """Updates the timeouts of a connection after input. has_frames: it contained a complete frame."""
         if connection.ending:
@@ -184,16 +191,14 @@
         for connection in silent:
             self._shed(connection, "descriptors for clients are short")
         for connection in () if silent else self._waiting_since(self.idle, silent_since, shed_count):
-            self.log("descriptors for clients are short, an idle connection ended")
             self.count("clients_shed")
-            connection.close()
+            connection.close("descriptors for clients are short, an idle connection ended")
         if self.port is not None:
             self.port.stopReading()
 
     def _shed(self, connection, reason):
-        self.log("client is silent, connection ended", reason)
         self.count("clients_shed")
-        connection.abort()
+        connection.abort("client is silent, connection ended", reason)
 
     # ---- replies
 
@@ -230,7 +235,7 @@
             if not connection.open_calls:
                 connection.read_pending()
             if not connection.open_calls and connection not in self.partial_bytes:
-                connection.close()
+                connection.close("idle client connection ended, the process exits")
 
     def abort_all(self):
         """Closes all connections now; lingering ones, which have all written, without a reset."""
@@ -238,4 +243,4 @@
             if connection in self.lingering:
                 connection.transport.loseConnection()
             else:
-                connection.abort()
+                connection.abort("client connection ended, the process exits")
--- a/hookrouter/front/methods.py
+++ b/hookrouter/front/methods.py
@@ -59,8 +59,7 @@
         return
     if not connection.open_calls:
         front.idle.pop(connection, None)
-    connection.open_calls[message.seqid] = message.name, len(request.body)
-    front.body_memory.take(len(request.body))
+    connection.add_call(message, request)
     front.handler.on_lookup((connection.slot, message.seqid), request)
 
 
--- a/hookrouter/node/effects.py
+++ b/hookrouter/node/effects.py
@@ -39,6 +39,8 @@
         return  # only a fault in Control leads here: nothing is sent after the answer
     request, send_number = lookup.request, lookup.send_count
     lookup.send_count += 1
+    if send_number:
+        router.log("lookup sent again", cache=effect.cache, id=request.trace, sends=lookup.send_count)
     cache_request = CacheRequest(
         request.kind,
         request.trace,
@@ -113,11 +115,17 @@
     router.cancel_unwritten_sends(lookup)
 
 
+def note_given_up(router, lookup, event, reason):
+    """Logs and counts why Control gave up a lookup."""
+    router.counters.lookup_given_up(reason)
+    router.log(event, reason=reason or "none", id=lookup.request.trace, sends=lookup.send_count)
+
+
 def nack(router, effect):
     """Rejects a lookup that the client may retry."""
     lookup = unanswered_lookup(router, effect)
     if lookup is not None:
-        router.counters.lookup_given_up(effect.reason)
+        note_given_up(router, lookup, "lookup nacked", effect.reason)
         answer_and_cancel(router, lookup, "nacked", router.front.nacked, effect.retry_after)
 
 
@@ -125,7 +133,7 @@
     """Fails a lookup that must not be retried."""
     lookup = unanswered_lookup(router, effect)
     if lookup is not None:
-        router.counters.lookup_given_up(effect.reason)
+        note_given_up(router, lookup, "lookup failed", effect.reason)
         answer_and_cancel(router, lookup, "failed", router.front.failed)
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -392,8 +392,8 @@
     def __init__(self):
         self.lines, self.counted = [], []
 
-    def log(self, kind, detail=""):
-        self.lines.append((kind, detail))
+    def log(self, kind, detail="", **values):
+        self.lines.append((kind, detail, values) if values else (kind, detail))
 
     def count(self, name):
         assert name in PLAIN_COUNTERS
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -480,3 +480,14 @@
     s.front.failed(s.handler.calls[0][0])
     s.net.pump([14.9, 0.3, 0])
     assert not busy.open and len(s.front.connections) == 0
+
+
+def test_the_end_of_a_connection_is_logged_with_its_reason_client_and_open_calls():
+    s = Scene()
+    wire = s.client()
+    wire.come(message(1) + message(2))
+    wire.come(b"\xff" * 50)
+    event, detail, values = s.noted.lines[-1]
+    assert event == "client sent what cannot be read, connection ended" and "frame length" in detail
+    assert values["peer"] == "192.168.1.1:54321" and values["open_calls"] == 2
+    assert values["ids"] == f"{1:016x},{2:016x}" and s.noted.counted.count("calls_cut_off") == 2
