--- a/tests/processes.py
+++ b/tests/processes.py
@@ -66,10 +66,10 @@
     return replies
 
 
-def start_router(path):
-    """Starts the router process; returns it and its port."""
+def start_router(path, program=("hookrouter",)):
+    """Starts the router process, by another program that runs it if one is named; returns it and its port."""
     process = subprocess.Popen(
-        [sys.executable, "-m", "hookrouter", "serve"],
+        [sys.executable, "-m", *program, "serve"],
         stderr=subprocess.PIPE,
         text=True,
         env={**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n1"},
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -491,3 +491,38 @@
     assert event == "client sent what cannot be read, connection ended" and "frame length" in detail
     assert values["peer"] == "192.168.1.1:54321" and values["open_calls"] == 2
     assert values["ids"] == f"{1:016x},{2:016x}" and s.noted.counted.count("calls_cut_off") == 2
+
+
+def test_a_client_that_stops_within_a_frame_gets_its_open_calls_answered_and_is_ended_then():
+    s = Scene()
+    wire = s.client()
+    wire.come(message(1) + message(2)[:-1])
+    s.net.pump([0.1] * 25)
+    assert wire.open and s.handler.gone == [] and s.front.partial_bytes_total == 0
+    wire.come(message(2)[-1:] + message(3))  # no more is taken
+    assert len(s.handler.calls) == 1
+    s.front.satisfied(s.handler.calls[0][0], (b"x",), 1)
+    s.net.advance(0)
+    assert answers(wire.take()).keys() == {1} and not wire.open
+
+
+def test_half_frames_that_fill_their_room_cost_no_open_call_its_answer():
+    s = Scene(max_partial_bytes=1_000)
+    wire = s.client()
+    wire.come(message(1) + message(2, body=b"x" * 2_000)[:1_400])
+    s.net.advance(0)
+    assert wire.open and s.handler.gone == [] and s.front.partial_bytes_total == 0
+    s.front.nacked(s.handler.calls[0][0], 0)
+    s.net.advance(0)
+    assert answers(wire.take()).keys() == {1} and not wire.open
+
+
+def test_short_of_descriptors_nobody_is_ended_within_a_frame_while_a_call_is_open():
+    s = Scene(most=2)
+    wire, other = s.client(), s.client()
+    wire.come(message(1) + message(2)[:-1])
+    other.come(message(1))
+    s.net.pump([0.1] * 5)
+    assert wire.open and other.open
+    wire.come(message(2)[-1:])
+    assert [call[1] for call, _ in s.handler.calls] == [1, 1, 2]
