The bound on a client's open calls is counted in the order of its stream

Cause: before it processes a read, the router reads again, as an interrupt or the client's end may follow. The second read was checked against the calls open just then: calls whose interrupt had been read but waited to be processed still counted. Read one [interrupt], read two [execute] made 33.

Change: front/intake.py checks messages in the order of the stream, without I/O: a call is unanswered from its frame to its answer or interrupt. Interrupts take effect as they are read, so none waits. Calls read and not processed count too, which they did not.

--- a/hookrouter/front/connection.py
+++ b/hookrouter/front/connection.py
@@ -12,13 +12,11 @@
 from twisted.internet.protocol import Protocol
 from zope.interface import implementer
 
-from ..parsers import thrift
 from ..parsers.thrift import Malformed
 from . import methods
-from .methods import MAX_OPEN_CALLS, MAX_UNREAD_SHARE
+from .intake import Intake
+from .methods import MAX_UNREAD_SHARE
 
-MAX_FRAME_BYTES = 65_536  # the body of a write has at most 48,000, its fields some hundreds
-MAX_CANCELLED_PER_READ = 8  # calls cancelled in the read that brought them: regular clients do not do so
 DRAIN_TIMEOUT = 10.0  # seconds a client may take to read pending replies: none waits longer for one
 MAX_READS = 32  # in a row, 64 kB each: the maximum of open calls, each with the longest body
 
@@ -37,18 +35,16 @@
 
     def __init__(self, front):
         self.front = front
-        self.frames = thrift.Frames(MAX_FRAME_BYTES)
+        self.intake = Intake()
         self.open_calls = {}  # sequence number -> OpenCall
         self.slot = self.drain_timer = None
         self.peer = "unknown"  # address of the client, for the log
-        self.latest_seqid = 0  # highest sequence number of a call
         self.queue = []  # pieces of replies that wait until the client has read earlier ones
         self.unread_bytes = 0  # bytes of these, or of the ones passed to the transport last
         self.ending = False  # no further input is accepted
         self.received = False  # whether the last read returned data
-        # Parsed messages not processed yet; None when no read is being processed.
-        self.pending_messages = None
-        self.cancelled = set()  # sequence numbers of pending calls that were cancelled
+        self.pending_calls = None  # messages read and not processed yet; None when no read is being processed
+        self.has_messages = False  # whether the reads being processed completed any
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -66,72 +62,41 @@
             return
         self.received = True
         try:
-            messages = [thrift.Message(frame) for frame in self.frames.feed(data)]
-            cancelled = self._validate(messages)
-            if self.pending_messages is None:
-                self._process(messages, cancelled)
-            else:
-                self._enqueue(messages, cancelled)
+            batch = self.intake.read(data)
         except Malformed as error:
             self.front.count("clients_malformed")
             self.abort("client sent what cannot be read, connection ended", error.user_message())
-
-    def _process(self, messages, cancelled):
-        """Processes messages once all input is read: a call's interrupt or the end of the connection may
-        follow it.
-        """
-        self.pending_messages, self.cancelled, has_frames = deque(messages), cancelled, bool(messages)
+            return
+        if self.pending_calls is not None:
+            self._accept(batch)
+            return
+        self.pending_calls, self.has_messages = deque(), False
         try:
-            self.read_pending()
-            while self.pending_messages and not self.ending:
-                has_frames, message = True, self.pending_messages.popleft()
-                if message.seqid not in self.cancelled or message.name != b"execute":
-                    methods.dispatch(self, message)
+            self._accept(batch)
+            self._process()
         finally:
-            self.pending_messages = None
-        self.front.on_data(self, has_frames)
-
-    def _enqueue(self, messages, cancelled):
-        """Adds messages that arrive while others are processed; their interrupts take effect at once."""
-        pending_executes = {message.seqid for message in self.pending_messages if message.name == b"execute"}
-        self.pending_messages.extend(messages)
-        self.cancelled |= cancelled
-        for message in messages:
-            if message.name == b"interrupt":
-                seqid = message.arguments().get(1)
-                if isinstance(seqid, int) and seqid in pending_executes:
-                    self.cancelled.add(seqid)
-                else:
-                    methods.interrupt(self, message, message.arguments())
-
-    def _validate(self, messages):
-        """Checks all messages before any is processed: too many open calls or a reused number reject them
-        all.
-
-        Returns the sequence numbers of calls that are cancelled in the same read; these are not started at
-        all.
+            self.pending_calls = None
+        self.front.on_data(self, self.has_messages)
+
+    def _accept(self, batch):
+        """Queues the calls of a read; what it withdraws is given up at once, whatever waits before it."""
+        self.has_messages |= batch.has_messages
+        self.pending_calls.extend(batch.calls)
+        for seqid in batch.withdrawn:
+            methods.withdraw(self, seqid)
+
+    def _process(self):
+        """Processes calls once all input is read: a call's interrupt or the end of the connection may follow
+        it.
         """
-        open_count, executed, cancelled = len(self.open_calls), set(), set()
-        for message in messages:
-            if message.kind == thrift.CALL:
-                if message.seqid <= self.latest_seqid:
-                    raise Malformed(f"sequence number {message.seqid} after {self.latest_seqid}")
-                self.latest_seqid = message.seqid
-                if message.name == b"execute":
-                    executed.add(message.seqid)
-                    open_count += 1
-                if open_count > MAX_OPEN_CALLS:
-                    raise Malformed(f"more than {MAX_OPEN_CALLS} calls open")
-            elif message.kind == thrift.ONEWAY and message.name == b"interrupt":
-                open_count -= 1
-                seqid = message.arguments().get(1)
-                if isinstance(seqid, int) and seqid in executed:  # it may be of any type, and name no call
-                    cancelled.add(seqid)
-            else:
-                raise Malformed(f"a message of kind {message.kind}")
-        if len(cancelled) > MAX_CANCELLED_PER_READ:
-            raise Malformed(f"{len(cancelled)} calls withdrawn as they were made")
-        return cancelled
+        self.read_pending()
+        while self.pending_calls and not self.ending:
+            message = self.pending_calls.popleft()
+            if self.intake.is_withdrawn(message):
+                continue
+            methods.dispatch(self, message)
+            if message.seqid not in self.open_calls:
+                self.intake.settle(message.seqid)
 
     def read_pending(self):
         """Reads all available input: after a pause of the process timers run before reads."""
@@ -233,6 +198,7 @@
     def close_call(self, seqid):
         """Closes an open call; returns the name of its method, or None if it was not open."""
         call = self.open_calls.pop(seqid, None)
+        self.intake.settle(seqid)
         if call is not None:
             self.front.body_memory.give_back(call.body_bytes)
         if not self.open_calls:
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -122,7 +122,7 @@
         """Updates the timeouts of a connection after input. has_frames: it contained a complete frame."""
         if connection.ending:
             return
-        partial = len(connection.frames.buffer)
+        partial = connection.intake.partial_bytes()
         if partial or connection in self.partial_bytes:
             self._set_partial(connection, partial)
         if has_frames or not partial:
--- a/hookrouter/front/methods.py
+++ b/hookrouter/front/methods.py
@@ -1,10 +1,10 @@
-"""The three methods of the service: execute, check and interrupt."""
+"""The methods of the service: execute and check, which get a reply, and interrupt, which withdraws a call."""
 
 from ..parsers import thrift
 from ..parsers.thrift import Malformed
 from . import calls
+from .intake import EXECUTE
 
-MAX_OPEN_CALLS = 32  # on one connection, as the protocol states
 MAX_UNREAD_SHARE = 1 / 8  # share of the body memory that one client may leave unread
 NACK_UNREAD_SHARE = (
     MAX_UNREAD_SHARE / 2
@@ -12,10 +12,8 @@
 
 
 def dispatch(connection, message):
-    """Calls the method of a message; Malformed if its kind does not fit the method."""
-    kind, method = METHODS.get(message.name, (thrift.CALL, None))
-    if message.kind != kind:
-        raise Malformed(f"a message of kind {message.kind}")
+    """Calls the method of a call."""
+    method = METHODS.get(message.name)
     if method is None:
         refuse(connection, message, thrift.UNKNOWN_METHOD, "unknown method")
         return
@@ -41,8 +39,6 @@
 
 def execute(connection, message, arguments):
     """Starts a lookup, or replies at once if it is malformed or memory is short."""
-    if len(connection.open_calls) >= MAX_OPEN_CALLS:
-        raise Malformed(f"more than {MAX_OPEN_CALLS} calls open")
     try:
         request = calls.read_request(arguments)
     except Malformed as error:
@@ -63,10 +59,9 @@
     front.handler.on_lookup((connection.slot, message.seqid), request)
 
 
-def interrupt(connection, message, arguments):
-    """Cancels an open call; it gets no reply."""
-    seqid = arguments.get(1)
-    if isinstance(seqid, int) and connection.close_call(seqid) is not None:
+def withdraw(connection, seqid):
+    """Cancels a call if it is open; it gets no reply."""
+    if connection.close_call(seqid) is not None:
         connection.front.handler.on_client_gone((connection.slot, seqid))
 
 
@@ -75,8 +70,4 @@
     connection.write(calls.check_reply(message.name, message.seqid, connection.front.handler.ready()))
 
 
-METHODS = {
-    b"execute": (thrift.CALL, execute),
-    b"check": (thrift.CALL, check),
-    b"interrupt": (thrift.ONEWAY, interrupt),
-}
+METHODS = {EXECUTE: execute, b"check": check}
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -526,3 +526,22 @@
     assert wire.open and other.open
     wire.come(message(2)[-1:])
     assert [call[1] for call, _ in s.handler.calls] == [1, 1, 2]
+
+
+def test_an_interrupt_that_waits_to_be_processed_no_longer_counts_its_call():
+    """The bound of 32 calls counted it while a further read was checked: a regular client was ended."""
+    s = Scene()
+    wire = s.client()
+    wire.come(b"".join(message(n) for n in range(1, 33)))
+    wire.unread = message(34)
+    wire.come(message(33, b"interrupt", interrupted=1))
+    assert wire.open and [call[1] for call, _ in s.handler.calls] == [*range(1, 33), 34]
+    assert [call[1] for call in s.handler.gone] == [1]
+
+
+def test_calls_that_wait_to_be_processed_count_as_open():
+    s = Scene()
+    wire = s.client()
+    wire.unread = message(33)
+    wire.come(b"".join(message(n) for n in range(1, 33)))
+    assert all(call[1] < 33 for call, _ in s.handler.calls)
