Calls read before a violation of the protocol are answered before the connection ends

Seen by callers: all calls of a connection lost, answers that were written and not yet sent with them, when one frame on it could not be used.

Cause: any violation reset the connection at once. Frames that were whole and stood before it in the same read were dropped with it, so what was lost depended on how the bytes fell into reads. The protocol counts a request as taken once its last byte is written; trouble with its client frees no request of its answer.

Evidence: six tests with real processes (a bad length, a number that does not rise, a frame that is no message; in the same read and later) failed: connection reset, four calls lost.

Change: a connection has the phases open, answering, closing. A violation ends the input, what was read before is processed and answered, and the connection closes in order once nothing is owed. Where no call was ever read it is reset as before. Frames and Intake deliver what stands before the violation. The client's end is seen meanwhile.

Tests replaced, as strict: that such a client is ended and nothing of it taken becomes that it is ended once exactly the calls before the violation are answered, and that nothing behind it is taken (eight violations, six before); garbage on one connection likewise. Both asserted the fault.

--- a/hookrouter/front/connection.py
+++ b/hookrouter/front/connection.py
@@ -1,5 +1,8 @@
 """One client connection: parses calls from frames, writes replies and bounds what the client leaves unread.
 
+A client that violates the protocol is still owed the answers to the calls it made before: no further input is
+accepted, and the connection closes once these calls are answered.
+
 It closes in this order: no further calls are accepted and open ones are abandoned; pending replies are
 written; the write side is shut down; input is discarded until the client closes too or a deadline passes; the
 connection is closed.
@@ -12,12 +15,13 @@
 from twisted.internet.protocol import Protocol
 from zope.interface import implementer
 
-from ..parsers.thrift import Malformed
 from . import methods
 from .intake import Intake
 from .methods import MAX_UNREAD_SHARE
 
 DRAIN_TIMEOUT = 10.0  # seconds a client may take to read pending replies: none waits longer for one
+# Phases of a connection: input is accepted; open calls are answered and input is discarded; it closes.
+OPEN, ANSWERING, CLOSING = "open", "answering", "closing"
 MAX_READS = 32  # in a row, 64 kB each: the maximum of open calls, each with the longest body
 
 
@@ -41,7 +45,7 @@
         self.peer = "unknown"  # address of the client, for the log
         self.queue = []  # pieces of replies that wait until the client has read earlier ones
         self.unread_bytes = 0  # bytes of these, or of the ones passed to the transport last
-        self.ending = False  # no further input is accepted
+        self.phase = OPEN
         self.received = False  # whether the last read returned data
         self.pending_calls = None  # messages read and not processed yet; None when no read is being processed
         self.has_messages = False  # whether the reads being processed completed any
@@ -57,16 +61,16 @@
             return
         self.transport.registerProducer(self, True)
 
+    @property
+    def ending(self):
+        """Whether no further input is accepted."""
+        return self.phase is not OPEN
+
     def dataReceived(self, data):
-        if self.ending:
-            return
         self.received = True
-        try:
-            batch = self.intake.read(data)
-        except Malformed as error:
-            self.front.count("clients_malformed")
-            self.abort("client sent what cannot be read, connection ended", error.user_message())
+        if self.ending:
             return
+        batch = self.intake.read(data)
         if self.pending_calls is not None:
             self._accept(batch)
             return
@@ -77,6 +81,7 @@
         finally:
             self.pending_calls = None
         self.front.on_data(self, self.has_messages)
+        self.close_if_answered()
 
     def _accept(self, batch):
         """Queues the calls of a read; what it withdraws is given up at once, whatever waits before it."""
@@ -84,13 +89,16 @@
         self.pending_calls.extend(batch.calls)
         for seqid in batch.withdrawn:
             methods.withdraw(self, seqid)
+        if batch.violation is not None:
+            self.front.count("clients_malformed")
+            self.finish("client sent what cannot be read, connection ended", batch.violation.user_message())
 
     def _process(self):
         """Processes calls once all input is read: a call's interrupt or the end of the connection may follow
         it.
         """
         self.read_pending()
-        while self.pending_calls and not self.ending:
+        while self.pending_calls and self.phase is not CLOSING:
             message = self.pending_calls.popleft()
             if self.intake.is_withdrawn(message):
                 continue
@@ -101,7 +109,7 @@
     def read_pending(self):
         """Reads all available input: after a pause of the process timers run before reads."""
         for _ in range(MAX_READS):
-            if self.ending:
+            if self.phase is CLOSING:
                 return
             self.received = False
             if self.transport.doRead() is not None:
@@ -115,7 +123,7 @@
         self.transport.loseConnection()
 
     def connectionLost(self, reason):
-        self.ending = True
+        self.phase = CLOSING
         if self.slot is None:
             return
         self._stop_drain()
@@ -123,8 +131,8 @@
 
     def abort(self, event, detail=""):
         """Closes the connection at once and abandons its open calls; logs why."""
-        self.front.log_end(self, event, detail)
-        self.ending = True
+        self.front.log_cut_off(self, event, detail)
+        self.phase = CLOSING
         self.transport.abortConnection()
         self.front.abandon(self)
 
@@ -133,18 +141,40 @@
 
         event: why, for the log.
         """
-        if not self.ending:
-            self.front.log_end(self, event)
-            self._begin_close()
-            self.transport.loseWriteConnection()
-            self.transport.doWrite()  # shuts down at once if all is written: no input is unread now
+        if self.phase is not CLOSING:
+            self.front.log_cut_off(self, event)
+            self._linger()
+
+    def finish(self, event, detail=""):
+        """Accepts no further input and closes once all calls read before are answered; logs why."""
+        if self.ending:
+            return
+        self.front.log_end(self, event, detail)
+        self.phase = ANSWERING
+        self.intake.discard_partial()
+        self.front.stop_timeouts(self)
+
+    def close_if_answered(self):
+        """Closes a connection that accepts no further input once nothing is owed on it."""
+        if self.phase is not ANSWERING or self.open_calls or self.pending_calls is not None:
+            return
+        if self.intake.latest_seqid:
+            self._linger()
+        else:  # no call was ever read, so no answer can be lost
+            self.phase = CLOSING
+            self.transport.abortConnection()
+
+    def _linger(self):
+        self._begin_close()
+        self.transport.loseWriteConnection()
+        self.transport.doWrite()  # shuts down at once if all is written: no input is unread now
 
     def _begin_close(self):
         """Abandons open calls and flushes; the producer is unregistered, or the transport would wait for its
         end.
         """
-        if not self.ending:
-            self.ending = True
+        if self.phase is not CLOSING:
+            self.phase = CLOSING
             self.front.abandon(self)
             if self.drain_timer is None:
                 self.drain_timer = self.front.deadlines.after(DRAIN_TIMEOUT, self._on_drain_timeout)
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -107,15 +107,23 @@
         for seqid in list(connection.open_calls):
             connection.close_call(seqid)
             self.handler.on_client_gone((connection.slot, seqid))
+        self.stop_timeouts(connection)
+
+    def stop_timeouts(self, connection):
+        """No more input is expected of a connection: its silence does not count."""
         self._set_partial(connection, 0)
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
 
+    def log_cut_off(self, connection, event, detail=""):
+        """Logs why the router ends a connection, and counts the open calls that get no answer by that."""
+        for _ in connection.open_calls:
+            self.count("calls_cut_off")
+        self.log_end(connection, event, detail)
+
     def log_end(self, connection, event, detail=""):
-        """Logs why the router ends a connection, with the ids of its open calls, and counts these."""
+        """Logs why the router ends a connection, with the ids of its open calls."""
         traces = [call.trace for call in connection.open_calls.values()]
-        for _ in traces:
-            self.count("calls_cut_off")
         self.log(event, detail, peer=connection.peer, open_calls=len(traces), ids=",".join(traces) or "none")
 
     def on_data(self, connection, has_frames):
@@ -208,6 +216,7 @@
         name = connection.close_call(seqid) if connection is not None else None
         if name is not None:
             connection.write(encode(name, seqid, *values))
+            connection.close_if_answered()
 
     def satisfied(self, call, pieces, length):
         """Replies with a body of that length."""
--- a/hookrouter/front/intake.py
+++ b/hookrouter/front/intake.py
@@ -4,7 +4,7 @@
 unanswered calls is the client's own: it does not depend on how much of what was read has been processed.
 """
 
-from typing import NamedTuple
+from dataclasses import dataclass, field
 
 from ..parsers import thrift
 from ..parsers.thrift import Malformed
@@ -14,12 +14,14 @@
 EXECUTE, INTERRUPT = b"execute", b"interrupt"
 
 
-class Batch(NamedTuple):
-    """The messages that one read completed."""
+@dataclass(slots=True)
+class Batch:
+    """The messages that one read completed, up to the first that violates the protocol."""
 
-    calls: list  # messages to be answered, in order
-    withdrawn: list  # sequence numbers of the calls that interrupts withdraw, in order
-    has_messages: bool
+    calls: list = field(default_factory=list)  # messages to be answered, in order
+    withdrawn: list = field(default_factory=list)  # sequence numbers of calls that interrupts withdraw
+    has_messages: bool = False
+    violation: Malformed | None = None  # nothing that follows it can be read
 
 
 class Intake:
@@ -31,36 +33,42 @@
         self.unanswered = set()  # sequence numbers of execute calls
 
     def read(self, data):
-        """Takes received bytes; raises Malformed if any of the completed messages violates the protocol."""
-        messages = [thrift.Message(frame) for frame in self.frames.feed(data)]
-        calls, withdrawn = [], []
-        for message in messages:
-            if message.kind == thrift.ONEWAY and message.name == INTERRUPT:
-                seqid = message.arguments().get(1)
-                if (
-                    isinstance(seqid, int) and seqid in self.unanswered
-                ):  # it may be of any type, and name no call
-                    self.unanswered.remove(seqid)
-                    withdrawn.append(seqid)
-                continue
+        """Takes received bytes and returns a Batch; nothing may be read after one with a violation."""
+        batch = Batch()
+        try:
+            for frame in self.frames.feed(data):
+                self._add(thrift.Message(frame), batch)
+            self.frames.feed(b"")  # raises at a bad length behind these frames
+        except Malformed as error:
+            batch.violation = error
+            self.discard_partial()
+        return batch
+
+    def _add(self, message, batch):
+        if message.kind == thrift.ONEWAY and message.name == INTERRUPT:
+            self._withdraw(message.arguments().get(1), batch)
+        else:
             self._check_call(message)
-            calls.append(message)
-            if message.name == EXECUTE:
-                self._add_call(message.seqid)
-        return Batch(calls, withdrawn, bool(messages))
+            batch.calls.append(message)
+        batch.has_messages = True
+
+    def _withdraw(self, seqid, batch):
+        """Applies an interrupt; the number may be of any type, and name no call."""
+        if isinstance(seqid, int) and seqid in self.unanswered:
+            self.unanswered.remove(seqid)
+            batch.withdrawn.append(seqid)
 
     def _check_call(self, message):
         if message.kind != thrift.CALL or message.name == INTERRUPT:
             raise Malformed(f"a message of kind {message.kind}")
         if message.seqid <= self.latest_seqid:
             raise Malformed(f"sequence number {message.seqid} after {self.latest_seqid}")
+        if message.name == EXECUTE:
+            if len(self.unanswered) >= MAX_UNANSWERED_CALLS:
+                raise Malformed(f"more than {MAX_UNANSWERED_CALLS} calls open")
+            self.unanswered.add(message.seqid)
         self.latest_seqid = message.seqid
 
-    def _add_call(self, seqid):
-        if len(self.unanswered) >= MAX_UNANSWERED_CALLS:
-            raise Malformed(f"more than {MAX_UNANSWERED_CALLS} calls open")
-        self.unanswered.add(seqid)
-
     def is_withdrawn(self, message):
         """Whether a call that was read needs no answer any more."""
         return message.name == EXECUTE and message.seqid not in self.unanswered
@@ -72,3 +80,7 @@
     def partial_bytes(self):
         """Bytes of a frame that is not complete yet."""
         return len(self.frames.buffer)
+
+    def discard_partial(self):
+        """Frees the bytes of an incomplete frame; nothing may be read afterwards."""
+        self.frames.buffer.clear()
--- a/hookrouter/parsers/thrift.py
+++ b/hookrouter/parsers/thrift.py
@@ -42,13 +42,19 @@
         self.buffer = bytearray()
 
     def feed(self, data):
-        """Takes received bytes and returns the completed frames; after Malformed the stream is unusable."""
+        """Takes received bytes and returns the completed frames.
+
+        Raises Malformed at a bad length, once the frames before it have been returned; the stream is
+        unusable then.
+        """
         buffer, offset = self.buffer, 0
         buffer += data
         frames = []
         while len(buffer) - offset >= 4:
             length = INT_AT.unpack_from(buffer, offset)[0]
             if not 0 < length <= self.longest:
+                if frames:
+                    break
                 raise Malformed(f"frame length {length} is not within 1 to {self.longest} bytes")
             if len(buffer) - offset - 4 < length:
                 break
