A call beyond the bound of open calls is nacked, and its connection goes on

Seen by callers: 32 calls without an answer because a 33rd was made on their connection.

Cause: one call too many ended the connection. A client's count may differ from the router's by what crosses on the way, and 32 requests that were taken are a high price for it.

Change: such a call is nacked at once (it never ran), logged with the client's address and counted by calls_beyond_bound; it costs no decision.

--- a/hookrouter/front/intake.py
+++ b/hookrouter/front/intake.py
@@ -31,6 +31,7 @@
         self.frames = thrift.Frames(MAX_FRAME_BYTES)
         self.latest_seqid = 0  # highest sequence number of a call
         self.unanswered = set()  # sequence numbers of execute calls
+        self.excess = set()  # those among them that were read beyond the bound
 
     def read(self, data):
         """Takes received bytes and returns a Batch; nothing may be read after one with a violation."""
@@ -55,7 +56,7 @@
     def _withdraw(self, seqid, batch):
         """Applies an interrupt; the number may be of any type, and name no call."""
         if isinstance(seqid, int) and seqid in self.unanswered:
-            self.unanswered.remove(seqid)
+            self.settle(seqid)
             batch.withdrawn.append(seqid)
 
     def _check_call(self, message):
@@ -65,7 +66,7 @@
             raise Malformed(f"sequence number {message.seqid} after {self.latest_seqid}")
         if message.name == EXECUTE:
             if len(self.unanswered) >= MAX_UNANSWERED_CALLS:
-                raise Malformed(f"more than {MAX_UNANSWERED_CALLS} calls open")
+                self.excess.add(message.seqid)
             self.unanswered.add(message.seqid)
         self.latest_seqid = message.seqid
 
@@ -76,6 +77,7 @@
     def settle(self, seqid):
         """A call is answered or given up."""
         self.unanswered.discard(seqid)
+        self.excess.discard(seqid)
 
     def partial_bytes(self):
         """Bytes of a frame that is not complete yet."""
--- a/hookrouter/front/methods.py
+++ b/hookrouter/front/methods.py
@@ -38,7 +38,12 @@
 
 
 def execute(connection, message, arguments):
-    """Starts a lookup, or replies at once if it is malformed or memory is short."""
+    """Starts a lookup, or replies at once if it is beyond the bound, malformed, or memory is short."""
+    if message.seqid in connection.intake.excess:
+        connection.front.log("client has too many calls open, nacked", peer=connection.peer)
+        connection.front.count("calls_beyond_bound")
+        connection.write(calls.nacked(message.name, message.seqid, 0))
+        return
     try:
         request = calls.read_request(arguments)
     except Malformed as error:
--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -37,6 +37,7 @@
     "calls_malformed",
     "calls_of_unknown_kind",
     "calls_without_room",
+    "calls_beyond_bound",
     "calls_cut_off",
     "copies_given",
     "ids_used_twice",
