A half frame or short descriptors cost no open call its answer

Seen by callers: calls without an answer because a later frame on their connection was slow, or because descriptors or the room for half frames ran short meanwhile.

Cause: the three ways to shed a silent connection (a frame that stops for 2 s, half frames that fill their room, 0.1 s of silence while descriptors are short) reset it with its open calls.

Evidence: three tests in memory failed: the open call was given up after 2 s, at once, and after 0.1 s.

Where descriptors are short a connection with calls open is passed over, as it would give none back.

--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -195,7 +195,8 @@
         silent_since = self.deadlines.clock.seconds() - MIN_SILENCE
         # Lingering connections release theirs soon, so they count as freed.
         shed_count = max(0, max(1, int(self.connections.size * SHED_SHARE)) - len(self.lingering))
-        silent = self._waiting_since(self.silent, silent_since, shed_count)
+        waiting = self._waiting_since(self.silent, silent_since)
+        silent = [connection for connection in waiting if not connection.open_calls][:shed_count]
         for connection in silent:
             self._shed(connection, "descriptors for clients are short")
         for connection in () if silent else self._waiting_since(self.idle, silent_since, shed_count):
@@ -206,7 +207,8 @@
 
     def _shed(self, connection, reason):
         self.count("clients_shed")
-        connection.abort("client is silent, connection ended", reason)
+        connection.finish("client is silent, connection ended", reason)
+        connection.close_if_answered()
 
     # ---- replies
 
