A client that reads late gets a failure in place of a body, not the end of its connection

Seen by callers: all calls of a connection lost, with the answers that were written, when a client had an eighth of the room for clients unread (656 kB where the router has 64 MB): 32 calls for bodies of 210 kB and a client that reads 2.5 s later.

Cause: the bound on what one client may leave unread was kept by a reset.

Evidence: test_a_client_that_reads_late_gets_an_answer_to_each_of_its_calls failed: reset, 32 calls without a whole answer.

Change: beyond the bound a call is failed in place of its body, also while the room for all clients is full; small replies go on. The connection ends at three sixteenths, which only a client reaches that calls on and reads nothing, or after 10 s in which it reads nothing. The replies of a connection are a module of their own, front/outbox.py.

--- a/hookrouter/front/connection.py
+++ b/hookrouter/front/connection.py
@@ -1,4 +1,4 @@
-"""One client connection: parses calls from frames, writes replies and bounds what the client leaves unread.
+"""One client connection: its calls, their replies, and the order in which it closes.
 
 A client that violates the protocol is still owed the answers to the calls it made before: no further input is
 accepted, and the connection closes once these calls are answered.
@@ -17,9 +17,8 @@
 
 from . import methods
 from .intake import Intake
-from .methods import MAX_UNREAD_SHARE
+from .outbox import Outbox
 
-DRAIN_TIMEOUT = 10.0  # seconds a client may take to read pending replies: none waits longer for one
 # Phases of a connection: input is accepted; open calls are answered and input is discarded; it closes.
 OPEN, ANSWERING, CLOSING = "open", "answering", "closing"
 MAX_READS = 32  # in a row, 64 kB each: the maximum of open calls, each with the longest body
@@ -41,10 +40,9 @@
         self.front = front
         self.intake = Intake()
         self.open_calls = {}  # sequence number -> OpenCall
-        self.slot = self.drain_timer = None
+        self.slot = None
         self.peer = "unknown"  # address of the client, for the log
-        self.queue = []  # pieces of replies that wait until the client has read earlier ones
-        self.unread_bytes = 0  # bytes of these, or of the ones passed to the transport last
+        self.outbox = Outbox(front.deadlines, front.body_memory, self._on_stuck)
         self.phase = OPEN
         self.received = False  # whether the last read returned data
         self.pending_calls = None  # messages read and not processed yet; None when no read is being processed
@@ -52,6 +50,7 @@
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
+        self.outbox.transport = self.transport
         address = self.transport.getPeer()
         self.peer = f"{address.host}:{address.port}"
         self.slot = self.front.register(self)
@@ -126,7 +125,7 @@
         self.phase = CLOSING
         if self.slot is None:
             return
-        self._stop_drain()
+        self.outbox.stop()
         self.front.unregister(self)
 
     def abort(self, event, detail=""):
@@ -176,49 +175,32 @@
         if self.phase is not CLOSING:
             self.phase = CLOSING
             self.front.abandon(self)
-            if self.drain_timer is None:
-                self.drain_timer = self.front.deadlines.after(DRAIN_TIMEOUT, self._on_drain_timeout)
+            self.outbox.pause()  # the rest, too, has a deadline
             self.transport.unregisterProducer()
-            self._flush_queue()
-
-    def _flush_queue(self):
-        queue, self.queue = self.queue, []
-        if queue:
-            self.transport.writeSequence(queue)
+            self.outbox.flush()
 
     def writeConnectionLost(self):
         """All is written and the write side is shut down."""
-        self._stop_drain()
+        self.outbox.stop()
         self.front.start_linger(self)
 
     # Producer interface: the state of the transport's buffer. Input is read even from a client that does not
     # read, because its interrupts and its end must be seen.
     def pauseProducing(self):
-        """The transport's buffer is full; called at each write beyond it."""
-        if self.drain_timer is None:
-            self.drain_timer = self.front.deadlines.after(DRAIN_TIMEOUT, self._on_drain_timeout)
+        """The transport's buffer is full."""
+        self.outbox.pause()
 
     def resumeProducing(self):
-        """The client has read all that was passed on: the queue is next, with a deadline of its own."""
-        waiting_bytes = self.unread_bytes
-        self._stop_drain()
-        self._flush_queue()
-        if self.drain_timer is not None:
-            self._add_unread(waiting_bytes)
+        """The client has read all that was passed on."""
+        self.outbox.resume()
 
     def stopProducing(self):
         """Required by the producer interface; connectionLost() does the work."""
-        pass
-
-    def _stop_drain(self):
-        self.front.deadlines.drop(self.drain_timer)
-        self.drain_timer = None
-        unread_bytes, self.unread_bytes = self.unread_bytes, 0
-        self.front.body_memory.give_back(unread_bytes)
 
-    def _on_drain_timeout(self):
+    def _on_stuck(self):
         self.front.count("clients_not_reading")
-        self.abort("client does not read its answers, connection ended", f"{self.unread_bytes} bytes waited")
+        waiting = f"{self.outbox.unread_bytes} bytes waited"
+        self.abort("client does not read its answers, connection ended", waiting)
 
     def add_call(self, message, request):
         """Opens the call of a message; it is open until it is answered, withdrawn or abandoned."""
@@ -236,17 +218,5 @@
         return None if call is None else call.method
 
     def write(self, pieces):
-        """Writes a reply, or queues it while the client does not read; too much unread data ends the
-        connection.
-        """
-        if self.drain_timer is None:
-            self.transport.writeSequence(pieces)
-            return
-        self.queue.extend(pieces)
-        self._add_unread(sum(map(len, pieces)))
-        if self.unread_bytes > self.front.body_memory.size * MAX_UNREAD_SHARE:
-            self._on_drain_timeout()
-
-    def _add_unread(self, size):
-        self.unread_bytes += size
-        self.front.body_memory.take(size)
+        """Writes a reply."""
+        self.outbox.write(pieces)
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -221,8 +221,14 @@
             connection.close_if_answered()
 
     def satisfied(self, call, pieces, length):
-        """Replies with a body of that length."""
-        self._answer(call, calls.satisfied, pieces, length)
+        """Replies with a body of that length; fails the call if its client leaves too much unread."""
+        connection = self.connections.get(call[0])
+        if connection is None or connection.outbox.has_room(length):
+            self._answer(call, calls.satisfied, pieces, length)
+            return
+        self.log("client does not read its answers, one without its body", peer=connection.peer)
+        self.count("bodies_left_out")
+        self.failed(call, "answers are not read")
 
     def unchanged(self, call):
         """Replies that the client's copy is current."""
--- a/hookrouter/front/methods.py
+++ b/hookrouter/front/methods.py
@@ -5,11 +5,6 @@
 from . import calls
 from .intake import EXECUTE
 
-MAX_UNREAD_SHARE = 1 / 8  # share of the body memory that one client may leave unread
-NACK_UNREAD_SHARE = (
-    MAX_UNREAD_SHARE / 2
-)  # beyond it further calls are nacked, as their replies would add to it
-
 
 def dispatch(connection, message):
     """Calls the method of a call."""
@@ -51,9 +46,7 @@
         connection.write(calls.failed(message.name, message.seqid, str(error)))
         return
     front = connection.front
-    if (
-        request.body and front.body_memory.full()
-    ) or connection.unread_bytes > front.body_memory.size * NACK_UNREAD_SHARE:
+    if (request.body and front.body_memory.full()) or connection.outbox.nacks_calls():
         front.log("bodies of calls or unread answers fill their room, nacked")
         front.count("calls_without_room")
         connection.write(calls.nacked(message.name, message.seqid, 0))
--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -39,6 +39,7 @@
     "calls_without_room",
     "calls_beyond_bound",
     "calls_cut_off",
+    "bodies_left_out",
     "copies_given",
     "ids_used_twice",
     "keys_missing",
