The trace of a lookup that was withdrawn before its decision raises nothing

Seen by callers: with [trace] on, an exception in the middle of another call's read or answer; the reactor closes that client's connection, or the answer's callback ends early.

Cause: while the socket is read before a request leaves, a call and its interrupt may both arrive. The lookup waits to be decided, its slot is given back, and the trace then read the id of a lookup that was gone.

Evidence: found by reading the paths that nested reads take; the new test misses the lookup's row in the trace before, as the exception came first.

Change: the id is None in that case, as for other events.

Result: tests/test_trace.py passes; the test failed before.

--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -139,13 +139,17 @@
             effects = [*self.control.effects, *map(interface.Fail, affected)]
             self.inputs.extend(map(interface.ClientGone, affected))
         if self.trace is not None:
-            request = self.lookups.get(event.id).request if isinstance(event, interface.Lookup) else None
-            self.trace.record(self.decision_time, event, effects, self.control, request and request.trace)
+            self.trace.record(self.decision_time, event, effects, self.control, self._trace_id(event))
         for effect in effects:
             EFFECTS[type(effect)](self, effect)
         if isinstance(event, interface.SendEnd):
             self.storable_results.pop((event.id, event.send), None)
 
+    def _trace_id(self, event):
+        """The client's id of a new lookup; None for other events, and if the client has withdrawn it."""
+        lookup = self.lookups.get(event.id) if isinstance(event, interface.Lookup) else None
+        return None if lookup is None else lookup.request.trace
+
     def _affected_lookups(self, event):
         """Lookups that nothing else will answer: that of the event, and, as an alarm may be lost, all that
         are overdue.
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -6,7 +6,7 @@
 
 import pytest
 from fleet import FLEET as CACHES
-from fleet import answer, lookup, message, sends, terms
+from fleet import answer, answers, lookup, message, sends, terms
 from fleet import cache as cache_of
 from scenes import Scene
 
@@ -52,6 +52,22 @@
     scene.net.pump([0.2] * 30)
 
 
+def test_a_call_withdrawn_before_it_is_decided_is_traced_and_holds_up_no_other(tmp_path):
+    """The trace looked up its id, which was gone; the exception came out of another call's read or answer."""
+    scene = traced_scene(tmp_path)
+    wire = scene.client()
+    wire.come(message(1))
+    scene.router.deciding = True  # as while the socket is read before a request leaves
+    wire.come(message(2))
+    wire.come(message(3, b"interrupt", interrupted=2))
+    scene.router.deciding = False
+    scene.net.advance(2)
+    assert wire.open and answers(wire.take()).keys() == {1} and scene.check_counters()["lookups_held"] == 0
+    scene.router.trace.close()
+    ((_, rows),) = read_traces(tmp_path)
+    assert [row.event for row in rows].count("Lookup") == 2
+
+
 def test_decisions_are_read_back_and_a_replay_by_the_same_build_repeats_them(tmp_path):
     scene = traced_scene(tmp_path)
     play_lookups(scene, 200)
