An exception in an effect fails its lookup and ends no client's connection

Seen by callers: none so far. An exception while a decision is carried out came out of the read of a client's connection; the reactor then closes that connection, with all its open calls, and as sockets are read within one another it may be another client's.

Cause: decisions were guarded, effects were not.

Evidence: three tests (Ask, Obtain, Nack that raise) failed: the exception left the read.

Change: an effect that raises is logged with its trace and counted by effects_failed; its lookup is answered as failed, a send that did not start counts as never made, all else goes on.

--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -70,6 +70,7 @@
     "reloads",
     "reloads_refused",
     "decisions_failed",
+    "effects_failed",
     "errors_uncaught",
     "traces_failed",
 )
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -1,8 +1,6 @@
 """Joins clients, caches and the feed to one Control, executes its effects and owns the lookups."""
 
 import time
-import traceback
-from collections import deque
 from math import inf
 
 from .. import interface
@@ -17,7 +15,7 @@
 from ..tables.slots import Slots
 from ..terms import SECOND
 from .counters import gauges
-from .effects import EFFECTS
+from .decision_loop import DecisionLoop
 from .start import available_memory
 
 # Share of the available memory for bodies from caches; the unassigned rest is for garbage.
@@ -51,11 +49,11 @@
         self.kinds = {kind.name: kind for kind in terms.kinds}
         self.lookups = Slots(max(1, terms.max_pending_lookups))
         self.by_call = {}  # call of the front -> lookup number
-        self.latest_time = self.decision_time = 0
+        self.latest_time = 0
         self.storable_results = {}  # (lookup number, send number) -> (request, result) while being decided
         self.copies = {}  # (kind, object, part) -> (revision, pieces, length)
         self.deadlines = Deadlines(reactor)
-        self.inputs, self.deciding = deque(), False
+        self.decisions = DecisionLoop(self)
         self.open_trace_ids = set()  # client-given ids of lookups that are open or have sends running
         max_clients = start.sockets // 3
         available_bytes = available_memory(start.memory)
@@ -116,56 +114,14 @@
         return self.latest_time
 
     def handle_event(self, event):
-        """Passes an input to Control after those already queued, and executes the effects at once."""
-        self.inputs.append(event)
-        if self.deciding:
-            return
-        self.deciding = True
-        try:
-            while self.inputs:
-                self._decide(self.inputs.popleft())
-        finally:
-            self.deciding = False
-
-    def _decide(self, event):
-        self.decision_time = self.now()
-        try:
-            effects = self.control.decide(self.decision_time, [event])
-        except Exception:
-            self.count("decisions_failed")
-            self.log("decision code failed", traceback.format_exc())
-            # Effects produced before the failure are executed; the affected lookups fail.
-            affected = self._affected_lookups(event)
-            effects = [*self.control.effects, *map(interface.Fail, affected)]
-            self.inputs.extend(map(interface.ClientGone, affected))
-        if self.trace is not None:
-            self.trace.record(self.decision_time, event, effects, self.control, self._trace_id(event))
-        for effect in effects:
-            EFFECTS[type(effect)](self, effect)
-        if isinstance(event, interface.SendEnd):
-            self.storable_results.pop((event.id, event.send), None)
-
-    def _trace_id(self, event):
-        """The client's id of a new lookup; None for other events, and if the client has withdrawn it."""
-        lookup = self.lookups.get(event.id) if isinstance(event, interface.Lookup) else None
-        return None if lookup is None else lookup.request.trace
-
-    def _affected_lookups(self, event):
-        """Lookups that nothing else will answer: that of the event, and, as an alarm may be lost, all that
-        are overdue.
-        """
-        own_number = event.id if isinstance(event, (interface.Lookup, interface.SendEnd)) else None
-        return [
-            lookup.number
-            for lookup in self.lookups.occupied()
-            if not lookup.answered and (lookup.number == own_number or lookup.deadline <= self.latest_time)
-        ]
+        """Passes an input to Control after those already queued, and carries out the effects at once."""
+        self.decisions.handle_event(event)
 
     def seconds_until(self, span):
         """Seconds until the given time after the current decision, so that an alarm and a send for the same
         moment end together.
         """
-        return max(0.0, (self.decision_time + span) / SECOND - self.wall())
+        return max(0.0, (self.decisions.decided_at + span) / SECOND - self.wall())
 
     # ---- callbacks of the front
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,6 +8,7 @@
 
 from hookrouter import interface
 from hookrouter.feed.events import parse_event
+from hookrouter.node.effects import EFFECTS
 from hookrouter.node.service import Service
 from hookrouter.node.start import read_start
 from hookrouter.parsers import thrift
@@ -356,3 +357,29 @@
     )
     s.router.on_cache_list(parse_event(json.dumps(members(200, *FLEET[:3], whole=True))))
     assert sorted(s.router.caches.endpoints) == ["c0", "c1", "p0"]
+
+
+@pytest.mark.parametrize("effect", [interface.Ask, interface.Obtain, interface.Nack])
+def test_an_exception_in_an_effect_costs_no_other_call_its_answer(tmp_path, monkeypatch, effect):
+    """It came out of the read of a client's connection, and the reactor closed that connection."""
+    s = Scene(tmp_path)
+    wire = s.client()
+    wire.come(message(1))
+
+    def broken(*_):
+        raise RuntimeError("made up")
+
+    with monkeypatch.context() as patched:
+        if effect is interface.Nack:
+            patched.setitem(EFFECTS, effect, broken)
+            patched.setattr(s.router.control.rules, "admissible", lambda lookup, target: False)
+        else:
+            patched.setattr(s.router.caches, "send", broken)
+        wire.come(message(2, service="hold" if effect is interface.Ask else "clip", replay="5c0f"))
+    got = answers(wire.take())
+    assert got.keys() == {2} and got[2][1].keys() == {2}
+    assert "RuntimeError: made up" in s.out.text and s.counters.values["effects_failed"] == 1
+    s.net.pump([0.1] * 20)
+    assert wire.open and answers(wire.take()).keys() == {1} and s.check_counters()["lookups_held"] == 0
+    assert not s.router.control.pending_lookups
+    assert not s.router.control.pending_sends and len(s.router.lookups) == 0
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -57,10 +57,10 @@
     scene = traced_scene(tmp_path)
     wire = scene.client()
     wire.come(message(1))
-    scene.router.deciding = True  # as while the socket is read before a request leaves
+    scene.router.decisions.deciding = True  # as while the socket is read before a request leaves
     wire.come(message(2))
     wire.come(message(3, b"interrupt", interrupted=2))
-    scene.router.deciding = False
+    scene.router.decisions.deciding = False
     scene.net.advance(2)
     assert wire.open and answers(wire.take()).keys() == {1} and scene.check_counters()["lookups_held"] == 0
     scene.router.trace.close()
