--- a/hookrouter/front/connection.py
+++ b/hookrouter/front/connection.py
@@ -151,7 +151,7 @@
         self.front.log_end(self, event, detail)
         self.phase = ANSWERING
         self.intake.discard_partial()
-        self.front.stop_timeouts(self)
+        self.front.watch.stop(self)
 
     def close_if_answered(self):
         """Closes a connection that accepts no further input once nothing is owed on it."""
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -1,18 +1,16 @@
 """All client connections: each owns a descriptor slot and its open calls, and releases both.
 
-Connections that are silent, idle or in the middle of a frame are kept in order of time. The oldest are closed
-when their time is over, or earlier if descriptors or memory for incomplete frames run short, so no client can
-block others.
+Those that have been silent or idle the longest are closed when their time is over, or earlier if descriptors
+or memory for incomplete frames run short, so no client can block others.
 """
 
-from itertools import islice
-
 from twisted.internet import tcp
 from twisted.internet.protocol import Factory
 
 from ..tables.slots import Slots
 from . import calls
 from .connection import Connection
+from .input_watch import InputWatch, waiting_since
 
 FRAME_TIMEOUT = 2.0  # seconds for a first frame or the rest of one: no call is longer than some packets
 MIN_SILENCE = 0.1  # seconds of silence that are always allowed: by then data sent with the connection is here
@@ -60,12 +58,7 @@
         )
         self.log, self.count = log, count
         self.connections = Slots(limit)
-        self.max_partial_bytes, self.partial_bytes, self.partial_bytes_total = (
-            max_partial_bytes,
-            {},
-            0,
-        )  # bytes of incomplete frames: limit, by connection, total
-        self.silent, self.idle = {}, {}  # connection -> since when, the oldest first
+        self.watch = InputWatch(deadlines.clock, max_partial_bytes)
         self.lingering = {}  # connection -> timer of its close, the oldest first
         self.sweep_timer = self.port = None
 
@@ -87,7 +80,7 @@
         slot = self.connections.take(connection)
         self.count("clients_connected" if slot is not None else "clients_turned_away")
         if slot is not None:
-            self.silent[connection] = self.deadlines.clock.seconds()
+            self.watch.start(connection)
             if self.sweep_timer is None:
                 self.sweep_timer = self.deadlines.after(SWEEP_INTERVAL, self._sweep)
         if self.full():
@@ -103,17 +96,11 @@
             self.port.startReading()
 
     def abandon(self, connection):
-        """Drops all open calls of a connection and stops its timeouts."""
+        """Drops all open calls of a connection; no more input is expected of it."""
         for seqid in list(connection.open_calls):
             connection.close_call(seqid)
             self.handler.on_client_gone((connection.slot, seqid))
-        self.stop_timeouts(connection)
-
-    def stop_timeouts(self, connection):
-        """No more input is expected of a connection: its silence does not count."""
-        self._set_partial(connection, 0)
-        self.silent.pop(connection, None)
-        self.idle.pop(connection, None)
+        self.watch.stop(connection)
 
     def log_cut_off(self, connection, event, detail=""):
         """Logs why the router ends a connection, and counts the open calls that get no answer by that."""
@@ -130,28 +117,18 @@
         """Updates the timeouts of a connection after input. has_frames: it contained a complete frame."""
         if connection.ending:
             return
-        partial = connection.intake.partial_bytes()
-        if partial or connection in self.partial_bytes:
-            self._set_partial(connection, partial)
-        if has_frames or not partial:
-            self.silent.pop(connection, None)
-        if partial:
-            self.silent.setdefault(connection, self.deadlines.clock.seconds())
+        self.watch.on_input(connection, has_frames, connection.intake.partial_bytes())
         if has_frames and not connection.open_calls:
             self.mark_idle(connection)
-        while self.partial_bytes_total > self.max_partial_bytes:
-            self._shed(next(iter(self.partial_bytes)), "half frames fill their room")
-
-    def _set_partial(self, connection, size):
-        self.partial_bytes_total += size - self.partial_bytes.pop(connection, 0)
-        if size:
-            self.partial_bytes[connection] = size
+        while (oldest := self.watch.oldest_partial()) is not None:
+            self._shed(oldest, "half frames fill their room")
 
     def mark_idle(self, connection):
         """The connection has no open call from now on."""
-        self.idle.pop(connection, None)
-        if not connection.ending:
-            self.idle[connection] = self.deadlines.clock.seconds()
+        if connection.ending:
+            self.watch.mark_busy(connection)
+        else:
+            self.watch.mark_idle(connection)
 
     def start_linger(self, connection):
         """The write side of a connection is shut down; its input is discarded until it is closed."""
@@ -169,9 +146,9 @@
 
     def _sweep(self):
         now = self.deadlines.clock.seconds()
-        for connection in self._waiting_since(self.silent, now - FRAME_TIMEOUT):
+        for connection in waiting_since(self.watch.silent, now - FRAME_TIMEOUT):
             self._shed(connection, "silent for too long")
-        for connection in self._waiting_since(self.idle, now - self.idle_timeout):
+        for connection in waiting_since(self.watch.idle, now - self.idle_timeout):
             connection.close()
         if self.full():
             self._free_descriptors()
@@ -179,27 +156,16 @@
             self.deadlines.after(SWEEP_INTERVAL, self._sweep) if len(self.connections) else None
         )
 
-    def _waiting_since(self, waiting, moment, limit=None):
-        """Connections waiting since that time or longer, also after their unread input was processed."""
-        found = []
-        for connection, since in islice(waiting.items(), limit):
-            if since > moment:
-                break
-            found.append((connection, since))
-        for connection, _ in found:
-            connection.read_pending()
-        return [connection for connection, since in found if waiting.get(connection) == since]
-
     def _free_descriptors(self):
         """Closes some silent connections, or else some idle ones; if all are busy, new ones wait."""
         silent_since = self.deadlines.clock.seconds() - MIN_SILENCE
         # Lingering connections release theirs soon, so they count as freed.
         shed_count = max(0, max(1, int(self.connections.size * SHED_SHARE)) - len(self.lingering))
-        waiting = self._waiting_since(self.silent, silent_since)
+        waiting = waiting_since(self.watch.silent, silent_since)
         silent = [connection for connection in waiting if not connection.open_calls][:shed_count]
         for connection in silent:
             self._shed(connection, "descriptors for clients are short")
-        for connection in () if silent else self._waiting_since(self.idle, silent_since, shed_count):
+        for connection in () if silent else waiting_since(self.watch.idle, silent_since, shed_count):
             self.count("clients_shed")
             connection.close("descriptors for clients are short, an idle connection ended")
         if self.port is not None:
@@ -251,7 +217,7 @@
         for connection in self.connections.occupied():
             if not connection.open_calls:
                 connection.read_pending()
-            if not connection.open_calls and connection not in self.partial_bytes:
+            if not connection.open_calls and connection not in self.watch.partial_bytes:
                 connection.close("idle client connection ended, the process exits")
 
     def abort_all(self):
--- a/hookrouter/front/methods.py
+++ b/hookrouter/front/methods.py
@@ -52,7 +52,7 @@
         connection.write(calls.nacked(message.name, message.seqid, 0))
         return
     if not connection.open_calls:
-        front.idle.pop(connection, None)
+        front.watch.mark_busy(connection)
     connection.add_call(message, request)
     front.handler.on_lookup((connection.slot, message.seqid), request)
 
--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -127,7 +127,7 @@
         "sends_waiting": len(router.caches.waiting),
         "deadlines_held": len(router.deadlines),
         "body_bytes_held": router.front.body_memory.used_bytes + router.caches.body_memory.used_bytes,
-        "half_frame_bytes_held": router.front.partial_bytes_total,
+        "half_frame_bytes_held": router.front.watch.partial_bytes_total,
         **(router.purges.gauges() if router.purges is not None else {}),
         "copies_held": len(router.copies),
         "copy_bytes_held": router.control.copies.stored.bytes,
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -266,7 +266,7 @@
     assert silent.open and half_heard.open and drip.open and not half_heard.protocol.ending
     s.net.pump([0.1, 0.1, 0])
     assert not silent.open and not drip.open and good.open and half_heard.protocol.ending
-    assert len(s.handler.calls) == 2 and s.handler.gone == [] and s.front.partial_bytes_total == 0
+    assert len(s.handler.calls) == 2 and s.handler.gone == [] and s.front.watch.partial_bytes_total == 0
     s.net.advance(30)
     assert good.open and half_heard.open  # their calls are open
     s.front.failed(s.handler.calls[0][0])
@@ -304,9 +304,9 @@
     for wire in wires:
         wire.come(message(1, body=b"x" * 2_000)[:1_400])
     s.net.advance(0)
-    assert [wire.open for wire in wires] == [False, True, True] and s.front.partial_bytes_total == 2_800
+    assert [wire.open for wire in wires] == [False, True, True] and s.front.watch.partial_bytes_total == 2_800
     wires[1].come(message(1, body=b"x" * 2_000)[1_400:])
-    assert s.front.partial_bytes_total == 1_400 and len(s.handler.calls) == 1
+    assert s.front.watch.partial_bytes_total == 1_400 and len(s.handler.calls) == 1
 
 
 def test_the_listener_accepts_no_more_than_there_are_slots():
@@ -572,7 +572,7 @@
     wire = s.client()
     wire.come(message(1) + message(2)[:-1])
     s.net.pump([0.1] * 25)
-    assert wire.open and s.handler.gone == [] and s.front.partial_bytes_total == 0
+    assert wire.open and s.handler.gone == [] and s.front.watch.partial_bytes_total == 0
     wire.come(message(2)[-1:] + message(3))  # no more is taken
     assert len(s.handler.calls) == 1
     s.front.satisfied(s.handler.calls[0][0], (b"x",), 1)
@@ -585,7 +585,7 @@
     wire = s.client()
     wire.come(message(1) + message(2, body=b"x" * 2_000)[:1_400])
     s.net.advance(0)
-    assert wire.open and s.handler.gone == [] and s.front.partial_bytes_total == 0
+    assert wire.open and s.handler.gone == [] and s.front.watch.partial_bytes_total == 0
     s.front.nacked(s.handler.calls[0][0], 0)
     s.net.advance(0)
     assert answers(wire.take()).keys() == {1} and not wire.open
