--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,18 +1,32 @@
 """A router as a process on loopback, and small servers for its caches and feed."""
 
+import json
 import os
+import signal
 import socketserver
 import subprocess
 import sys
 import threading
+from contextlib import contextmanager
 
-from fleet import answer, answers
+from fleet import answer, answers, configuration, endpoint, members
+
+from standins.ports import free_port
+
+MEMORY_MB = 64
 
 
 class Cache(socketserver.BaseRequestHandler):
     """Answers every request with its path, part 7 with a longer body; part 9 is never answered."""
 
     def handle(self):
+        try:
+            self.handle_requests()
+        except ConnectionError:
+            pass  # the router gave up the request
+
+    def handle_requests(self):
+        """Answers the requests of a connection until it ends."""
         head = b""
         while piece := self.request.recv(65536):
             head += piece
@@ -20,9 +34,12 @@
                 head_part, _, head = head.partition(b"\r\n\r\n")
                 target = head_part.split(b" ")[1]
                 if not target.endswith(b"/9"):
-                    self.request.sendall(
-                        answer(200, target * (7_000 if target.endswith(b"/7") else 1), *self.extra_fields())
-                    )
+                    self.answer(target)
+
+    def answer(self, target):
+        """Answers a request for this path."""
+        length = 7_000 if target.endswith(b"/7") else 1
+        self.request.sendall(answer(200, target * length, *self.extra_fields()))
 
     def extra_fields(self):
         """Further header fields; without X-Since-Ms a copy counts as very old."""
@@ -66,14 +83,38 @@
     return replies
 
 
-def start_router(path, program=("hookrouter",)):
+def start_router(path, program=("hookrouter",), environment=None):
     """Starts the router process, by another program that runs it if one is named; returns it and its port."""
     process = subprocess.Popen(
         [sys.executable, "-m", *program, "serve"],
         stderr=subprocess.PIPE,
         text=True,
-        env={**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n1"},
+        env={**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n1", **(environment or {})},
     )
     first_line = process.stderr.readline()
     assert "serving: n1 on 127.0.0.1:" in first_line
     return process, int(first_line.rsplit(":", 1)[1])
+
+
+@contextmanager
+def running_router(tmp_path, program=("hookrouter",), environment=None, cache=Cache):
+    """A router process and its port; at the end it is told to end, which no call may notice."""
+    with BackgroundServer(cache) as caches, BackgroundServer(FeedStandIn) as feed:
+        fleet = [endpoint("c0", caches.port), endpoint("o0", caches.port, "origin")]
+        config = configuration(
+            members(1, *fleet, whole=True),
+            listen=f"127.0.0.1:{free_port()}",
+            feed=f"127.0.0.1:{feed.port}",
+        )
+        config["limits"]["memory_mb"] = MEMORY_MB
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config))
+        process, port = start_router(path, program, environment)
+        try:
+            yield process, port
+            process.send_signal(signal.SIGTERM)
+            logged = process.communicate(timeout=10)[1]
+            assert process.returncode == 0 and "Traceback" not in logged and "calls_cut_off 0" in logged
+        finally:
+            process.kill()
+            process.wait()
--- a/tests/protocol_client.py
+++ b/tests/protocol_client.py
@@ -5,7 +5,9 @@
 import time
 from random import Random
 
-from fleet import answers, message
+from fleet import message
+
+from hookrouter.parsers import thrift
 
 MAX_OPEN_CALLS = 32  # of one client's connection, by the protocol
 SILENT, LARGE = "9", "7"  # parts that the stand-in cache never answers, and answers with a long body
@@ -15,7 +17,7 @@
     """Counts its own open calls: made, and neither answered nor withdrawn."""
 
     def __init__(self, port, seed=0, receive_buffer=None):
-        self.dice, self.seqid, self.received = Random(seed), 0, b""
+        self.dice, self.seqid, self.frames = Random(seed), 0, thrift.Frames(10**7)
         self.socket = socket.socket()
         if receive_buffer is not None:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
@@ -78,8 +80,10 @@
             return
         if not piece:
             self.ended = "fin"
-        self.received += piece
-        self.replies = answers(self.received)
+        for frame in self.frames.feed(piece):
+            reply = thrift.Message(frame)
+            assert reply.seqid not in self.replies, "a second answer"
+            self.replies[reply.seqid] = reply.arguments()
         self.open_calls = [call for call in self.open_calls if call not in self.replies]
 
     def unanswered(self):
@@ -88,4 +92,4 @@
 
     def outcome(self, call):
         """How a call was answered: satisfied, nacked or failed."""
-        return {0: "satisfied", 1: "nacked", 2: "failed"}[next(iter(self.replies[call][1]))]
+        return {0: "satisfied", 1: "nacked", 2: "failed"}[next(iter(self.replies[call]))]
--- a/tests/test_taken_calls_process.py
+++ b/tests/test_taken_calls_process.py
@@ -1,52 +1,23 @@
 """Calls that a router has read are answered, whatever else their client sends; real processes on loopback."""
 
-import json
 import signal
 import time
-from contextlib import contextmanager
 
 import pytest
-from fleet import configuration, endpoint, members, message
-from processes import BackgroundServer, Cache, FeedStandIn, start_router
+from fleet import message
+from processes import running_router
 from protocol_client import LARGE, MAX_OPEN_CALLS, ProtocolClient
 
-from standins.ports import free_port
-
 ALLOW_MS = 800
 ANSWERED_WITHIN = ALLOW_MS / 1000 + 0.5  # seconds: later an answer counts as lost
 SHORT_READ = 64  # bytes: longer than an interrupt, shorter than a call
-MEMORY_MB = 64
-
-
-@contextmanager
-def router(tmp_path, program=("hookrouter",)):
-    """A router process, its port, and what it logged once it has ended."""
-    with BackgroundServer(Cache) as cache, BackgroundServer(FeedStandIn) as feed:
-        fleet = [endpoint("c0", cache.port), endpoint("o0", cache.port, "origin")]
-        config = configuration(
-            members(1, *fleet, whole=True),
-            listen=f"127.0.0.1:{free_port()}",
-            feed=f"127.0.0.1:{feed.port}",
-        )
-        config["limits"]["memory_mb"] = MEMORY_MB
-        path = tmp_path / "config.json"
-        path.write_text(json.dumps(config))
-        process, port = start_router(path, program)
-        try:
-            yield process, port
-            process.send_signal(signal.SIGTERM)
-            logged = process.communicate(timeout=10)[1]
-            assert process.returncode == 0 and "Traceback" not in logged and "calls_cut_off 0" in logged
-        finally:
-            process.kill()
-            process.wait()
 
 
 @pytest.mark.parametrize("reads", ["whole", "short"])
 def test_calls_withdrawn_and_made_at_the_bound_end_no_connection(tmp_path, reads):
     """An interrupt that was read but not processed counted as an open call: a regular client had 33."""
     program = ("standins.short_reads", str(SHORT_READ)) if reads == "short" else ("hookrouter",)
-    with router(tmp_path, program) as (_, port):
+    with running_router(tmp_path, program) as (_, port):
         clients = [ProtocolClient(port, seed) for seed in range(4)]
         for client in clients:
             client.send(b"".join(client.next_call(allow=ALLOW_MS) for _ in range(MAX_OPEN_CALLS)))
@@ -64,7 +35,7 @@
 
 def test_calls_withdrawn_while_the_router_was_stopped_end_no_connection(tmp_path):
     """More than eight calls withdrawn in the read that brought them ended the connection of a regular client."""
-    with router(tmp_path) as (process, port), ProtocolClient(port) as client:
+    with running_router(tmp_path) as (process, port), ProtocolClient(port) as client:
         client.send(b"".join(client.next_call(allow=2 * ALLOW_MS) for _ in range(10)))
         time.sleep(0.1)
         process.send_signal(signal.SIGSTOP)
@@ -87,7 +58,7 @@
 @pytest.mark.parametrize("violation", VIOLATIONS)
 @pytest.mark.parametrize("when", ["in the same read", "later"])
 def test_calls_before_what_cannot_be_read_are_answered(tmp_path, violation, when):
-    with router(tmp_path) as (_, port), ProtocolClient(port) as client:
+    with running_router(tmp_path) as (_, port), ProtocolClient(port) as client:
         calls = b"".join(client.next_call(allow=ALLOW_MS) for _ in range(3)) + client.next_call(LARGE)
         client.send(calls + VIOLATIONS[violation] * (when == "in the same read"))
         if when == "later":
@@ -102,7 +73,7 @@
 
 
 def test_a_call_beyond_the_bound_is_nacked_and_the_others_are_answered(tmp_path):
-    with router(tmp_path) as (_, port), ProtocolClient(port) as client:
+    with running_router(tmp_path) as (_, port), ProtocolClient(port) as client:
         client.send(b"".join(client.next_call(allow=ALLOW_MS) for _ in range(MAX_OPEN_CALLS)))
         client.send(message(90) + message(91))
         client.receive(0.3)
@@ -114,7 +85,7 @@
 
 def test_a_client_that_reads_late_gets_an_answer_to_each_of_its_calls(tmp_path):
     """Answers beyond the bound on unread bytes ended the connection, and all other calls with it."""
-    with router(tmp_path) as (_, port), ProtocolClient(port, receive_buffer=65_536) as client:
+    with running_router(tmp_path) as (_, port), ProtocolClient(port, receive_buffer=65_536) as client:
         client.send(b"".join(client.next_call(LARGE, allow=4_000) for _ in range(MAX_OPEN_CALLS)))
         time.sleep(2.5)  # by then every body has come from the cache
         client.receive(4.0)
