--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -80,7 +80,7 @@
         send = Send(
             self,
             endpoint,
-            requests.encode_request(request, endpoint.host_field),
+            requests.request_encoder(request, endpoint.host_field),
             client_revision,
             (request.kind, request.object, request.part),
             request.not_repeatable,
@@ -95,12 +95,12 @@
         if endpoint is None:
             return self._send_to_unknown()
         # The settings state no timeout for probes but that of connections.
-        send = Send(self, endpoint, requests.encode_probe(self.report_fields, endpoint.host_field))
+        send = Send(self, endpoint, requests.probe_encoder(self.report_fields, endpoint.host_field))
         return self._launch(send, self.connect_timeout, self.connect_timeout)
 
     def _send_to_unknown(self):
         """A send to a cache that was removed after Control selected it; it is never written."""
-        send = Send(self, None, ())
+        send = Send(self, None, None)
         send.timeout_timer = self.deadlines.after(0, self.abort, send, interface.VOID)
         return send
 
@@ -145,7 +145,8 @@
         else:
             send.written = True
             self.deadlines.drop(send.start_timer)
-            connection.transport.writeSequence(send.pieces)
+            time_left = int(self.deadlines.left(send.timeout_timer) * SECOND)
+            connection.transport.writeSequence(send.encode(time_left))
             connection.transport.doWrite()  # now, not after all other events of the reactor
 
     def on_timeout(self, send):
--- a/hookrouter/caches/requests.py
+++ b/hookrouter/caches/requests.py
@@ -102,6 +102,22 @@
     return http1.request(b"GET", target, fields, request.body)
 
 
+def request_encoder(request, host):
+    """A function that encodes the request when it is written; it takes the time left until its timeout, in
+    tenths of a millisecond, since a request may have waited for a connection.
+    """
+
+    def encode(time_left):
+        return encode_request(request._replace(timeout=min(request.timeout, time_left)), host)
+
+    return encode
+
+
+def probe_encoder(load_reports, host):
+    """The same for a probe, which states no time."""
+    return lambda time_left: encode_probe(load_reports, host)
+
+
 def encode_probe(load_reports, host):
     """HTTP request of a probe, with a load report where the deployment has them."""
     return http1.request(b"GET", b"/busy" if load_reports else b"/ping", [(b"Host", host)])
--- a/hookrouter/caches/send.py
+++ b/hookrouter/caches/send.py
@@ -28,7 +28,7 @@
     __slots__ = (
         "caches",
         "endpoint",
-        "pieces",
+        "encode",
         "client_revision",
         "target",
         "not_repeatable",
@@ -45,13 +45,14 @@
         self,
         caches,
         endpoint,
-        pieces,
+        encode,
         client_revision=None,
         target=None,
         not_repeatable=False,
         is_wanted=always_wanted,
     ):
-        self.caches, self.endpoint, self.pieces = caches, endpoint, pieces
+        self.caches, self.endpoint = caches, endpoint
+        self.encode = encode  # encodes the request, given the time left; None: it is never written
         self.client_revision = client_revision  # revision of the client's copy, which may be current
         self.target = target  # kind, object, part
         self.not_repeatable = not_repeatable  # needs a connection on which no stale response can arrive
--- a/hookrouter/command/fleet/drill.py
+++ b/hookrouter/command/fleet/drill.py
@@ -62,12 +62,14 @@
 
 def run_drill(section, name, fault, duration):
     """Runs the drill; returns the exit code, 0 if every duty has an owner at the end."""
-    from twisted.internet import reactor, task
+    from twisted.internet import task
 
+    from ...clock import monotonic_reactor, unix_milliseconds
     from ...decisions.owners import protocol
     from ...fleet.wire import Peers
 
-    monitor, key_count, generation = DrillMonitor(list(section["keepers"])), [0], int(time.time() * 1_000)
+    reactor = monotonic_reactor()
+    monitor, key_count, generation = DrillMonitor(list(section["keepers"])), [0], unix_milliseconds()
     client_name = f"drill-{os.getpid()}"
 
     def on_message(sender, message):
--- a/hookrouter/command/fleet/queries.py
+++ b/hookrouter/command/fleet/queries.py
@@ -1,7 +1,6 @@
 """Requests to the keepers of a fleet."""
 
 import os
-import time
 
 from ...errors.commands import KeepersUnreachable
 from .. import sections_of
@@ -21,11 +20,11 @@
     make_request(client_name, generation) returns the message. follow_up(answers, client_name, generation)
     returns a second request, made from all answers, whose answer is returned as "answer"; or None.
     """
-    from twisted.internet import reactor
-
+    from ...clock import monotonic_reactor, unix_milliseconds
     from ...decisions.owners import protocol
     from ...fleet.wire import Peers
 
+    reactor = monotonic_reactor()
     client_name, answers = f"cmd-{os.getpid()}", {}
     names = list(section["keepers"])
 
@@ -61,7 +60,7 @@
         on_message,
         lambda *a, **k: None,
     )
-    generation = int(time.time() * 1_000)
+    generation = unix_milliseconds()
     message = make_request(client_name, generation)
 
     def resend():
--- a/hookrouter/command/fleet/running.py
+++ b/hookrouter/command/fleet/running.py
@@ -15,14 +15,15 @@
     Example: hookrouter fleet serve --site site.ini
     """
     sections = sections_of(site_file, "fleet")
-    from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
+    from ...clock import monotonic_reactor
     from ...fleet.member.service import Member
     from ...log import Log
 
     log = Log(form=sections.get("log", {}).get("format", "text"))
 
+    reactor = monotonic_reactor()
     tell_uncaught(log)
     member = Member(reactor, log, sections)
     try:
--- a/hookrouter/command/purges/serving.py
+++ b/hookrouter/command/purges/serving.py
@@ -6,12 +6,13 @@
 
 def run(make_desk, listen, secret, takes_purges, log):
     """Listens and runs until SIGTERM or SIGINT; raises ListenRefused."""
-    from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
+    from ...clock import monotonic_reactor
     from ...desk.web import publisher_site
     from ...errors.listening import ListenRefused
 
+    reactor = monotonic_reactor()
     tell_uncaught(log)
     desk = make_desk(reactor)
     host, port = listen
--- a/hookrouter/command/router.py
+++ b/hookrouter/command/router.py
@@ -77,16 +77,17 @@
     signals = signals or Signals()  # before the slow imports, so no signal during them ends the process
     sections = read_site(site_file)
     start = read_start(os.environ, sections=sections)
-    from twisted.internet import reactor
-
+    from ..clock import monotonic_reactor, watch_polls
     from ..log import Log
     from ..node.counters import Counters
     from ..node.router import Router
     from ..node.service import Service
 
+    reactor = monotonic_reactor()
     log = Log(form=log_format or sections.get("log", {}).get("format", "text"))
     counters = Counters([kind.name for kind in start.terms.kinds])
     router = Router(start, reactor, log, counters)
+    router.input_age = watch_polls(reactor).age
     member = member_of(reactor, log, sections, router) if "fleet" in sections else None
     gc.collect()
     gc.freeze()  # long-lived objects are exempt from later collections
--- a/hookrouter/desk/admission.py
+++ b/hookrouter/desk/admission.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any, NamedTuple
@@ -14,8 +13,8 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.web import server
 
+from ..clock import steady, unix_milliseconds
 from ..decisions.admission import Arrival, Gate, Terms, messages, tickets
-from ..feed.purges import steady
 from ..log import Log
 from ..purges import tail, wire
 from .publisher import FollowRequest, Publisher
@@ -50,9 +49,7 @@
         """
         section = sections["admission"]
         secret = section["secret"] or sections["purges"]["secret"]
-        terms = Terms(
-            name, int(time.time() * 1_000), tickets.derive_key(secret.value), section["share"] / 100
-        )
+        terms = Terms(name, unix_milliseconds(), tickets.derive_key(secret.value), section["share"] / 100)
         self.reactor, self.log, self.publisher = reactor, log, publisher
         known_followers = len(publisher.followers.rows)
         self.gate = Gate(terms, steady(), known_followers, Random(), elsewhere)
--- a/hookrouter/desk/clock.py
+++ b/hookrouter/desk/clock.py
@@ -1,9 +1,8 @@
 """The desk's clock, which gives purges their timestamps."""
 
-import time
 from collections.abc import Callable
 
-from ..feed.purges import steady
+from ..clock import steady, unix_seconds
 
 UNITS_PER_SECOND = 10_000  # tenths of a millisecond
 
@@ -14,7 +13,7 @@
     Follows steps forward of the wall clock; after a step back it advances with the steady clock.
     """
 
-    def __init__(self, wall: Callable[[], float] = time.time, steady: Callable[[], int] = steady) -> None:
+    def __init__(self, wall: Callable[[], float] = unix_seconds, steady: Callable[[], int] = steady) -> None:
         """wall: seconds since 1970; steady: a monotonic clock in tenths of a millisecond."""
         self.wall, self.steady = wall, steady
         self.now, self.last_steady = int(wall() * UNITS_PER_SECOND), steady()
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -9,7 +9,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.python.failure import Failure
 
-from ..feed.purges import steady
+from ..clock import steady
 from ..log import Log
 from ..purges import ledger
 from ..purges.followers import Followers
--- a/hookrouter/desk/local_store.py
+++ b/hookrouter/desk/local_store.py
@@ -1,7 +1,6 @@
 """The desk's store on the local disk. Blocking calls run in one thread, in the order of the calls."""
 
 import sqlite3
-import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -10,6 +9,7 @@
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
 
+from ..clock import unix_milliseconds
 from ..purges.submissions import MOST_ITEMS
 from ..purges.tail import RECENT, Tail
 from ..purges.types import Purge
@@ -61,7 +61,7 @@
         self.store = PurgeLog(self.path)
         try:
             loaded = self.store.load(self.terms.hold, self.terms.most_sealed)
-            epoch = self.store.begin_epoch(max(min_epoch, int(time.time() * 1_000)))
+            epoch = self.store.begin_epoch(max(min_epoch, unix_milliseconds()))
         except sqlite3.Error as error:
             self.store.close()
             raise UnusableStore(f"{self.path}: {error}") from None
--- a/hookrouter/desk/publisher.py
+++ b/hookrouter/desk/publisher.py
@@ -8,7 +8,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.server import Request
 
-from ..feed.purges import steady
+from ..clock import steady
 from ..log import Log
 from ..purges import tail as purge_tail
 from ..purges import wire
--- a/hookrouter/feed/purges.py
+++ b/hookrouter/feed/purges.py
@@ -1,8 +1,6 @@
 """Follows the desk or a relay: applies purges in order, and renews a lease by what was applied."""
 
-import time
-from time import CLOCK_BOOTTIME, clock_gettime_ns
-
+from ..clock import steady, unix_seconds
 from ..purges import place as place
 from ..purges import wire
 from ..purges.place import Place
@@ -12,11 +10,6 @@
 from .slices import SliceFetcher
 
 
-def steady():
-    """Monotonic clock that goes on while the machine is suspended, in tenths of a millisecond."""
-    return clock_gettime_ns(CLOCK_BOOTTIME) // 100_000
-
-
 class PurgeFeed(Feed):
     """Follower of the fleet-wide purges.
 
@@ -40,7 +33,7 @@
         log,
         count,
         relay=False,
-        wall=time.time,
+        wall=unix_seconds,
         steady=steady,
     ):
         """addresses: only one of them has the desk at a time; the next one is tried if it is not there."""
--- a/hookrouter/fleet/member/purges.py
+++ b/hookrouter/fleet/member/purges.py
@@ -5,10 +5,9 @@
 followers reject its late messages because of their lower epoch. Nothing is answered without a live lease.
 """
 
-import time
-
 from twisted.internet.defer import fail, gatherResults, succeed
 
+from ...clock import unix_milliseconds
 from ...decisions.owners.duties import APPEND, DECLARE, FOLLOWERS, OPEN, SWEEP
 from ...desk import web
 from ...desk.desk import Desk
@@ -96,7 +95,7 @@
             return
         if self.is_stored(lease.fencing_token):
             # Milliseconds since 1970 exceed the epochs of a fleet that restarted without its stores.
-            self.open_epoch(int(time.time() * 1_000)).addCallbacks(
+            self.open_epoch(unix_milliseconds()).addCallbacks(
                 self._start_desk, self._start_failed, callbackArgs=(lease,), errbackArgs=(lease,)
             )
         elif self.reactor.seconds() >= deadline:
--- a/hookrouter/fleet/member/roster.py
+++ b/hookrouter/fleet/member/roster.py
@@ -1,9 +1,9 @@
 """This member's view of the fleet over UDP; logs membership changes and describes the view to operators."""
 
 import os
-import time
 from collections import deque
 
+from ...clock import unix_milliseconds
 from ...decisions.view import Member, View, protocol
 from ...decisions.view import Terms as ViewTerms
 from ..wire.datagrams import Datagrams
@@ -85,7 +85,7 @@
 
     def _on_change(self, changed):
         rows = self.changes.pop(changed.member.name, None) or deque(maxlen=MAX_CHANGES_KEPT)
-        rows.append((int(time.time() * 1_000), changed))
+        rows.append((unix_milliseconds(), changed))
         self.changes[changed.member.name] = rows
         if len(self.changes) > MAX_NAMES_KEPT:
             del self.changes[next(iter(self.changes))]
--- a/hookrouter/fleet/member/service.py
+++ b/hookrouter/fleet/member/service.py
@@ -1,15 +1,14 @@
 """A fleet member: the keeper core and its store where it is a keeper, and the duties that it holds."""
 
 import sqlite3
-import time
 
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
 
+from ...clock import steady, unix_milliseconds, unix_seconds
 from ...decisions.owners import Holder, Keeper, Settings, protocol
 from ...decisions.owners.duties import DONE
 from ...decisions.owners.keeper import STORE_FAILED
-from ...feed.purges import steady
 from ...stores import UnusableStore
 from ...stores.keeper_log import KeeperLog
 from ...terms import SECOND
@@ -35,7 +34,7 @@
         self.reactor, self.log, self.fleet = reactor, log, fleet
         self.name, self.stopped, self.timer, self.store = fleet["name"], False, None, None
         keepers = fleet["keepers"]
-        self.terms = Settings(self.name, int(time.time() * 1_000), tuple(keepers), lease=fleet["lease"])
+        self.terms = Settings(self.name, unix_milliseconds(), tuple(keepers), lease=fleet["lease"])
         self.peers = Peers(reactor, self.name, dict(keepers), fleet["secret"].value, self.on_message, log)
         self.keeper, self.pool = None, None
         if self.name in keepers:
@@ -113,7 +112,7 @@
             sections["purges"]["hold"],
             self.records,
             self.command_streams["sweep"],
-            lambda: int(time.time() * SECOND),
+            lambda: int(unix_seconds() * SECOND),
             steady,
             self._last_step,
         )
--- a/hookrouter/fleet/member/sharing.py
+++ b/hookrouter/fleet/member/sharing.py
@@ -3,11 +3,11 @@
 import msgspec
 from twisted.internet.defer import DeferredList
 
+from ...clock import steady
 from ...decisions.sharing import protocol, soft_state
 from ...decisions.sharing.exchange import Exchange
 from ...decisions.view.protocol import DEAD
 from ...errors.wire import DatagramTooLong
-from ...feed.purges import steady
 from ..wire.post import Parcel
 from .list_transfers import ListTransfers
 from .roster import SHARING_ROLE_SUFFIX
--- a/hookrouter/fleet/member/spread.py
+++ b/hookrouter/fleet/member/spread.py
@@ -3,9 +3,9 @@
 import msgspec
 
 from ... import interface
+from ...clock import steady
 from ...decisions.spread import Spread, spread_terms
 from ...decisions.spread.messages import TOPIC, Started
-from ...feed.purges import steady
 
 TICK_INTERVAL = 0.2  # seconds between updates of the cache list, share requests and reports
 encode = msgspec.msgpack.Encoder().encode
--- a/hookrouter/fleet/member/warming.py
+++ b/hookrouter/fleet/member/warming.py
@@ -2,11 +2,11 @@
 
 import msgspec
 
+from ...clock import steady
 from ...decisions.owners.duties import DECLARE, DONE, DROP
 from ...decisions.warming import Lender, lists, messages
 from ...decisions.warming.rank import rank
 from ...errors.wire import DutyLost, UnusableList
-from ...feed.purges import steady
 from .command_stream import CommandStream
 from .warming_run import WarmingRun
 
--- a/hookrouter/log.py
+++ b/hookrouter/log.py
@@ -7,6 +7,8 @@
 import sys
 import time
 
+from .clock import unix_seconds
+
 MAX_BURST = 5  # lines of one kind per period: enough to recognize the problem
 MAX_DETAIL = 2_000  # characters of a detail; stack traces of this package have some hundreds
 PERIOD = 10.0  # seconds
@@ -16,7 +18,7 @@
 class Log:
     """A rate-limited logger; call it to log an event."""
 
-    def __init__(self, clock=time.monotonic, out=None, form=TEXT, wall_clock=time.time):
+    def __init__(self, clock=time.monotonic, out=None, form=TEXT, wall_clock=unix_seconds):
         self.clock, self.out, self.form, self.wall_clock = clock, out, form, wall_clock
         self.kinds = {}  # kind -> [start of its period, lines written, lines omitted]
 
--- a/hookrouter/node/effects.py
+++ b/hookrouter/node/effects.py
@@ -79,6 +79,7 @@
         router.cache_loads.send_ended(cache, source, result.outcome, router.now() - started_at)
     if router.warming_observer is not None:
         router.warming_observer.on_result(result.outcome, lookup.request, router.now() - started_at)
+    result = router.unix_times.result(result)
     if router.purges is not None and result.outcome == interface.SATISFIED:
         result = router.purges.judge_result(result, lookup.request, started_at)
     router.counters.send_ended(result.outcome)
--- a/hookrouter/node/purging.py
+++ b/hookrouter/node/purging.py
@@ -1,13 +1,14 @@
 """Fleet-wide purges in one router: the guard, updated by the purge feed, and the check of answers."""
 
 from collections import deque
-from time import perf_counter, time
+from time import perf_counter
 
 from twisted.internet.defer import Deferred
 
 from .. import interface
+from ..clock import steady as boot_time
+from ..clock import unix_seconds
 from ..feed.purges import PurgeFeed
-from ..feed.purges import steady as boot_time
 from ..purges import Guard
 from ..purges.fence import CURRENT
 from ..purges.names import Kept
@@ -18,7 +19,9 @@
 MAX_STEP_DURATION = 0.005
 
 
-def purge_feed(reactor, deadlines, handler, purges, name, log, count, paced, wall=time, steady=boot_time):
+def purge_feed(
+    reactor, deadlines, handler, purges, name, log, count, paced, wall=unix_seconds, steady=boot_time
+):
     """A router's purge feed as configured by [purges], not started.
 
     handler: see PurgeFeed; with paced, that is with [admission], it also needs lease_left().
@@ -67,7 +70,7 @@
             log,
             count,
             paced=start.paced,
-            wall=router.wall,
+            wall=router.clock.seconds,
             steady=self.steady,
         )
         self.lease_state = self.guard.state()
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -1,10 +1,10 @@
 """Joins clients, caches and the feed to one Control, executes its effects and owns the lookups."""
 
-import time
 from math import inf
 
 from .. import interface
 from ..caches import CachePool
+from ..clock import ProcessClock, unix_seconds
 from ..control import Control
 from ..control.lookups import DUE
 from ..feed import Feed
@@ -17,6 +17,7 @@
 from .counters import gauges
 from .decision_loop import DecisionLoop
 from .start import available_memory
+from .unix_times import UnixTimes
 
 # Share of the available memory for bodies from caches; the unassigned rest is for garbage.
 CACHE_BODY_SHARE = 0.25
@@ -36,14 +37,23 @@
         self.number, self.send_count, self.active_sends, self.answered = None, 0, {}, False
 
 
+def no_age():
+    """input_age of a router whose reactor is not watched."""
+    return 0.0
+
+
 class Router:
     """One router: input from the front, the caches and the feed goes to Control, its effects are executed."""
 
-    def __init__(self, start, reactor, log, counters, wall=time.time, steady=None, fleet_view=None):
-        """steady: monotonic clock for leases, tenths of a millisecond; None: the system's.
+    def __init__(self, start, reactor, log, counters, wall=unix_seconds, steady=None, fleet_view=None):
+        """reactor: on the monotonic clock, as from hookrouter.clock; wall: Unix time in seconds.
+        steady: monotonic clock for leases, tenths of a millisecond; None: the system's.
         fleet_view: loads reported by other routers, queried by the decisions; None: decides alone.
         """
-        self.log, self.counters, self.wall = log, counters, wall
+        self.log, self.counters = log, counters
+        self.clock = ProcessClock(wall, reactor.seconds)
+        self.unix_times = UnixTimes(self.clock)
+        self.input_age = no_age  # seconds for which input that is read now may have lain unread
         self.count = counters.count
         terms = self.terms = start.terms
         self.kinds = {kind.name: kind for kind in terms.kinds}
@@ -107,8 +117,8 @@
     # ---- clock and Control
 
     def now(self):
-        """Unix time in tenths of a millisecond; it never goes back."""
-        self.latest_time = max(self.latest_time, int(self.wall() * SECOND))
+        """Time of this process in tenths of a millisecond; see ProcessClock."""
+        self.latest_time = max(self.latest_time, self.clock.now())
         if self.purges is not None:
             self.purges.check_lease()
         return self.latest_time
@@ -121,7 +131,7 @@
         """Seconds until the given time after the current decision, so that an alarm and a send for the same
         moment end together.
         """
-        return max(0.0, (self.decisions.decided_at + span) / SECOND - self.wall())
+        return max(0.0, (self.decisions.decided_at + span) / SECOND - self.clock.seconds())
 
     # ---- callbacks of the front
 
@@ -148,8 +158,9 @@
             self.count("ids_used_twice")
             self.front.failed(call, "id is in use")
             return
+        arrived_at = self.now() - int(self.input_age() * SECOND)  # the earliest possible
         lookup = Lookup(
-            call, request, min(self.final_deadline, self.now() + min(request.time_allowed, kind.deadline))
+            call, request, min(self.final_deadline, arrived_at + min(request.time_allowed, kind.deadline))
         )
         self.counters.lookup_taken(request.kind)
         lookup.number = self.lookups.take(lookup)
@@ -197,8 +208,11 @@
 
     def on_cache_list(self, event):
         """Applies a cache list event of the feed."""
+        event = event._replace(caches=tuple(map(self.unix_times.cache, event.caches)))
         if event.snapshot:
-            self.caches.keep_only({cache.id for cache in event.caches})
+            names = {cache.id for cache in event.caches}
+            self.caches.keep_only(names)
+            self.unix_times.keep_only(names)
         for cache, address in zip(event.caches, event.addresses):
             if cache.phase == interface.GONE:
                 self.caches.remove(cache.id)
@@ -216,6 +230,7 @@
 
     def on_purge(self, event):
         """Applies a purge of the platform's feed."""
+        event = self.unix_times.purge(event)
         if self.warming_observer is not None:
             self.warming_observer.on_platform_purge(event, event.purged_at)
         self.handle_event(interface.Purged(max(0, self.now() - event.purged_at), event.group, event.object))
--- a/hookrouter/tables/deadlines.py
+++ b/hookrouter/tables/deadlines.py
@@ -48,6 +48,10 @@
         """Whether the entry has been called or dropped, or less than `unit` seconds remain."""
         return entry[2] is None or entry[0] - self.clock.seconds() < unit
 
+    def left(self, entry):
+        """Seconds until the entry is called; 0 if it has been called or dropped."""
+        return 0.0 if entry[2] is None else max(0.0, entry[0] - self.clock.seconds())
+
     def _set(self):
         if self.running:
             return  # _run sets the timer after the calls that are due
--- a/standins/followers.py
+++ b/standins/followers.py
@@ -14,7 +14,8 @@
 import click
 from twisted.internet import reactor
 
-from hookrouter.feed.purges import PurgeFeed, steady
+from hookrouter.clock import steady
+from hookrouter.feed.purges import PurgeFeed
 from hookrouter.purges.fence import CURRENT, Fence
 from hookrouter.purges.place import Place
 from hookrouter.purges.wire import MOST_IN_EVENT
--- a/standins/hollow/router.py
+++ b/standins/hollow/router.py
@@ -6,8 +6,8 @@
 
 from twisted.internet.defer import Deferred, succeed
 
+from hookrouter.clock import steady
 from hookrouter.command.router import sharing_member
-from hookrouter.feed.purges import steady
 from hookrouter.node.purging import purge_feed
 from hookrouter.purges import Purge
 from hookrouter.purges.fence import Fence
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -53,3 +53,20 @@
     scene.net.pump([0.9, 0])
     assert scene.ends() == [interface.SATISFIED, interface.LATE]
     scene.assert_all_released()
+
+
+@pytest.mark.parametrize("wait", ["a dial", "a descriptor"])
+def test_the_time_passed_on_is_what_is_left_when_the_request_is_written(wait):
+    """It was fixed when the send was decided, so a send that waited passed on time that was gone."""
+    scene = Scene(most=1)
+    if wait == "a descriptor":
+        scene.send()
+        scene.up().take()
+    scene.send(request=PLAIN._replace(timeout=8_000))
+    scene.net.advance(0.3)
+    if wait == "a descriptor":
+        wire = scene.net.ways[-1].wire
+        wire.come(answer(200, b"x"))
+    else:
+        wire = scene.up()
+    assert 499 <= int(wire.take().split(b"X-Patience: ")[1].split(b"\r\n")[0]) <= 500
