After a pause no deadline passed on is longer than the client's

Seen by callers: a cache works on a request for up to 0.5 s after its client has stopped waiting.

Change: a wait that ended late without events counts as not made.

--- a/hookrouter/clock.py
+++ b/hookrouter/clock.py
@@ -49,7 +49,7 @@
     def __init__(self, epoll: Any, seconds: Callable[[], float]) -> None:  # noqa: ANN401 a poll object
         """epoll: the object that waits; seconds: a monotonic clock."""
         self._epoll, self._seconds = epoll, seconds
-        self.earliest = self._returned_at = seconds()
+        self.earliest = self._checked_at = seconds()
 
     def __getattr__(self, name: str) -> Any:  # noqa: ANN401 any method
         """The other methods are those of the epoll."""
@@ -57,16 +57,20 @@
 
     def poll(self, timeout: float, most: int) -> list:
         """Waits for events as epoll.poll() does. timeout: seconds, negative: without end."""
-        started, previous = self._seconds(), self._returned_at
+        started = self._seconds()
         events = self._epoll.poll(timeout, most)
-        self._returned_at = self._seconds()
-        waited = self._returned_at - started
+        returned = self._seconds()
+        waited = returned - started
         if waited < MIN_WAIT:
-            self.earliest = previous
+            self.earliest = self._checked_at
         elif 0 <= timeout < waited - MAX_LATE_WAKE:
             self.earliest = started
+            if not events:  # interrupted by a signal and over: nothing was checked at its end
+                self._checked_at = started
+                return events
         else:
-            self.earliest = self._returned_at
+            self.earliest = returned
+        self._checked_at = returned
         return events
 
     def age(self) -> float:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -28,7 +28,7 @@
     def handle_requests(self):
         """Answers the requests of a connection until it ends."""
         head = b""
-        while piece := self.request.recv(65536):
+        while piece := self.receive():
             head += piece
             while b"\r\n\r\n" in head:
                 head_part, _, head = head.partition(b"\r\n\r\n")
@@ -36,6 +36,10 @@
                 if not target.endswith(b"/9"):
                     self.answer(target)
 
+    def receive(self):
+        """Reads what has arrived; empty at the end of the connection."""
+        return self.request.recv(65536)
+
     def answer(self, target):
         """Answers a request for this path."""
         length = 7_000 if target.endswith(b"/7") else 1
--- a/tests/protocol_client.py
+++ b/tests/protocol_client.py
@@ -24,6 +24,7 @@
         self.socket.connect(("127.0.0.1", port))
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.open_calls, self.made, self.withdrawn, self.replies = [], [], set(), {}
+        self.deadlines = {}  # id of a call -> when its client stops waiting, by the monotonic clock
         self.ended = None  # None, "fin" or "reset"
 
     def __enter__(self):
@@ -38,9 +39,11 @@
         self.made.append(self.seqid)
         self.open_calls.append(self.seqid)
         assert len(self.open_calls) <= MAX_OPEN_CALLS
+        ref = f"{self.dice.getrandbits(64):016x}"
+        self.deadlines[ref] = time.monotonic() + allow / 1000
         return message(
             self.seqid,
-            ref=f"{self.dice.getrandbits(64):016x}",
+            ref=ref,
             lookup=f"{self.dice.getrandbits(64):016x}",
             part=part,
             allow=str(allow),
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -151,11 +151,11 @@
     """An epoll whose waits take a given time."""
 
     def __init__(self):
-        self.now, self.wait = 100.0, 0.0
+        self.now, self.wait, self.events = 100.0, 0.0, [(3, 1)]
 
     def poll(self, timeout, most):
         self.now += self.wait
-        return [(3, 1)]
+        return self.events
 
 
 def test_input_may_have_arrived_since_the_wait_before_unless_this_wait_was_woken_by_it():
@@ -175,6 +175,18 @@
     assert watch.age() == 0  # it was to wait without end
 
 
+def test_a_wait_that_a_stop_interrupted_checked_nothing_at_its_end():
+    epoll = Epoll()
+    watch = PollWatch(epoll, lambda: epoll.now)
+    epoll.wait, epoll.events = 0.5, []
+    watch.poll(0.1, 1)
+    epoll.wait, epoll.events = 0.0, [(3, 1)]
+    watch.poll(0.1, 1)
+    assert watch.age() == pytest.approx(0.5)
+    watch.poll(0.1, 1)
+    assert watch.age() == 0
+
+
 def test_a_call_that_lay_unread_has_so_much_less_time_left(tmp_path):
     s = Scene(tmp_path)
     s.router.input_age = lambda: 0.5
