A listener outlasts failures of accept(), and its clients wait in the queue

Seen by callers: while the machine is short of descriptors, new connections taken and closed unread, with the requests on them; other failures of accept() end in an uncaught error each, and a listener whose accept() fails spins.

Cause: Twisted's port accepts a connection with a reserved descriptor and closes it on EMFILE, logs what it does not know as an uncaught error, and is called again at once.

Change: front/listener.py accepts by itself. A connection that had failed before is passed over, at most eight in a row; else the port pauses for 50 ms and its clients wait in the queue. At the end the queue is closed only once it could be emptied. Failures are logged and counted by accepts_failed. The test of the number accepted at a time is replaced by one that counts what is accepted and that a full router accepts none.

--- a/hookrouter/front/__init__.py
+++ b/hookrouter/front/__init__.py
@@ -4,6 +4,7 @@
 ready of its handler, and provides satisfied, unchanged, nacked, failed and read_pending.
 """
 
-from .connections import Front, Listener
+from .connections import Front
+from .listener import Listener
 
 __all__ = ["Front", "Listener"]
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -4,7 +4,6 @@
 or memory for incomplete frames run short, so no client can block others.
 """
 
-from twisted.internet import tcp
 from twisted.internet.protocol import Factory
 
 from ..tables.slots import Slots
@@ -21,24 +20,6 @@
 MAX_LINGERING_SHARE = 1 / 4  # share of the descriptors; beyond it the oldest are closed at once
 
 
-class Listener(tcp.Port):
-    """Listening port that accepts no more connections at a time than there are slots; others wait in the
-    queue.
-    """
-
-    def doRead(self):
-        self.numberAccepts = self.factory.free()
-        return tcp.Port.doRead(self)
-
-    def stopListening(self):
-        """Accepts the queued connections first: to their clients they are connected and may carry a call."""
-        before = None
-        while self.connected and not self.factory.full() and len(self.factory.connections) != before:
-            before = len(self.factory.connections)
-            self.doRead()
-        return tcp.Port.stopListening(self)
-
-
 class Front(Factory):
     """Factory of the client connections.
 
@@ -67,6 +48,11 @@
 
     # ---- connections
 
+    def on_accept_failed(self, error, event):
+        """accept() raised an OSError; event: what that means, for the log."""
+        self.count("accepts_failed")
+        self.log(event, str(error))
+
     def free(self):
         """Number of connections to accept at a time, at least 1."""
         return max(1, self.connections.size - len(self.connections))
--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -29,6 +29,7 @@
     "kind",
 )  # why Control gave up lookups
 PLAIN_COUNTERS = (
+    "accepts_failed",
     "clients_connected",
     "clients_turned_away",
     "clients_malformed",
--- a/hookrouter/node/service.py
+++ b/hookrouter/node/service.py
@@ -143,8 +143,8 @@
 
     def _check_drained(self):
         front = self.router.front
-        if not self.listener_closed and not front.full():
-            # Closed while full, it would reset connections in the listen queue.
+        if not self.listener_closed and self.port.accept_queued():
+            # Closed before, it would reset connections in the listen queue.
             self.listener_closed = True
             self.port.stopListening()
         front.close_idle()
--- a/standins/wall_clock.c
+++ b/standins/wall_clock.c
@@ -1,4 +1,4 @@
-/* Steps the wall clock of one process: LD_PRELOAD library, built by standins/wall_clock.py.
+/* Steps the wall clock of one process: LD_PRELOAD library, built by standins/preload.py.
  *
  * The file named by WALL_CLOCK_STEP holds a signed 64-bit count of nanoseconds, which is added to each reading of
  * CLOCK_REALTIME; it is mapped, so a write to it takes effect at once. Other clocks run on.
--- a/tests/scenes.py
+++ b/tests/scenes.py
@@ -64,7 +64,11 @@
         stopped = []
         self.net.stop = lambda: stopped.append(self.net.seconds())
         service = Service(self.router, self.start, self.net, self.log, self.counters, None)
-        service.port = type("Port", (), {"stopListening": lambda self: None})()
+        methods = {
+            "stopListening": lambda self: None,
+            "accept_queued": lambda self: not service.router.front.full(),
+        }
+        service.port = type("Port", (), methods)()
         return service, stopped
 
     def check_counters(self):
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,5 +1,7 @@
 """Client connections in memory: each call is answered once, whatever else arrives."""
 
+import errno
+
 import pytest
 from fleet import END, Net, Noted, Wire, answers, message
 
@@ -309,19 +311,59 @@
     assert s.front.watch.partial_bytes_total == 1_400 and len(s.handler.calls) == 1
 
 
+class EndlessQueue:
+    """A listening socket whose queue never ends; accepts: what each accept() does."""
+
+    def __init__(self, *accepts):
+        self.accepts, self.count = list(accepts), 0
+
+    def accept(self):
+        self.count += 1
+        if self.accepts and (error := self.accepts.pop(0)) is not None:
+            raise error
+        return "socket", ("127.0.0.1", 1)
+
+
+def listener_of(scene, queue):
+    listener = Listener(0, scene.front, reactor=scene.net)
+    listener.socket, listener.connected = queue, True
+    listener.startReading = lambda: setattr(scene.front.port, "reading", True)
+    listener.stopReading = lambda: setattr(scene.front.port, "reading", False)
+    listener._connect = lambda accepted, address: scene.client()
+    return listener
+
+
 def test_the_listener_accepts_no_more_than_there_are_slots():
-    class Factory:
-        free = staticmethod(lambda: 3)
-
-    listener = Listener(0, Factory(), reactor=Net())
-    listener.socket = type(
-        "Socket",
-        (),
-        {"accept": lambda self: seen.append(1) or (_ for _ in ()).throw(BlockingIOError(11, ""))},
-    )()
-    seen = []
+    s = Scene(most=3)
+    listener = listener_of(s, EndlessQueue())
+    listener.doRead()
+    assert listener.socket.count == 3 and len(s.front.connections) == 3 and not s.front.port.reading
+    listener.doRead()  # one that was ready before the last slot was taken
+    assert listener.socket.count == 3 and not listener.accept_queued()
+
+
+def test_the_listener_ends_with_the_queue():
+    s = Scene(most=9)
+    listener = listener_of(s, EndlessQueue(None, *[BlockingIOError(11, "")] * 2))
+    assert listener.accept_queued() and len(s.front.connections) == 1 and listener.socket.count == 3
+
+
+def test_a_failed_connection_is_passed_over_and_a_failed_accept_waits():
+    s = Scene(most=9)
+    queue = EndlessQueue(OSError(errno.ECONNABORTED, ""), None, OSError(errno.EMFILE, ""))
+    listener = listener_of(s, queue)
+    listener.doRead()
+    assert len(s.front.connections) == 1 and not s.front.port.reading and not listener.accept_queued()
+    assert s.noted.counted.count("accepts_failed") == 2
+    s.net.advance(0.06)
+    assert s.front.port.reading and not listener.paused
+
+
+def test_a_listener_whose_connections_all_failed_pauses():
+    s = Scene(most=90)
+    listener = listener_of(s, EndlessQueue(*[OSError(errno.EPROTO, "")] * 90))
     listener.doRead()
-    assert listener.numberAccepts <= 3 and len(seen) == 1
+    assert listener.paused and listener.socket.count <= 8
 
 
 def test_garbage_ends_that_connection_only_and_its_calls_are_answered_first():
--- a/tests/test_real_time_process.py
+++ b/tests/test_real_time_process.py
@@ -7,7 +7,7 @@
 from processes import Cache, running_router
 from protocol_client import SILENT, ProtocolClient
 
-from standins.wall_clock import WallClock
+from standins.preload import WallClock
 
 STEPS = pytest.mark.parametrize("step", [-3600, -2, 2, 3600])  # seconds
 CALLS = 10  # few enough that the router takes all of them at once
