--- /dev/null
+++ b/hookrouter/node/limits.py
@@ -0,0 +1,34 @@
+"""How a router divides its descriptors and memory, from the limits that its configuration states."""
+
+from typing import NamedTuple
+
+from .start import available_memory
+
+# Share of the available memory for bodies from caches; the unassigned rest is for garbage.
+CACHE_BODY_SHARE = 0.25
+# For bodies from clients and unread answers: separate, so that neither starves the other.
+CLIENT_BODY_SHARE = 0.125
+PARTIAL_FRAME_SHARE = 0.0625  # for incomplete frames
+RESERVED_DESCRIPTORS = 24  # for standard streams, reactor, listener, feed and some that are closing
+
+
+class Limits(NamedTuple):
+    """Connections, and bytes."""
+
+    clients: int
+    cache_connections: int
+    cache_bodies: int
+    client_bodies: int
+    partial_frames: int
+
+
+def divide(start):
+    """The Limits of a router with this start; clients get a third of the descriptors."""
+    clients, available = start.sockets // 3, available_memory(start.memory)
+    return Limits(
+        clients=clients,
+        cache_connections=start.sockets - clients - RESERVED_DESCRIPTORS,
+        cache_bodies=int(available * CACHE_BODY_SHARE),
+        client_bodies=int(available * CLIENT_BODY_SHARE),
+        partial_frames=int(available * PARTIAL_FRAME_SHARE),
+    )
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -16,31 +16,10 @@
 from ..terms import SECOND
 from .counters import gauges
 from .decision_loop import DecisionLoop
-from .start import available_memory
+from .limits import divide
+from .lookups import Lookup, check_request
 from .unix_times import UnixTimes
 
-# Share of the available memory for bodies from caches; the unassigned rest is for garbage.
-CACHE_BODY_SHARE = 0.25
-# For bodies from clients and unread answers: separate, so that neither starves the other.
-CLIENT_BODY_SHARE = 0.125
-PARTIAL_FRAME_SHARE = 0.0625  # for incomplete frames
-RESERVED_DESCRIPTORS = 24  # for standard streams, reactor, listener, feed and some that are closing
-
-
-class Lookup:
-    """A lookup that is not answered yet, or whose sends still run."""
-
-    __slots__ = ("number", "call", "request", "deadline", "send_count", "active_sends", "answered")
-
-    def __init__(self, call, request, deadline):
-        self.call, self.request, self.deadline = call, request, deadline
-        self.number, self.send_count, self.active_sends, self.answered = None, 0, {}, False
-
-
-def no_age():
-    """input_age of a router whose reactor is not watched."""
-    return 0.0
-
 
 class Router:
     """One router: input from the front, the caches and the feed goes to Control, its effects are executed."""
@@ -53,7 +32,7 @@
         self.log, self.counters = log, counters
         self.clock = ProcessClock(wall, reactor.seconds)
         self.unix_times = UnixTimes(self.clock)
-        self.input_age = no_age  # seconds for which input that is read now may have lain unread
+        self.input_age = lambda: 0.0  # seconds for which input that is read now may have lain unread
         self.count = counters.count
         terms = self.terms = start.terms
         self.kinds = {kind.name: kind for kind in terms.kinds}
@@ -65,18 +44,13 @@
         self.deadlines = Deadlines(reactor)
         self.decisions = DecisionLoop(self)
         self.open_trace_ids = set()  # client-given ids of lookups that are open or have sends running
-        max_clients = start.sockets // 3
-        available_bytes = available_memory(start.memory)
-        cache_bodies, client_bodies = (
-            BodyMemory(int(available_bytes * CACHE_BODY_SHARE), self._on_memory_full),
-            BodyMemory(int(available_bytes * CLIENT_BODY_SHARE), self._on_memory_full),
-        )
+        limits = divide(start)
         self.front = Front(
             self,
             self.deadlines,
-            client_bodies,
-            max_clients,
-            int(available_bytes * PARTIAL_FRAME_SHARE),
+            BodyMemory(limits.client_bodies, self._on_memory_full),
+            limits.clients,
+            limits.partial_frames,
             terms.idle_timeout / SECOND,
             log,
             self.count,
@@ -84,8 +58,8 @@
         self.caches = CachePool(
             reactor,
             self.deadlines,
-            cache_bodies,
-            start.sockets - max_clients - RESERVED_DESCRIPTORS,
+            BodyMemory(limits.cache_bodies, self._on_memory_full),
+            limits.cache_connections,
             terms,
             log,
             self.count,
@@ -141,26 +115,19 @@
 
     def on_lookup(self, call, request):
         """A client made a call. Invalid ones are answered at once, the others become inputs of Control."""
-        kind = self.kinds.get(request.kind)
-        if kind is None:
-            self.log("client asked for an unknown object kind, failed", request.kind)
-            self.count("calls_of_unknown_kind")
-            self.front.failed(call, "unknown kind")
-            return
-        if kind.idempotency == interface.DEDUPLICATED and request.dedup_key is None:
-            # Without a key no cache could recognise a repeat.
-            self.log("client left out the key of a deduplicated lookup, failed")
-            self.count("keys_missing")
-            self.front.failed(call, "replay is missing")
-            return
-        if request.trace in self.open_trace_ids:  # caches could not tell the sends of the two lookups apart
-            self.log("client used the id of an open lookup, failed", request.trace)
-            self.count("ids_used_twice")
-            self.front.failed(call, "id is in use")
+        invalid = check_request(request, self.kinds, self.open_trace_ids)
+        if invalid is not None:
+            self.log(invalid.event, invalid.detail)
+            self.count(invalid.counter)
+            self.front.failed(call, invalid.reason)
             return
         arrived_at = self.now() - int(self.input_age() * SECOND)  # the earliest possible
         lookup = Lookup(
-            call, request, min(self.final_deadline, arrived_at + min(request.time_allowed, kind.deadline))
+            call,
+            request,
+            min(
+                self.final_deadline, arrived_at + min(request.time_allowed, self.kinds[request.kind].deadline)
+            ),
         )
         self.counters.lookup_taken(request.kind)
         lookup.number = self.lookups.take(lookup)
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -23,7 +23,8 @@
 from hookrouter.front import Listener
 from hookrouter.log import Log
 from hookrouter.node.counters import Counters
-from hookrouter.node.router import RESERVED_DESCRIPTORS, Router
+from hookrouter.node.limits import RESERVED_DESCRIPTORS
+from hookrouter.node.router import Router
 from hookrouter.node.service import Service
 from hookrouter.node.start import read_start
 
