Leftovers: a bound that nothing kept, an argument nothing read, an override of nothing

Need: MAX_BUFFERED_BYTES of fleet/wire/streams.py bounded nothing (messages are dropped while the transport is above its high-water mark), World.warm ignored its share, Unleased._renew_later overrode nothing, so the benchmark's followers without a lease renewed all the same.

Change: the constant is gone and the docstring says what bounds; MAX_PENDING names the other bound; warm has no share; Unleased stops its renewals.

--- a/benchmarks/purges/effect.py
+++ b/benchmarks/purges/effect.py
@@ -86,8 +86,9 @@
 class Unleased(PurgeFeed):
     """Follows, and has no lease to renew."""
 
-    def _renew_later(self, seconds):
-        pass
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.renewals.stop()
 
 
 @inlineCallbacks
--- a/hookrouter/fleet/wire/streams.py
+++ b/hookrouter/fleet/wire/streams.py
@@ -15,7 +15,7 @@
 RECONNECT_DELAY = 0.2  # seconds between attempts to connect to one member
 IDLE_TIMEOUT = 4.0  # seconds without received data until a stream is considered dead and closed
 HANDSHAKE_TIMEOUT = 2.0  # seconds for the first valid frame on an incoming stream
-MAX_BUFFERED_BYTES = 4_000_000  # in a stream's buffer: the reader hangs, and later frames repeat the content
+MAX_PENDING = 64  # messages kept until the peer's nonce is known
 MAX_STREAMS = 4_096
 MAX_UNAUTHENTICATED = 64  # incoming streams without a valid frame yet
 
@@ -83,9 +83,13 @@
             self.peers.on_message(received.sender, received.message)
 
     def send_message(self, message):
-        """Sends a message; keeps a few until the peer's nonce is known, drops it while the buffer is full."""
+        """Sends a message; keeps a few until the peer's nonce is known.
+
+        Drops it while the transport's buffer is above its high-water mark: the reader hangs, and later
+        messages repeat the content.
+        """
         if self.peer_nonce is None:
-            if len(self.pending) < 64:
+            if len(self.pending) < MAX_PENDING:
                 self.pending.append(message)
         elif not self.paused:
             self.sent_count += 1
--- a/standins/crowd/handles.py
+++ b/standins/crowd/handles.py
@@ -27,7 +27,7 @@
             "slow": ("name", "times"),
             "restart": ("name", "gone"),
             "purge": ("key", "group"),
-            "warm": ("names", "share"),
+            "warm": ("names",),
             "feed_delay": ("seconds", "routers"),
         }
         return dict(zip(parameters.get(name, ("name",)), arguments))
--- a/standins/crowd/world.py
+++ b/standins/crowd/world.py
@@ -159,7 +159,7 @@
         """Returns the snapshot of the feed for a new router."""
         return self.feed.snapshot()
 
-    def warm(self, names, share=1.0):
+    def warm(self, names):
         """Stores copies of the given (kind, object, part) in each cache, as after a long run."""
         for cache in self.caches.values():
             if cache.type == "box" or cache.type == "parent":
