A full pipe on standard error costs no call its answer

Seen by callers: a router whose log is not read hangs for good with the first line that finds the pipe full; all its requests are lost.

Cause: lines were written to standard error by a blocking write, in the only thread.

Evidence: a real router whose standard error nobody reads, 60 times SIGUSR1: the call behind got no answer.

Change: where standard error is a pipe with less than two pages of room the line is left out and counted; the next line that finds room is preceded by how many were lost.

Result: tests/test_log_process.py failed before and passes; 20 tests of log, node, deploy and purge processes pass.

--- a/hookrouter/log.py
+++ b/hookrouter/log.py
@@ -3,15 +3,21 @@
 As text, `hookrouter: KIND: DETAIL key=value`, or as one JSON object per line.
 """
 
+import fcntl
 import json
+import os
+import stat
 import sys
+import termios
 import time
+from io import UnsupportedOperation
 
 from .clock import unix_seconds
 
 MAX_BURST = 5  # lines of one kind per period: enough to recognize the problem
 MAX_DETAIL = 2_000  # characters of a detail; stack traces of this package have some hundreds
 PERIOD = 10.0  # seconds
+PIPE_PAGE = 4_096  # bytes: a pipe holds pages, the last one partly filled; a line has less than one
 TEXT, JSON = "text", "json"
 
 
@@ -21,6 +27,7 @@
     def __init__(self, clock=time.monotonic, out=None, form=TEXT, wall_clock=unix_seconds):
         self.clock, self.out, self.form, self.wall_clock = clock, out, form, wall_clock
         self.kinds = {}  # kind -> [start of its period, lines written, lines omitted]
+        self.lost_count = 0  # lines since the last one written that found no room
 
     def __call__(self, kind, detail="", level="info", **values):
         """kind: one of the event names in the operators' documentation; detail and values: no secrets."""
@@ -50,16 +57,31 @@
         self._write(line, "", "info", {})
 
     def _write(self, kind, detail, level, values):
+        out = self.out or sys.stderr
         try:
-            print(
-                FORMS[self.form](self.wall_clock, kind, detail, level, values),
-                file=self.out or sys.stderr,
-                flush=True,
-            )
-        except OSError:
+            if not has_room(out):
+                self.lost_count += 1
+                return
+            if self.lost_count:
+                lost_count, self.lost_count = self.lost_count, 0
+                self._write("log", f"{lost_count} lines could not be written", "warn", {})
+            print(FORMS[self.form](self.wall_clock, kind, detail, level, values), file=out, flush=True)
+        except (OSError, ValueError):
             pass  # standard error is closed: the router must go on serving or shutting down
 
 
+def has_room(out):
+    """Whether a line can be written without blocking; a pipe may be full because nobody reads it."""
+    try:
+        descriptor = out.fileno()
+    except (AttributeError, UnsupportedOperation):
+        return True  # in memory
+    if not stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+        return True
+    held = int.from_bytes(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4)), sys.byteorder)
+    return held + 2 * PIPE_PAGE <= fcntl.fcntl(descriptor, fcntl.F_GETPIPE_SZ)
+
+
 def as_text(wall_clock, kind, detail, level, values):
     """Formats a line for people."""
     pairs = " ".join(f"{key}={value}" for key, value in values.items())
