A call on a new connection may have come before it was accepted

Seen by callers: in a burst of new connections a cache is given longer than the client has left.

Cause: what the first read of a connection finds may have lain in the listening queue while the router was busy; the wait before that read said nothing of it.

Part of it was the test's own: its cache noted arrivals in one of a hundred threads.

Change: a connection keeps since when its first input may have come.

--- a/hookrouter/front/connection.py
+++ b/hookrouter/front/connection.py
@@ -46,11 +46,13 @@
         self.phase = OPEN
         self.received = False  # whether the last read returned data
         self.pending_calls = None  # messages read and not processed yet; None when no read is being processed
+        self.queued_since = None  # seconds; what the first read finds may have come since then
         self.has_messages = False  # whether the reads being processed completed any
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
         self.outbox.transport = self.transport
+        self.queued_since = self.front.deadlines.clock.seconds() - self.front.poll_age()
         address = self.transport.getPeer()
         self.peer = f"{address.host}:{address.port}"
         self.slot = self.front.register(self)
@@ -78,10 +80,16 @@
             self._accept(batch)
             self._process()
         finally:
-            self.pending_calls = None
+            self.pending_calls = self.queued_since = None
         self.front.on_data(self, self.has_messages)
         self.close_if_answered()
 
+    def queue_age(self):
+        """Seconds for which what the first read finds may have lain in the listening queue; 0 afterwards."""
+        if self.queued_since is None:
+            return 0.0
+        return self.front.deadlines.clock.seconds() - self.queued_since
+
     def _accept(self, batch):
         """Queues the calls of a read; what it withdraws is given up at once, whatever waits before it."""
         self.has_messages |= batch.has_messages
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -42,6 +42,7 @@
         self.watch = InputWatch(deadlines.clock, max_partial_bytes)
         self.lingering = {}  # connection -> timer of its close, the oldest first
         self.sweep_timer = self.port = None
+        self.poll_age = lambda: 0.0  # seconds for which input that is read now may have lain unread
 
     def buildProtocol(self, address):
         return Connection(self)
@@ -124,6 +125,11 @@
             self.deadlines.drop(self.lingering.pop(oldest))
             oldest.transport.loseConnection()
 
+    def input_age(self, call):
+        """Seconds for which a call that is being read may have lain unread at most."""
+        connection = self.connections.get(call[0])
+        return max(self.poll_age(), connection.queue_age())
+
     def read_pending(self, call):
         """Reads available input of the connection of a call."""
         connection = self.connections.get(call[0])
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -32,7 +32,6 @@
         self.log, self.counters = log, counters
         self.clock = ProcessClock(wall, reactor.seconds)
         self.unix_times = UnixTimes(self.clock)
-        self.input_age = lambda: 0.0  # seconds for which input that is read now may have lain unread
         self.count = counters.count
         terms = self.terms = start.terms
         self.kinds = {kind.name: kind for kind in terms.kinds}
@@ -121,7 +120,7 @@
             self.count(invalid.counter)
             self.front.failed(call, invalid.reason)
             return
-        arrived_at = self.now() - int(self.input_age() * SECOND)  # the earliest possible
+        arrived_at = self.now() - int(self.front.input_age(call) * SECOND)  # the earliest possible
         lookup = Lookup(
             call,
             request,
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -102,14 +102,21 @@
 
 @contextmanager
 def running_router(
-    tmp_path, program=("hookrouter",), environment=None, cache=Cache, clean=True, deadline_ms=4_000
+    tmp_path,
+    program=("hookrouter",),
+    environment=None,
+    cache=Cache,
+    cache_port=None,
+    clean=True,
+    deadline_ms=4_000,
 ):
     """A router process and its port; at the end it is told to end, which no call may notice.
 
-    clean: whether it must end by itself and cut off no connection with open calls. deadline_ms: of all kinds.
+    cache_port: of a cache of the test's own. clean: whether it must end by itself and cut off no connection with open calls. deadline_ms: of all kinds.
     """
     with BackgroundServer(cache) as caches, BackgroundServer(FeedStandIn) as feed:
-        fleet = [endpoint("c0", caches.port), endpoint("o0", caches.port, "origin")]
+        address = caches.port if cache_port is None else cache_port
+        fleet = [endpoint("c0", address), endpoint("o0", address, "origin")]
         config = configuration(
             members(1, *fleet, whole=True),
             listen=f"127.0.0.1:{free_port()}",
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -189,10 +189,24 @@
 
 def test_a_call_that_lay_unread_has_so_much_less_time_left(tmp_path):
     s = Scene(tmp_path)
-    s.router.input_age = lambda: 0.5
     wire = s.client()
-    wire.come(message(1, allow="1500"))
+    wire.come(message(9, b"check"))
+    s.router.front.poll_age = lambda: 0.5
+    wire.take()
+    wire.come(message(11, allow="1500"))
     cache_wire = s.up()
     assert 990 <= int(cache_wire.take().split(b"X-Patience: ")[1].split(b"\r\n")[0]) <= 1000
-    wire.come(message(2, allow="400"))
-    assert answers(wire.take()).keys() == {2}  # its time was over
+    wire.come(message(12, allow="400"))
+    assert answers(wire.take()).keys() == {12}  # its time was over
+
+
+def test_a_call_on_a_new_connection_may_have_come_before_it_was_accepted(tmp_path):
+    s = Scene(tmp_path)
+    s.router.front.poll_age = lambda: 0.4
+    wire = s.client()
+    s.router.front.poll_age = lambda: 0.0
+    s.net.rightNow += 0.1
+    wire.come(message(1, allow="1500"))
+    assert 990 <= int(s.up().take().split(b"X-Patience: ")[1].split(b"\r\n")[0]) <= 1000
+    wire.come(message(2, allow="1500", part="9"))
+    assert 1490 <= int(s.up().take().split(b"X-Patience: ")[1].split(b"\r\n")[0]) <= 1500
--- a/tests/test_patience_process.py
+++ b/tests/test_patience_process.py
@@ -1,31 +1,46 @@
 """The deadline that a router passes to a cache is at most what the client has left; real processes."""
 
 import signal
+import socket
+import subprocess
+import sys
 import time
 
 import pytest
-from processes import Cache, running_router
+from processes import running_router
 from protocol_client import MAX_OPEN_CALLS, ProtocolClient
 
+from standins.ports import free_port
+
 SLACK = 0.15  # seconds, by the operators' terms
 ALLOW_MS = 1_000
 PAUSE = 0.5  # seconds that the process is stopped
 
 
-def recording_cache(received):
-    """A cache that notes when each request came and until when it may be answered, by the client's id."""
+class RecordingCache:
+    """The process of a recording cache, and what it has noted."""
+
+    def __init__(self, folder):
+        self.port, self.file = free_port(), folder / "received"
+        command = [sys.executable, "-m", "standins.recording_cache", str(self.port), str(self.file)]
+        self.process = subprocess.Popen(command)
+
+    def __enter__(self):
+        while True:
+            try:
+                socket.create_connection(("127.0.0.1", self.port)).close()
+                return self
+            except ConnectionRefusedError:
+                time.sleep(0.02)
 
-    class RecordingCache(Cache):
-        def receive(self):
-            piece = self.request.recv(65536)
-            now = time.monotonic()
-            for head in piece.split(b"\r\n\r\n")[:-1]:
-                fields = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:])
-                patience = int(fields[b"X-Patience"]) / 1000
-                received.append((fields[b"X-Trace"].decode(), now + patience))
-            return piece
+    def __exit__(self, *_):
+        self.process.kill()
+        self.process.wait()
 
-    return RecordingCache
+    def received(self):
+        """The requests so far: (client's id, until when it may be answered)."""
+        rows = (line.split() for line in self.file.read_text().splitlines())
+        return [(trace, float(until)) for trace, until in rows]
 
 
 def excess(clients, received):
@@ -35,9 +50,9 @@
 
 
 def test_after_a_pause_no_deadline_passed_on_is_longer_than_the_clients(tmp_path):
-    received = []
     with (
-        running_router(tmp_path, cache=recording_cache(received)) as (process, port),
+        RecordingCache(tmp_path) as cache,
+        running_router(tmp_path, cache_port=cache.port) as (process, port),
         ProtocolClient(port) as client,
     ):
         client.send(client.next_call("1", ALLOW_MS))
@@ -49,14 +64,13 @@
             process.send_signal(signal.SIGCONT)
             client.receive(ALLOW_MS / 1000 + 0.5)
             time.sleep(0.1)
-        assert client.unanswered() == [] and len(received) > 8
-        assert excess([client], received)[-1] <= SLACK
+        assert client.unanswered() == [] and len(cache.received()) > 8
+        assert excess([client], cache.received())[-1] <= SLACK
 
 
 @pytest.mark.parametrize("connections", [20])
 def test_in_a_burst_no_deadline_passed_on_is_longer_than_the_clients(tmp_path, connections):
-    received = []
-    with running_router(tmp_path, cache=recording_cache(received)) as (_, port):
+    with RecordingCache(tmp_path) as cache, running_router(tmp_path, cache_port=cache.port) as (_, port):
         clients = [ProtocolClient(port, seed) for seed in range(connections)]
         for client in clients:
             client.send(b"".join(client.next_call("1", 400) for _ in range(MAX_OPEN_CALLS)))
@@ -64,4 +78,4 @@
             client.receive(1.0)
             client.socket.close()
         assert [client.unanswered() for client in clients] == [[]] * connections
-        assert excess(clients, received)[-1] <= SLACK
+        assert excess(clients, cache.received())[-1] <= SLACK
