Only the first wait after a connection was accepted may find input from the queue

Seen by callers, had it been released: a client that connects and makes its first call a second later is given up a second early.

Change: a connection remembers at which wait it was accepted; input found by a later wait than the next has come since.

--- a/hookrouter/clock.py
+++ b/hookrouter/clock.py
@@ -50,6 +50,7 @@
         """epoll: the object that waits; seconds: a monotonic clock."""
         self._epoll, self._seconds = epoll, seconds
         self.earliest = self._checked_at = seconds()
+        self.count = 0  # of waits
 
     def __getattr__(self, name: str) -> Any:  # noqa: ANN401 any method
         """The other methods are those of the epoll."""
@@ -57,7 +58,7 @@
 
     def poll(self, timeout: float, most: int) -> list:
         """Waits for events as epoll.poll() does. timeout: seconds, negative: without end."""
-        started = self._seconds()
+        started, self.count = self._seconds(), self.count + 1
         events = self._epoll.poll(timeout, most)
         returned = self._seconds()
         waited = returned - started
--- a/hookrouter/command/router.py
+++ b/hookrouter/command/router.py
@@ -87,7 +87,7 @@
     log = Log(form=log_format or sections.get("log", {}).get("format", "text"))
     counters = Counters([kind.name for kind in start.terms.kinds])
     router = Router(start, reactor, log, counters)
-    router.front.poll_age = watch_polls(reactor).age
+    router.front.polls = watch_polls(reactor)
     member = member_of(reactor, log, sections, router) if "fleet" in sections else None
     gc.collect()
     gc.freeze()  # long-lived objects are exempt from later collections
--- a/hookrouter/front/connection.py
+++ b/hookrouter/front/connection.py
@@ -46,13 +46,15 @@
         self.phase = OPEN
         self.received = False  # whether the last read returned data
         self.pending_calls = None  # messages read and not processed yet; None when no read is being processed
-        self.queued_since = None  # seconds; what the first read finds may have come since then
+        # Time since which what is read by the next wait may have come, and the number of the wait before.
+        self.queued_since, self.accepted_poll = None, 0
         self.has_messages = False  # whether the reads being processed completed any
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
         self.outbox.transport = self.transport
-        self.queued_since = self.front.deadlines.clock.seconds() - self.front.poll_age()
+        self.queued_since = self.front.deadlines.clock.seconds() - self.front.polls.age()
+        self.accepted_poll = self.front.polls.count
         address = self.transport.getPeer()
         self.peer = f"{address.host}:{address.port}"
         self.slot = self.front.register(self)
@@ -85,8 +87,11 @@
         self.close_if_answered()
 
     def queue_age(self):
-        """Seconds for which what the first read finds may have lain in the listening queue; 0 afterwards."""
-        if self.queued_since is None:
+        """Seconds for which what is read may have lain in the listening queue.
+
+        0 unless it is found by the first wait for input after the connection was accepted.
+        """
+        if self.queued_since is None or self.front.polls.count > self.accepted_poll + 1:
             return 0.0
         return self.front.deadlines.clock.seconds() - self.queued_since
 
--- a/hookrouter/front/connections.py
+++ b/hookrouter/front/connections.py
@@ -20,6 +20,16 @@
 MAX_LINGERING_SHARE = 1 / 4  # share of the descriptors; beyond it the oldest are closed at once
 
 
+class Unwatched:
+    """Stands for the PollWatch of a reactor that is not watched: all input is read as it arrives."""
+
+    count = 0
+
+    def age(self):
+        """Seconds for which input that is read now may have lain unread."""
+        return 0.0
+
+
 class Front(Factory):
     """Factory of the client connections.
 
@@ -42,7 +52,7 @@
         self.watch = InputWatch(deadlines.clock, max_partial_bytes)
         self.lingering = {}  # connection -> timer of its close, the oldest first
         self.sweep_timer = self.port = None
-        self.poll_age = lambda: 0.0  # seconds for which input that is read now may have lain unread
+        self.polls = Unwatched()  # a clock.PollWatch where the reactor is watched
 
     def buildProtocol(self, address):
         return Connection(self)
@@ -128,7 +138,7 @@
     def input_age(self, call):
         """Seconds for which a call that is being read may have lain unread at most."""
         connection = self.connections.get(call[0])
-        return max(self.poll_age(), connection.queue_age())
+        return max(self.polls.age(), connection.queue_age())
 
     def read_pending(self, call):
         """Reads available input of the connection of a call."""
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -191,7 +191,7 @@
     s = Scene(tmp_path)
     wire = s.client()
     wire.come(message(9, b"check"))
-    s.router.front.poll_age = lambda: 0.5
+    s.router.front.polls = Polls(0.5)
     wire.take()
     wire.come(message(11, allow="1500"))
     cache_wire = s.up()
@@ -200,13 +200,21 @@
     assert answers(wire.take()).keys() == {12}  # its time was over
 
 
+class Polls:
+    """A PollWatch in the state of a test."""
+
+    def __init__(self, age, count=1):
+        self.count, self.age = count, lambda: age
+
+
 def test_a_call_on_a_new_connection_may_have_come_before_it_was_accepted(tmp_path):
     s = Scene(tmp_path)
-    s.router.front.poll_age = lambda: 0.4
-    wire = s.client()
-    s.router.front.poll_age = lambda: 0.0
+    s.router.front.polls = Polls(0.4)
+    wire, silent = s.client(), s.client()
+    s.router.front.polls = Polls(0.0, count=2)
     s.net.rightNow += 0.1
     wire.come(message(1, allow="1500"))
     assert 990 <= int(s.up().take().split(b"X-Patience: ")[1].split(b"\r\n")[0]) <= 1000
-    wire.come(message(2, allow="1500", part="9"))
+    s.router.front.polls = Polls(0.0, count=3)
+    silent.come(message(2, allow="1500", part="9"))  # the wait before would have found it
     assert 1490 <= int(s.up().take().split(b"X-Patience: ")[1].split(b"\r\n")[0]) <= 1500
