--- a/review/3/case.py
+++ b/review/3/case.py
@@ -36,12 +36,14 @@
     desk_ports = {name: free_port() for name in KEEPERS}
     shared = f"secret = {case.secret}\nlease = 2 s\nhold = 24 h\n"
     one = f"[purges]\ndesk = 127.0.0.1:{desk_ports['k1']}\n{shared}"
-    several = "[purges]\ndesk = " + ", ".join(f"127.0.0.1:{desk_ports[name]}" for name in KEEPERS) + f"\n{shared}"
+    several = (
+        "[purges]\ndesk = " + ", ".join(f"127.0.0.1:{desk_ports[name]}" for name in KEEPERS) + f"\n{shared}"
+    )
     keepers = ", ".join(f"{name} 127.0.0.1:{fleet_ports[name]}" for name in KEEPERS)
     desk_site = case.site(
         "desk.ini", one + f"[desk]\nlisten = 127.0.0.1:{desk_ports['k1']}\nstore = {case.work}/k1-purges.db\n"
     )
-    router_site = case.site("router.ini", one)
+    router_site = case.site("router.ini", several)  # all the addresses; the first one has the desk already
     people = case.site(
         "people.ini",
         f"[fleet]\nname = people\nlisten = 127.0.0.1:{free_port()}\nkeepers = {keepers}\nsecret = {case.secret}\n"
@@ -60,10 +62,9 @@
         wait_for(client.check, 20, "the router")
         return router
 
-    def command(words, count=[0]):
+    def command(words):
         """A command of an operator; (exit code, what it says)."""
-        count[0] += 1
-        process = case.start(f"command{count[0]}", f"{words} --site {people}")
+        process = case.start("command", f"{words} --site {people}")
         code = process.wait(30)
         said = case.log_of(process.name).strip()
         case.record("operator", f"{words}: {code} {said}")
@@ -88,9 +89,6 @@
     case.signal(desk_process, signal.SIGTERM)
     desk_process.wait(10)
     time.sleep(2.1)  # a lease
-    router_site = case.site("router.ini", several)
-    if not TROUBLE:
-        case.signal(router, signal.SIGHUP)  # follows the keepers, without a restart
     for name in KEEPERS:
         site = case.site(
             f"{name}.ini",
