--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,7 +23,7 @@
 KIND, OBJECT = "clip", "7f3a9c21e0b4d655"
 
 
-def play(case):
+def test_a_purge_binds_behind_many_patterns(case):
     origin = Origin(case.record)
     cache, feed = Cache(case.record, origin), ControlFeed(case.record)
     port = free_port()
@@ -72,4 +72,4 @@
     return None
 
 
-main(play, Path(__file__).resolve().parent)
+main(test_a_purge_binds_behind_many_patterns, Path(__file__).resolve().parent)
