--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,7 @@
 """Purges by regex, and a purge by glob behind them: is the last one heeded once the desk says that it is in effect?"""
 
-import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-
 from common import (
     TROUBLE,
     Cache,
--- a/review/common.py
+++ b/review/common.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -24,6 +25,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SECRET = "a secret for this case only"
+GIVEN = set()  # ports that free_port has given
 LIMIT = 115.0  # seconds of one run; then the case counts as one that could not run
 
 
@@ -37,10 +39,19 @@
 
 
 def free_port():
-    """A port of 127.0.0.1 that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port of 127.0.0.1 that nothing uses, below those that the system gives to outgoing connections."""
+    for _ in range(1_000):
+        port = random.randrange(11_000, 32_000)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        if port not in GIVEN:
+            GIVEN.add(port)
+            return port
+    raise CannotRun("no port is free")
 
 
 def wait_for(what, seconds, said):
@@ -536,10 +547,11 @@
     case, code = Case(Path(folder).resolve()), 2
 
     def too_long(*_):
-        raise CannotRun("over its time")
+        raise CannotRun("over its time, or told to end")
 
-    signal.signal(signal.SIGALRM, too_long)
-    signal.signal(signal.SIGTERM, too_long)
+    ends = signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    for number in ends:
+        signal.signal(number, too_long)
     signal.setitimer(signal.ITIMER_REAL, LIMIT - 5)
     try:
         case.record("case", "with the disruption" if TROUBLE else "without the disruption (TROUBLE=0)")
@@ -549,9 +561,10 @@
     except BaseException as error:
         said = f"could not run: {error!r}"
         case.record("case", traceback.format_exc())
-    signal.setitimer(signal.ITIMER_REAL, 0)
+    for number in ends:  # from here on all processes are ended, whatever comes
+        signal.signal(number, signal.SIG_IGN)
+    case.end()
     case.record("case", said)
     print(said)
-    case.end()
     sys.stdout.flush()
     os._exit(code)
