A pattern that fits no set of the others is no longer lost at a router

Cause: each pattern is compiled alone, then up to 64 into one RE2 set. RE2 may refuse a set whose members it takes one by one, and nothing expected that. The error left the feed after the position had moved on, so the next renewal acknowledged a purge that was not applied; the pattern stood in the tables already, so its repeat passed for kept. What waited behind it in the backlog was applied by nobody.

Evidence: 61 of the case's patterns (4,598 instructions each) fail to compile at 64 x 256 kB and compile at 128 x 256 kB; 60 compile at 64 x and not at 62 x: memory of the set decides, not the single pattern. Sets at the limit match as each pattern alone does (400 names).

Change: a pattern that the newest set cannot hold begins a set of its own, sets that cannot be joined stay apart and are not tried again, and one that no set holds counts against every name, at its repeats too; tables change once the set is compiled. Joins and the matcher of warming go the same way. Whatever fails while a purge is applied, it counts against every name and the backlog goes on (purges_failed, "purge could not be applied"); a purge against every name is logged with its number.

Why it works: no position is acknowledged now without a bound at least as strict as its purge.

--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -57,6 +57,7 @@
     "feed_gaps",
     "purge_connections",
     "purges_told",
+    "purges_failed",
     "purges_malformed",
     "purge_gaps",
     "slices_fetched",
--- a/hookrouter/node/purging.py
+++ b/hookrouter/node/purging.py
@@ -1,5 +1,6 @@
 """Fleet-wide purges in one router: the guard, updated by the purge feed, and the check of answers."""
 
+import traceback
 from collections import deque
 from time import perf_counter
 
@@ -9,7 +10,7 @@
 from ..clock import steady as boot_time
 from ..clock import unix_seconds
 from ..feed.purges import PurgeFeed
-from ..purges import Guard
+from ..purges import Guard, wire
 from ..purges.fence import CURRENT
 from ..purges.names import Kept
 from ..purges.tags import Listed, read_tags
@@ -98,13 +99,28 @@
             if self.stopwatch() > step_end:
                 self.deadlines.after(0, self._apply_backlog)
                 return
-            self.count("purges_told")
-            purge = self.backlog.popleft()
-            if self.guard.told(now, purge) is Kept.EVERY_NAME:
-                self.count("purges_of_every_name")
+            self._apply(now, self.backlog.popleft())
+        self.feed.renew_soon()
+
+    def _apply(self, now, purge):
+        self.count("purges_told")
+        try:
+            kept = self.guard.told(now, purge)
             if self.router.warming_observer is not None:
                 self.router.warming_observer.on_fleet_purge(purge)
-        self.feed.renew_soon()
+        except Exception:  # the purge will be acknowledged all the same: it has to bind
+            self.count("purges_failed")
+            self.log("purge could not be applied", traceback.format_exc(), level="error")
+            self.guard.told_of_every_name(now, purge)
+            kept = Kept.EVERY_NAME
+        if kept is Kept.EVERY_NAME:
+            self.count("purges_of_every_name")
+            self.log(
+                "purge counts against every name",
+                level="warn",
+                number=wire.number(purge),
+                sort=purge.kind,
+            )
 
     def adopt(self, state):
         """Merges a sealed slice in steps, so that lookups go on in between; returns a Deferred that fires at
--- a/hookrouter/purges/guard.py
+++ b/hookrouter/purges/guard.py
@@ -70,24 +70,18 @@
         self.behind = answered - desk if asked - desk > self.terms.skew else 0
 
     def told(self, now: int, purge: w.Purge) -> Kept:
-        """How the purge is kept: by what it costs names that it does not concern.
-
-        A desk that is ahead makes no purge later than its news; one that is behind, none too early.
-        """
-        made = min(now, purge.timestamp + self.behind) + self.terms.skew + ROUNDING
-        self.latest = now
-        if self.fence.state != fence.CURRENT:
-            self.unleased = now
+        """How the purge is kept: by what it costs names that it does not concern."""
+        made = self._on_news(now, purge.timestamp)
         binding = max(now - self.terms.grace, self.unleased)
         return self.index.add(purge.kind, purge.what, made, now, binding)
 
+    def told_of_every_name(self, now: int, purge: w.Purge) -> None:
+        """A purge counts against every name: whatever it names cannot be used here."""
+        self.index.raise_all(self._on_news(now, purge.timestamp), now)
+
     def adopt(self, now: int, other: SliceState) -> Iterator[None]:
         """Takes over a slice of the order, a bounded step at a time; it binds whole at the end."""
-        made = min(now, other.bound + self.behind) + self.terms.skew + ROUNDING
-        self.latest = now
-        if self.fence.state != fence.CURRENT:
-            self.unleased = now
-        return self.index.adopt(other, made, now)
+        return self.index.adopt(other, self._on_news(now, other.bound), now)
 
     # ---- asked
 
@@ -165,6 +159,16 @@
         if tags is not None:
             self.tags.learn(name, made, tags)
 
+    def _on_news(self, now: int, timestamp: int) -> int:
+        """A purge of that time of the desk was told: no copy from before the returned time may answer.
+
+        A desk that is ahead makes no purge later than its news; one that is behind, none too early.
+        """
+        self.latest = now
+        if self.fence.state != fence.CURRENT:
+            self.unleased = now
+        return min(now, timestamp + self.behind) + self.terms.skew + ROUNDING
+
     def _age(self) -> int:
         if self.fence.state == fence.CURRENT:
             return self.terms.hold
--- a/hookrouter/purges/index.py
+++ b/hookrouter/purges/index.py
@@ -86,11 +86,16 @@
         if kind in self.tables:
             kept = self.tables[kind].raise_to(what, made, told, self.grace, binding)
         if kept is Kept.EVERY_NAME:  # it may be about anything
-            self.all = raised(self.all, made, told, self.grace)
+            self.raise_all(made, told)
         if kind == w.TAG:
             self.any_tag = raised(self.any_tag, made, told, self.grace)
         return kept
 
+    def raise_all(self, made: int, told: int) -> None:
+        """A purge that counts against every name. made, told: as in add."""
+        self.version += 1
+        self.all = raised(self.all, made, told, self.grace)
+
     def adopt(self, other: SliceState, made: int, told: int) -> Iterator[None]:
         """Merges a slice of the order, a bounded step at a time; whole at the end. made: the bound of its
         newest purge, skew included; told: as in add.
--- a/hookrouter/purges/patterns.py
+++ b/hookrouter/purges/patterns.py
@@ -2,9 +2,11 @@
 
 RE2 (Cox, "Regular Expression Matching in the Wild") needs no backtracking, so no pattern of a user's making
 can hold a lookup up. Patterns stand in segments of one set each: one more compiles its segment again, never
-all.
+all. RE2 may have no room for a set of patterns each of which compiles alone: those stand in several sets.
 """
 
+from collections.abc import Sequence
+
 import re2
 
 from . import types as w
@@ -92,23 +94,44 @@
     return text.decode("latin-1") if isinstance(text, bytes) else str(text)
 
 
+def compile_set(expressions: Sequence[str]) -> re2.Set | None:
+    """A set of all these expressions; None where RE2 has no room for it."""
+    compiled = re2.Set.FullMatchSet(options(MEMORY * max(SEGMENT, len(expressions))))
+    try:
+        for expression in expressions:
+            compiled.Add(expression)
+        compiled.Compile()
+    except re2.error:
+        return None
+    return compiled
+
+
 class Segment:
-    """Up to SEGMENT patterns in one set, with the bound of each."""
+    """Up to SEGMENT patterns in one set, with the bound of each. It is never without its set."""
 
-    __slots__ = ("first", "expressions", "bounds", "set", "live", "joined")
+    __slots__ = ("first", "expressions", "bounds", "set", "live", "joined", "joinable")
 
     def __init__(self, first: int) -> None:
         """Empty. first: number of its first pattern."""
         self.first, self.expressions, self.bounds, self.set, self.live = first, [], [], None, 0
         self.joined = None  # the one that holds its patterns now
+        self.joinable = True  # False: a set with more patterns did not compile
 
-    def compile(self) -> None:
-        """The set anew, of all its patterns."""
-        made = re2.Set.FullMatchSet(options(MEMORY * max(SEGMENT, len(self.expressions))))
-        for text in self.expressions:
-            made.Add(text)
-        made.Compile()
-        self.set = made
+    def has_room(self, number: int) -> bool:
+        """Whether a pattern of that number can follow the segment's last."""
+        return len(self.bounds) < SEGMENT and number == self.first + len(self.bounds)
+
+    def take(self, expressions: Sequence[str], bounds: Sequence[Bound], live: int) -> bool:
+        """Adds patterns; live: how many of them are. False where no set holds them too: none is added."""
+        compiled = compile_set([*self.expressions, *expressions])
+        if compiled is None:
+            self.joinable = False
+            return False
+        self.set = compiled
+        self.expressions += expressions
+        self.bounds += bounds
+        self.live += live
+        return True
 
 
 class Patterns:
@@ -140,18 +163,27 @@
             re2.compile(text, options(MEMORY))
         except (ValueError, re2.error):
             return False  # a desk of another build took it: safe, if dear
-        if not self.segments or len(self.segments[-1].bounds) >= SEGMENT:
-            self._join()
-            self.segments.append(Segment(self.count))
         self.known.raise_to(key, made, told, grace)
-        segment = self.segment_of[key] = self.segments[-1]
-        segment.expressions.append(text)
-        segment.bounds.append(self.known[key])
-        segment.compile()
-        segment.live += 1
+        segment = self._segment_with(text, self.known[key])
+        if segment is None:
+            del self.known[key]
+            return False
+        self.segment_of[key] = segment
         self.count += 1
         return True
 
+    def _segment_with(self, expression: str, bound: Bound) -> Segment | None:
+        """The segment that holds this pattern from now on; None where no set holds it."""
+        last = self.segments[-1] if self.segments else None
+        if last is not None and last.has_room(self.count) and last.take([expression], [bound], 1):
+            return last
+        segment = Segment(self.count)
+        if not segment.take([expression], [bound], 1):
+            return None
+        self._join()
+        self.segments.append(segment)
+        return segment
+
     def of(self, kind: str) -> "PatternsOfKind":
         """Taking in patterns of one kind, as the other tables do."""
         return PatternsOfKind(self, kind)
@@ -170,22 +202,30 @@
 
     def _join(self) -> None:
         """Full neighbours of one size become one, so that their number grows with the logarithm."""
-        while len(self.segments) >= JOINED:
-            last = self.segments[-JOINED:]
-            size = len(last[0].bounds)
-            if size * JOINED > LARGEST or any(
-                len(one.bounds) != size or one.first != last[0].first + n * size for n, one in enumerate(last)
-            ):
+        while self._can_join(parts := self.segments[-JOINED:]):
+            whole = Segment(parts[0].first)
+            expressions = [expression for part in parts for expression in part.expressions]
+            bounds = [bound for part in parts for bound in part.bounds]
+            if not whole.take(expressions, bounds, sum(part.live for part in parts)):
+                for part in parts:
+                    part.joinable = False
                 return
-            whole = Segment(last[0].first)
-            for one in last:
-                whole.expressions += one.expressions
-                whole.bounds += one.bounds
-                whole.live += one.live
-                one.joined = whole
-            whole.compile()
+            for part in parts:
+                part.joined = whole
             self.segments[-JOINED:] = [whole]
 
+    def _can_join(self, parts: Sequence[Segment]) -> bool:
+        """Whether these are enough neighbours of one size, without a gap, whose common set may compile."""
+        size = len(parts[0].bounds) if parts else 0
+        return (
+            len(parts) == JOINED
+            and size * JOINED <= LARGEST
+            and all(
+                part.joinable and len(part.bounds) == size and part.first == parts[0].first + place * size
+                for place, part in enumerate(parts)
+            )
+        )
+
     def bound(self, name: str) -> Bound | None:
         """The one bound of all patterns that match, or None."""
         row = self.matched.get(name)
--- a/tests/test_purge_network.py
+++ b/tests/test_purge_network.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 from fleet import Net, Wire, answer, answers, configuration, endpoint, members, message
 from purging import NAME, SECOND, site
 from scenes import START_TIME, LogBuffer
@@ -195,6 +196,56 @@
     assert len(s.router.guard.index) == 21 and s.purging.acknowledged(21) == (21, 21)
 
 
+# Guards against purges lost, and no lease, at a router whose snapshot holds patterns that fit no common set.
+def test_a_snapshot_of_large_patterns_binds_and_is_answered_for(tmp_path):
+    s = Scene(tmp_path)
+    s.lease(60 * SECOND)
+    s.purging.on_snapshot(
+        [
+            Purge(1, n, int(s.wall() * SECOND), types.REGEX, f"[^/]{{1,255}}/{n:04x}[^/]{{0,255}}")
+            for n in range(1, 71)
+        ],
+        (1, 70),
+    )
+    s.net.pump([0.001] * 80)
+    assert s.purging.acknowledged(70) == (70, 70)
+    s.net.advance(1)
+    for n in range(1, 71):
+        s.ask(lookup=f"{n:04x}7a9c21e0b4d6")
+        line, age = s.cache()
+        assert age <= 1_100
+        s.comes(line, 0.1)
+    s.ask(lookup="ffff7a9c21e0b4d6")
+    assert s.cache()[1] > 1_100
+
+
+# Guards against a purge that is answered for though its application failed, and a backlog that stops behind it.
+@pytest.mark.parametrize("fault", ("told", "on_fleet_purge"))
+def test_a_purge_whose_application_fails_counts_against_every_name(tmp_path, monkeypatch, fault):
+    s = Scene(tmp_path)
+    s.lease(60 * SECOND)
+
+    def failing(*_):
+        raise RuntimeError("a fault")
+
+    if fault == "told":
+        monkeypatch.setattr(s.router.guard, fault, failing)
+    else:
+        s.router.warming_observer = type("Observer", (), {fault: staticmethod(failing)})
+    told = int(s.wall() * SECOND)
+    s.purging.on_purges(
+        [Purge(1, 1, told, types.OBJECT, "another"), Purge(1, 2, told, types.OBJECT, "a third")]
+    )
+    monkeypatch.undo()
+    s.router.warming_observer = None
+    assert s.purging.acknowledged(2) == (2, 2)
+    assert s.counters.values["purges_told"] == s.counters.values["purges_failed"] == 2
+    assert s.out.text.count("purge could not be applied") == 2 and "RuntimeError" in s.out.text
+    s.net.advance(1)
+    s.ask()
+    assert s.cache()[1] <= 1_100
+
+
 def test_a_fenced_router_that_nacks_does_so_at_once_but_writes_go_on(tmp_path):
     s = Scene(tmp_path, "fenced = nack\n")
     read, write = s.ask(), s.ask(service="hold", replay="ab" * 16, body=b"x")
