Patterns in three modules by their jobs, one set-up of a relayed fleet for tests

Change: expressions.py (a pattern as a regular expression, refusals), pattern_sets.py (sets that grow and join), patterns.py (live patterns and remembered matches, typed rows); `types` in place of `w` in index and guard; tests/purge_run.py.

--- a/hookrouter/purges/guard.py
+++ b/hookrouter/purges/guard.py
@@ -7,8 +7,7 @@
 
 from collections.abc import Collection, Iterator, Sequence
 
-from . import fence
-from . import types as w
+from . import fence, types
 from .index import Index
 from .names import Kept
 from .retention.archive import SliceState
@@ -28,7 +27,7 @@
     """One for a router. Told purges, grants and the steady time; asked at each send and at each answer."""
 
     def __init__(
-        self, terms: w.PurgeTerms, tags: Tags | Listed | None = None, judged: Collection[str] = ()
+        self, terms: types.PurgeTerms, tags: Tags | Listed | None = None, judged: Collection[str] = ()
     ) -> None:
         """tags: of objects, where they do not come from answers. judged: kinds of lookup each of whose
         answers is asked about (refused) before it is passed on.
@@ -69,13 +68,13 @@
         # Behind for sure, and by this at most; what is ahead makes no difference, see told().
         self.behind = answered - desk if asked - desk > self.terms.skew else 0
 
-    def told(self, now: int, purge: w.Purge) -> Kept:
+    def told(self, now: int, purge: types.Purge) -> Kept:
         """How the purge is kept: by what it costs names that it does not concern."""
         made = self._on_news(now, purge.timestamp)
         binding = max(now - self.terms.grace, self.unleased)
         return self.index.add(purge.kind, purge.what, made, now, binding)
 
-    def told_of_every_name(self, now: int, purge: w.Purge) -> None:
+    def told_of_every_name(self, now: int, purge: types.Purge) -> None:
         """A purge counts against every name: whatever it names cannot be used here."""
         self.index.raise_all(self._on_news(now, purge.timestamp), now)
 
@@ -95,7 +94,7 @@
 
     def shut(self) -> bool:
         """Whether no copy may answer at all."""
-        return self.fence.state != fence.CURRENT and self.terms.fenced == w.NACK
+        return self.fence.state != fence.CURRENT and self.terms.fenced == types.NACK
 
     def oldest(self, now: int, kind: str, name: str, group: int, first_send: bool = False) -> int:
         """No copy from before that may be asked for; never 0.
--- a/hookrouter/purges/index.py
+++ b/hookrouter/purges/index.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterator, Sequence
 
-from . import types as w
+from . import types
 from .bounds import Bound, raised
 from .names import Kept, Names
 from .patterns import Patterns
@@ -38,14 +38,14 @@
 class Index:
     """grace, hold: as in PurgeTerms."""
 
-    def __init__(self, terms: w.PurgeTerms) -> None:
+    def __init__(self, terms: types.PurgeTerms) -> None:
         """Empty."""
         self.grace, self.hold = terms.grace, terms.hold
         most, sealed = terms.most_names, terms.most_sealed
-        self.objects = Names(most, SealedNames(w.OBJECT, terms.hold, sealed))
-        self.tags = Names(most, SealedNames(w.TAG, terms.hold, sealed // SHARES[w.TAG]))
+        self.objects = Names(most, SealedNames(types.OBJECT, terms.hold, sealed))
+        self.tags = Names(most, SealedNames(types.TAG, terms.hold, sealed // SHARES[types.TAG]))
         self.groups = Names(MOST_GROUPS)
-        self.prefixes = Prefixes(SealedPrefixes(w.PREFIX, terms.hold, sealed // SHARES[w.PREFIX]))
+        self.prefixes = Prefixes(SealedPrefixes(types.PREFIX, terms.hold, sealed // SHARES[types.PREFIX]))
         self.patterns = Patterns(MOST_PATTERNS)
         self.any_tag: Bound | None = None  # the newest purge of any tag, for objects whose tags are not known
         self.all: Bound | None = None  # the newest that counts against every name
@@ -54,12 +54,12 @@
         self.version = 0
         self.named: dict[str, Named] = {}
         self.tables = {
-            w.OBJECT: self.objects,
-            w.GROUP: self.groups,
-            w.TAG: self.tags,
-            w.PREFIX: self.prefixes,
-            w.GLOB: self.patterns.of(w.GLOB),
-            w.REGEX: self.patterns.of(w.REGEX),
+            types.OBJECT: self.objects,
+            types.GROUP: self.groups,
+            types.TAG: self.tags,
+            types.PREFIX: self.prefixes,
+            types.GLOB: self.patterns.of(types.GLOB),
+            types.REGEX: self.patterns.of(types.REGEX),
         }
 
     def __len__(self) -> int:
@@ -87,7 +87,7 @@
             kept = self.tables[kind].raise_to(what, made, told, self.grace, binding)
         if kept is Kept.EVERY_NAME:  # it may be about anything
             self.raise_all(made, told)
-        if kind == w.TAG:
+        if kind == types.TAG:
             self.any_tag = raised(self.any_tag, made, told, self.grace)
         return kept
 
@@ -101,7 +101,7 @@
         newest purge, skew included; told: as in add.
         """
         self.version += 1
-        if other.key.kind == w.TAG:
+        if other.key.kind == types.TAG:
             self.any_tag = raised(self.any_tag, made, told, self.grace)
         for _ in self.tables[other.key.kind].sealed.adopt(other, made):
             self.version += 1
--- a/hookrouter/purges/submissions.py
+++ b/hookrouter/purges/submissions.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from . import patterns, types
+from . import expressions, types
 
 MOST_ITEMS = 1_000  # purges in one submission: a batch stays well under what a follower takes in at once
 LONGEST_KEY = 128  # characters of an idempotency key
@@ -60,7 +60,7 @@
     if kind not in types.KINDS:
         return f"no sort of purge; {', '.join(types.KINDS)} are"
     if kind in types.PATTERN_KINDS:
-        return patterns.refusal(kind, what, everything)
+        return expressions.refusal(kind, what, everything)
     if kind == types.GROUP:
         plain = what.isascii() and what.isdigit() and what == str(int(what)) and int(what) < MOST_GROUPS
         return None if plain else f"a whole number from 0 to {MOST_GROUPS - 1} is wanted"
--- a/tests/test_patterns.py
+++ b/tests/test_patterns.py
@@ -4,9 +4,10 @@
 from purging import SECOND
 
 from hookrouter.decisions.warming import RecentPurges
-from hookrouter.purges import Purge, PurgeTerms, patterns, types
+from hookrouter.purges import Purge, PurgeTerms, expressions, types
 from hookrouter.purges.index import Index
 from hookrouter.purges.names import Kept
+from hookrouter.purges.pattern_sets import MAX_GROWING
 
 TERMS = PurgeTerms(2 * SECOND, 24 * 3_600 * SECOND, SECOND // 2, 10, types.YOUNG, 100, 100)
 
@@ -44,9 +45,9 @@
 
 # Guards against purges that are lost because a growing set of patterns outgrows RE2's memory.
 def test_each_of_many_large_patterns_binds_though_no_common_set_holds_them():
-    index, count = Index(TERMS), 2 * patterns.SEGMENT
+    index, count = Index(TERMS), 2 * MAX_GROWING
     for number in range(count):
-        assert patterns.refusal(types.REGEX, large_regex(number)) is None
+        assert expressions.refusal(types.REGEX, large_regex(number)) is None
         assert index.add(types.REGEX, large_regex(number), number + 1, number + 1) is Kept.EXACT
         assert newest(index, object_of(number)) == number + 1
     assert index.add(types.GLOB, "clip/zz*", 1_000, 1_000) is Kept.EXACT
@@ -59,8 +60,8 @@
 # Guards against purges that are lost because sets that are joined outgrow RE2's memory.
 def test_sets_that_cannot_be_joined_stay_apart_and_are_not_tried_again(monkeypatch):
     refused = []
-    refuse_sets(monkeypatch, lambda texts: len(texts) > patterns.SEGMENT and not refused.append(texts))
-    index, count = Index(TERMS), 6 * patterns.SEGMENT
+    refuse_sets(monkeypatch, lambda texts: len(texts) > MAX_GROWING and not refused.append(texts))
+    index, count = Index(TERMS), 6 * MAX_GROWING
     for number in range(count):
         assert index.add(types.GLOB, f"*{object_of(number)}", number + 1, number + 1) is Kept.EXACT
     assert [newest(index, object_of(number)) for number in range(count)] == list(range(1, count + 1))
--- a/tests/test_purge_catch_up.py
+++ b/tests/test_purge_catch_up.py
@@ -9,9 +9,9 @@
 
 from fleet import answer, endpoint, message
 from processes import BackgroundServer, Cache, ask
+from purge_run import Run, router_of
 from purging import event, purges, sealed_upto
 from test_purge_follower import FollowerScene, LonePublisher, Net, Request
-from test_purge_processes import Run, router_of
 
 from hookrouter.desk.publisher import FollowRequest
 from hookrouter.purges import Purge, slice_codec, types
--- a/tests/test_purge_processes.py
+++ b/tests/test_purge_processes.py
@@ -2,119 +2,38 @@
 
 import http.client
 import json
-import os
 import signal
 import subprocess
 import sys
 import time
 
 import pytest
-from fleet import configuration, endpoint, members, message
+from fleet import endpoint, message
 from processes import BackgroundServer, Cache, ask
-from purging import NAME, site
+from purge_run import Run, relayed_fleet, router_of, start_relay
+from purging import NAME
 
 from hookrouter.desk.clock import Clock
-from standins.ports import free_port
-
-
-class Run:
-    """Runs sub-commands as processes; kills those still running at the end."""
-
-    def __init__(self, folder, more=""):
-        self.folder, self.all, self.port = folder, [], free_port()
-        self.site(f"[desk]\nlisten = 127.0.0.1:{self.port}\nstore = purges.db\n", "desk.ini")
-
-    def site(self, more, name, above=None):
-        site(self.folder, self.port, more=(f"follow = 127.0.0.1:{above}\n" if above else "") + more)
-        (self.folder / "site.ini").rename(self.folder / name)
-        return str(self.folder / name)
-
-    def start(self, *arguments, said, **environment):
-        process = subprocess.Popen(
-            [sys.executable, "-m", "hookrouter", *arguments],
-            stderr=subprocess.PIPE,
-            text=True,
-            env={**os.environ, **environment},
-        )
-        self.all.append(process)
-        assert said in process.stderr.readline()
-        return process
-
-    def desk(self):
-        return self.start("purges", "serve", "--site", str(self.folder / "desk.ini"), said="serving purges")
-
-    def call(self, *arguments, code=0):
-        completed = subprocess.run(
-            [
-                sys.executable,
-                "-m",
-                "hookrouter",
-                "purges",
-                *arguments,
-                "--site",
-                str(self.folder / "desk.ini"),
-            ],
-            capture_output=True,
-            text=True,
-            timeout=30,
-        )
-        assert completed.returncode == code and "Traceback" not in completed.stderr, completed.stderr
-        return completed.stdout if code == 0 else completed.stderr
-
-    def members(self, count, state="live"):
-        """Waits until count members are in that state."""
-        for _ in range(100):
-            rows = json.loads(self.call("status", "--json"))["members"]
-            if sum(row["state"] == state for row in rows) == count:
-                return rows
-            time.sleep(0.05)
-        raise AssertionError(rows)
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *_):
-        for process in self.all:
-            process.kill()
-            process.wait()
-            process.stderr.close()
-
-
-def router_of(run, fleet, name, site_file):
-    port = free_port()
-    path = run.folder / f"{name}.json"
-    path.write_text(json.dumps(configuration(members(1, *fleet, whole=True), listen=f"127.0.0.1:{port}")))
-    process = run.start("serve", "--site", site_file, said="serving", EDGE_CONFIG=str(path), EDGE_NAME=name)
-    return process, port
 
 
 def test_desk_relay_and_routers_survive_kills_of_each(tmp_path):
     with BackgroundServer(Cache) as cache, Run(tmp_path) as run:
-        desk = run.desk()
-        relay_port = free_port()
-        relay_site = run.site(
-            f"[relay]\nname = depot\nlisten = 127.0.0.1:{relay_port}\nstore = names\n", "relay.ini"
-        )
-        below = run.site("", "below.ini", above=relay_port)
-        relay = run.start("purges", "relay", "--site", relay_site, said="serving purges")
-        fleet = [endpoint("c0", cache.port), endpoint("o0", cache.port, "origin")]
-        relayed_router, _ = router_of(run, fleet, "n1", below)
-        direct_router, port = router_of(run, fleet, "n2", str(tmp_path / "desk.ini"))
-        assert [row["name"] for row in run.members(2)] == ["depot", "n2"]
+        fleet = relayed_fleet(run, cache.port)
+        direct_router, port = fleet.routers["n2"]
         submitted = json.loads(
             run.call("submit", "--tag", "sheet", "--group", "3", "--wait", "--json", "--key", "k1")
         )
         assert submitted["in_effect_ms"] and len(submitted["numbers"]) == 2 and not submitted["repeated"]
 
-        relay.kill()  # its router has applied the purge; the next one waits at most for the lease
+        fleet.relay.kill()  # its router has applied the purge; the next one waits at most for the lease
         began = time.monotonic()
         run.call("submit", "--tag", "sheet", "--wait", "--json")
         assert time.monotonic() - began < 6
-        relay = run.start("purges", "relay", "--site", relay_site, said="serving purges")
+        start_relay(run, fleet.relay_site)
         rows = run.members(2)
         assert {row["name"]: row["relay"] for row in rows} == {"depot": True, "n2": False}
 
-        desk.kill()  # the order continues under a new epoch, and a repeated key is known
+        fleet.desk.kill()  # the order continues under a new epoch, and a repeated key is known
         run.desk()
         again = json.loads(run.call("submit", "--tag", "sheet", "--group", "3", "--json", "--key", "k1"))
         assert again["repeated"] and again["numbers"] == submitted["numbers"]
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -6,7 +6,7 @@
 
 from benchmarks.purges.shapes import GRACE, LEASE, SKEW
 from benchmarks.purges.world import World
-from hookrouter.purges import Guard, Position, Purge, PurgeTerms, patterns, submissions, types
+from hookrouter.purges import Guard, Position, Purge, PurgeTerms, expressions, submissions, types
 from hookrouter.purges import ledger as g
 from hookrouter.purges import place as p
 from hookrouter.purges import tail as t
@@ -147,11 +147,11 @@
     index = Index(TERMS)
     for n in range(3_000):
         index.add(types.KINDS[n % 6], str(n % 256) if n % 6 == 1 else f"x{n}", n, n)
-    held = len(index), len(index.patterns.segments)
+    held = len(index), len(index.patterns.sets)
     index.forget(3_000 + TERMS.hold)
     assert held[0] > 500 and len(index) == 0
     assert (index.objects.own, index.objects.shared, index.tags.own, index.tags.shared) == ({}, {}, {}, {})
-    assert len(index.patterns.segments) <= 1 < held[1]
+    assert len(index.patterns.sets) <= 1 < held[1]
 
 
 def test_a_pattern_that_this_build_cannot_compile_counts_against_every_name():
@@ -182,7 +182,7 @@
 )
 def test_the_desk_refuses_with_the_reason(kind, what, said):
     assert said in submissions.refusal(kind, what, False)
-    assert patterns.refusal(types.GLOB, "*", True) is None
+    assert expressions.refusal(types.GLOB, "*", True) is None
 
 
 @pytest.mark.parametrize(
--- a/tests/test_real_time_purges_process.py
+++ b/tests/test_real_time_purges_process.py
@@ -4,11 +4,9 @@
 import time
 
 import pytest
-from fleet import endpoint
 from processes import BackgroundServer, Cache
-from test_purge_processes import Run, router_of
+from purge_run import Run, relayed_fleet
 
-from standins.ports import free_port
 from standins.preload import WallClock
 
 IN_EFFECT_WITHIN = 1.4  # seconds, everywhere, by the size that the fleet is designed for
@@ -29,19 +27,8 @@
 @pytest.mark.parametrize("step", [-3600, 3600])
 def test_leases_hold_and_purges_take_effect_after_a_step_of_every_wall_clock(tmp_path, step):
     with BackgroundServer(Cache) as cache, SteppedRun(tmp_path) as run:
-        desk = run.desk()
-        relay_port = free_port()
-        relay_site = run.site(
-            f"[relay]\nname = depot\nlisten = 127.0.0.1:{relay_port}\nstore = names\n", "relay.ini"
-        )
-        below = run.site("", "below.ini", above=relay_port)
-        relay = run.start("purges", "relay", "--site", relay_site, said="serving purges")
-        fleet = [endpoint("c0", cache.port), endpoint("o0", cache.port, "origin")]
-        routers = [
-            router_of(run, fleet, "n1", below)[0],
-            router_of(run, fleet, "n2", str(tmp_path / "desk.ini"))[0],
-        ]
-        run.members(2)
+        fleet = relayed_fleet(run, cache.port)
+        routers = [process for process, _ in fleet.routers.values()]
         before = json.loads(run.call("submit", "--tag", "sheet", "--wait", "--json"))
         run.clock.step(step)
         began = time.monotonic()
@@ -51,8 +38,8 @@
         assert time.monotonic() - began < IN_EFFECT_WITHIN + 1.0
         time.sleep(2 * LEASE)
         assert {row["state"] for row in run.members(2)} == {"live"}
-        for process in (*routers, relay, desk):
+        for process in (*routers, fleet.relay, fleet.desk):
             process.terminate()
-        logs = [process.communicate(timeout=10)[1] for process in (*routers, relay, desk)]
+        logs = [process.communicate(timeout=10)[1] for process in (*routers, fleet.relay, fleet.desk)]
         assert all("Traceback" not in text for text in logs)
         assert [text.count("without a lease, fenced") for text in logs[:2]] == [0, 0]
