The store of a keeper's log has a module of its own

Change: fleet/member/keeper_disk.py with the store and its thread; the member says load, write, reopen and close.

--- a/hookrouter/fleet/member/service.py
+++ b/hookrouter/fleet/member/service.py
@@ -1,21 +1,15 @@
 """A fleet member: the keeper core and its store where it is a keeper, and the duties that it holds."""
 
-import sqlite3
-
-from twisted.internet.threads import deferToThreadPool
-from twisted.python.threadpool import ThreadPool
-
 from ...clock import steady, unix_milliseconds, unix_seconds
 from ...decisions.owners import Holder, Keeper, Settings, protocol
 from ...decisions.owners.duties import DONE
 from ...decisions.owners.keeper import STORE_FAILED
-from ...stores import UnusableStore
-from ...stores.keeper_log import KeeperLog
 from ...terms import SECOND
 from ..wire import Peers
 from ..wire.post import Parcel
 from .command_stream import CommandStream
 from .drill import DrillWorker
+from .keeper_disk import KeeperDisk
 from .roster import SHARING_ROLE_SUFFIX, Roster
 
 REOPEN_INTERVAL = 1.0  # seconds between attempts to reopen the store
@@ -32,18 +26,17 @@
         """
         fleet = sections["fleet"]
         self.reactor, self.log, self.fleet = reactor, log, fleet
-        self.name, self.stopped, self.timer, self.store = fleet["name"], False, None, None
+        self.name, self.stopped, self.timer = fleet["name"], False, None
         keepers = fleet["keepers"]
         self.terms = Settings(self.name, unix_milliseconds(), tuple(keepers), lease=fleet["lease"])
         self.peers = Peers(reactor, self.name, dict(keepers), fleet["secret"].value, self.on_message, log)
-        self.keeper, self.pool = None, None
+        self.keeper, self.disk = None, None
         if self.name in keepers:
-            self.pool = ThreadPool(1, 1, "keeper's store")  # one thread, so writes reach the disk in order
-            self.pool.start()
+            self.disk = KeeperDisk(reactor, fleet["store"], self.name)
             try:
-                stored = self._load_store()
+                stored = self.disk.load()
             except BaseException:
-                self.pool.stop()
+                self.disk.close()
                 raise
             self.keeper = Keeper(self.terms, stored, steady(), self.terms.generation)
         self.holder, self.leader_name, self.next_keeper = (
@@ -73,8 +66,7 @@
             try:
                 self._set_up_purges(sections)
             except BaseException:
-                self.pool.stop()
-                self.store.close()
+                self.disk.close()
                 raise
 
     def _set_up_purges(self, sections):
@@ -119,16 +111,6 @@
         self.purge_endpoint = PurgeEndpoint(desk, self.reactor, lambda: self._owner_address(DUTY))
         self.desk_listen = sections["desk"]["listen"]
 
-    def _load_store(self):
-        if self.store is not None:
-            self.store.close()
-        self.store = KeeperLog(self.fleet["store"], self.name)
-        try:
-            return self.store.load()
-        except sqlite3.Error as error:
-            self.store.close()
-            raise UnusableStore(f"{self.fleet['store']}: {error}") from None
-
     def start(self):
         """Listens and starts all parts; raises twisted's CannotListenError if a port is taken."""
         self.peers.listen(*self.fleet["listen"])
@@ -233,7 +215,7 @@
             if isinstance(effect, protocol.Send):
                 self._send(effect.receiver, effect.message)
             elif isinstance(effect, protocol.Persist):
-                deferToThreadPool(self.reactor, self.pool, self.store.write, effect).addCallbacks(
+                self.disk.write(effect).addCallbacks(
                     self._on_written,
                     self._on_write_failed,
                     callbackArgs=(effect.write_id,),
@@ -325,15 +307,7 @@
 
     def _reopen(self):
         if not self.stopped:
-            deferToThreadPool(self.reactor, self.pool, self._reload_and_probe).addCallbacks(
-                self._on_store_reopened, self._on_reopen_failed
-            )
-
-    def _reload_and_probe(self):
-        """Reloads the store, and proves by a probe write of existing data that it can be written again."""
-        stored = self._load_store()
-        self.store.probe()
-        return stored
+            self.disk.reopen().addCallbacks(self._on_store_reopened, self._on_reopen_failed)
 
     def _on_store_reopened(self, stored):
         self._handle(protocol.StoreReopened(stored))
@@ -418,6 +392,5 @@
         if self.records is not None:
             self.records.stop()
         self.peers.stop()
-        if self.pool is not None:
-            self.pool.stop()
-            self.store.close()
+        if self.disk is not None:
+            self.disk.close()
