A purge waits for the leases below a relay that ends as planned

Cause: a relay's leave dropped its row and its name on disk, as if all who answer by its leases had gone. Beside it: a leave of a former life took the name of the present one off the disk, and a name whose removal waited for the disk passed for stored.

Change: a relay that leaves stays a follower until it is back or struck off, unless nobody below it had a lease; it grants nothing once it stops; a leave counts for its own life only; a removed name counts as not stored from then on.

Why it works: whoever may answer below stands for a lease at least as long, at every level, since desk and relay decide by the same table.

--- a/benchmarks/purges/desk.py
+++ b/benchmarks/purges/desk.py
@@ -133,3 +133,10 @@
             self.names[follower] = generation
             answer(span, self.tail.epoch, self.clock())
         self._look()
+
+    def left(self, name, generation, relied_on):
+        """A follower says that it has ended."""
+        if self.up and self.followers.left(name, generation, relied_on):
+            self.names.pop(name, None)
+        if self.up:
+            self._look()
--- a/benchmarks/purges/followers.py
+++ b/benchmarks/purges/followers.py
@@ -18,23 +18,38 @@
     def setup(self, world, name, upstream):
         self.world, self.name, self.upstream = world, name, upstream
         self.link, self.generation, self.life, self.paused_until = None, 0, 0, 0
+        self.away = False  # between a planned end and the next start
         self.off = world.dice.randint(-SKEW // 2, SKEW // 2)
 
     def start(self):
         self.life += 1
         self.generation += 1
+        self.away = False
         self.place, self.fetching = self.world.make_place(), None
         self.fresh()
         self._connect(self.life)
         self._renew(self.life)
 
     def restart(self):
+        self._stop()
+        self.world.after(self.world.dice.randint(100, SECOND), self.start)
+
+    def end(self):
+        """A planned end: it answers nothing more, says so, and starts again after a while."""
+        self._stop()
+        self.away, dice = True, self.world.dice
+        for _ in range(dice.choice((1, 1, 2))):  # the call may be repeated, or come late
+            self.world.after(
+                self.world.delay(), self.upstream.left, self.name, self.generation, self.relied_on()
+            )
+        self.world.after(dice.randint(100, dice.choice((1, 12)) * SECOND), self.start)
+
+    def _stop(self):
         if self.link is not None:
             self.link.open = False
             self.upstream.links.discard(self.link)
             self.link = None
         self.life += 1
-        self.world.after(self.world.dice.randint(100, SECOND), self.start)
 
     def _connect(self, life):
         if life != self.life or self.link is not None:
@@ -164,7 +179,20 @@
         self.fresh()
 
     def ready(self):
-        return self.tail.epoch > 0 and not self.place.catch_up.pending
+        return self.tail.epoch > 0 and not self.place.catch_up.pending and not self.away
+
+    def end(self):
+        for link in sorted(self.links, key=lambda link: link.follower.name):
+            link.cut()
+        super().end()
+
+    def relied_on(self):
+        return self.followers.relied_on(self.world.now)
+
+    def left(self, name, generation, relied_on):
+        """A follower says that it has ended."""
+        if not self.away and self.followers.left(name, generation, relied_on):
+            self.names.pop(name, None)
 
     def fresh(self):
         for router in getattr(self.world, "routers", ()):
@@ -203,6 +231,8 @@
         return self.place.position.n if live is None else min(live, self.place.position.n)
 
     def renew(self, follower, generation, position, seen, least, every, relay, answer):
+        if self.away:
+            return
         self.fence.at(self.world.now)
         left = self.fence.left()
         on_branch = self.tail.place(position, seen) == RESUME
@@ -259,10 +289,13 @@
 
     least = every
 
+    def relied_on(self):
+        return False
+
     def _lookup(self):
         world = self.world
         world.after(world.dice.expovariate(1 / 400), self._lookup)
-        if self.paused():
+        if self.paused() or self.away:
             return
         kind, name = world.dice.choice(KINDS), world.dice.choice(OBJECTS)
         self.guard.at(world.now)
--- a/benchmarks/purges/shapes.py
+++ b/benchmarks/purges/shapes.py
@@ -35,6 +35,7 @@
     desk_off: int  # the desk's clock, beside the others'
     purges: float  # a second
     recent: int  # purges that desk and relays keep one by one; the others are sealed
+    ends: float = 0  # planned ends of each relay and router, a second
 
 
 def shape_of(dice):
--- a/benchmarks/purges/world.py
+++ b/benchmarks/purges/world.py
@@ -93,6 +93,10 @@
         for router in self.routers:
             if self.chance(shape.pauses, step):
                 router.paused_until = max(router.paused_until, self.now + self.dice.randint(100, 10 * SECOND))
+        if shape.ends:
+            for node in (*self.relays, *self.routers):
+                if not node.away and self.chance(shape.ends, step):
+                    node.end()
         self.after(step, self._trouble)
 
     def _purge(self):
--- a/hookrouter/desk/desk.py
+++ b/hookrouter/desk/desk.py
@@ -208,8 +208,9 @@
 
     def _write_names(self) -> None:
         """Writes name changes, one write at a time. An added name counts once it is on disk, a removed one no
-        longer counts before the write.
+        longer counts from now on, though its write may have to wait.
         """
+        self.stored_names.difference_update(self.names_to_remove)
         if (
             self.writing_names
             or not (self.names_to_add or self.names_to_remove)
@@ -218,7 +219,6 @@
             return
         joined, left = sorted(self.names_to_add.items()), sorted(self.names_to_remove)
         self.names_to_add, self.names_to_remove, self.writing_names = {}, set(), True
-        self.stored_names.difference_update(left)
         done = self.store.update_followers(joined, left)
         done.addCallbacks(
             lambda _: self.stored_names.update(name for name, _ in joined), self._log_write_failure
--- a/hookrouter/desk/publisher.py
+++ b/hookrouter/desk/publisher.py
@@ -151,9 +151,7 @@
         """Renews a follower's lease; returns None if it is refused (see Followers.renew)."""
         now = steady()
         if request.leave:
-            self.followers.left(request.name, request.generation)
-            self.follower_left(request.name)
-            self.settle()
+            self._on_leave(request)
             return self._granted(0)
         # Otherwise a crash would leave a lease that no store records.
         if not self.is_stored(request.name, request.generation):
@@ -179,6 +177,13 @@
         self.settle()
         return self._granted(span)
 
+    def _on_leave(self, request: wire.Renew) -> None:
+        if self.followers.left(request.name, request.generation, relied_on=request.relay):
+            self.follower_left(request.name)
+        elif request.relay:
+            self.log("relay has ended with routers below, purges wait for their leases", name=request.name)
+        self.settle()
+
     def _granted(self, span: int) -> wire.Granted:
         return wire.Granted(span, self.tail.epoch, self.clock(), self.followers.settling())
 
--- a/hookrouter/desk/relay.py
+++ b/hookrouter/desk/relay.py
@@ -144,9 +144,13 @@
     # ---- followers
 
     def remaining_lease(self) -> int:
-        """Returns the rest of its lease: its followers' leases end with it."""
+        """Returns the rest of its lease: its followers' leases end with it. 0 once it stops."""
         self.fence.at(steady())
-        return self.fence.left()
+        return 0 if self.stopped else self.fence.left()
+
+    def relied_on(self) -> bool:
+        """Returns whether routers below may answer by a lease, or without one from young copies."""
+        return self.followers.relied_on(steady())
 
     def _settle(self) -> None:
         super()._settle()
--- a/hookrouter/feed/purges.py
+++ b/hookrouter/feed/purges.py
@@ -16,7 +16,7 @@
     handler: gets on_epoch(epoch), on_purges(purges), on_snapshot(purges, newest), on_grant(requested_at,
     wall, span, desk_wall) with times in tenths of a millisecond and requested_at by the steady clock, and
     adopt(slice), which merges a sealed slice and may return a Deferred; it is asked acknowledged(n) for the
-    positions to acknowledge.
+    positions to acknowledge, and a relay's relied_on() when it leaves: whether routers below may answer yet.
     """
 
     path, connection_counter = b"/v1/feed", "purge_connections"
@@ -224,7 +224,8 @@
             min_all,
             self.place.seen,
             self.skew,
-            self.relay,
+            # A relay that leaves with nobody below it is as a router that leaves.
+            self.relay and (not leave or self.handler.relied_on()),
             leave,
         )
 
--- a/hookrouter/purges/followers.py
+++ b/hookrouter/purges/followers.py
@@ -142,11 +142,23 @@
         for row in self.rows.values():
             row.n = row.all = -1
 
-    def left(self, name: str, generation: int) -> None:
-        """It answers nothing any more, and said so."""
+    def left(self, name: str, generation: int, relied_on: bool = False) -> bool:
+        """A follower ended and said so. True: it is none any more, and no purge waits for it.
+
+        relied_on: others may answer by leases that it granted, or without one from copies of its time, so it
+        stays until it is struck off, as one that was killed does. A former life says nothing of the present.
+        """
         row = self.rows.get(name)
-        if row is not None and row.generation == generation:
-            del self.rows[name]
+        if row is not None and (row.generation != generation or relied_on):
+            return False
+        self.rows.pop(name, None)
+        return True
+
+    def relied_on(self, now: int) -> bool:
+        """Whether a follower that had a lease may answer yet, in its present life or a former one."""
+        return any(row.had_lease for row in self.rows.values()) or any(
+            until > now for until, _ in self.ghosts
+        )
 
     # ---- queries
 
--- a/tests/purge_run.py
+++ b/tests/purge_run.py
@@ -57,10 +57,11 @@
         assert completed.returncode == code and "Traceback" not in completed.stderr, completed.stderr
         return completed.stdout if code == 0 else completed.stderr
 
-    def members(self, count, state="live"):
-        """Waits until count members are in that state."""
+    def members(self, count, state="live", at=None):
+        """Waits until count members of the desk, or of the relay at that port, are in that state."""
+        of = () if at is None else ("--at", f"127.0.0.1:{at}")
         for _ in range(100):
-            rows = json.loads(self.call("status", "--json"))["members"]
+            rows = json.loads(self.call("status", "--json", *of))["members"]
             if sum(row["state"] == state for row in rows) == count:
                 return rows
             time.sleep(0.05)
@@ -111,4 +112,5 @@
         "n2": router_of(run, caches, "n2", str(run.folder / "desk.ini")),
     }
     assert [row["name"] for row in run.members(2)] == ["depot", "n2"]
+    assert [row["name"] for row in run.members(1, at=relay_port)] == ["n1"]
     return RelayedFleet(desk, relay, relay_site, routers)
