An answer that comes once more is not taken for the next request's

Cause: HTTP/1.1 does not tell which request an answer is for, and the pool used a connection again at once. A second 503, 404, 500, 504, an untagged 200 or one for the same object passed for the next answer, and each later one went to the request behind it. Only requests that must not be repeated waited for 20 ms.

Change: no request is written to a connection within 20 ms of the last answer on it, whatever status and request. A request that finds none that has rested reserves one and has a new one dialled, and takes whichever is ready first. A connection is no longer handed to a send that waits for a descriptor: it is closed. Idle connections have a module, caches/idle.py.

Why it works: what comes within those milliseconds finds no request and ends the connection.

--- a/hookrouter/caches/connection.py
+++ b/hookrouter/caches/connection.py
@@ -24,7 +24,9 @@
         self.slot = self.send = self.idle_timer = self.connector = None
         self.closing = False
         self.received = False  # whether the last read returned data
-        self.idle_since = 0.0
+        self.spare_for = None  # send that may take it once it is up; None: not a spare, or up already
+        self.reserved_for = None  # send that waits until it has rested
+        self.rested_at = 0.0  # when an idle connection may take a request, by the deadlines' clock
         self.previous = None  # target of the last request, and the REVISION_FIELDS of its response
         self.parser = http1.ResponseParser(
             self._on_head, self._on_body, self._on_end, requests.MAX_BODY_BYTES
--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -1,5 +1,9 @@
 """Pool of connections to caches, with one request at a time each; sends and probes over them.
 
+A connection rests after each response before it takes another request, since a second response may follow. A
+send that finds none that has rested reserves one that rests, has a spare one dialled, and takes whichever is
+ready first.
+
 A connection owns its descriptor slot and releases it when it is gone. A send owns its timers and its
 connection while it runs, releases both at its end, and then fires its Deferred once. A send that is cancelled
 ends only when its connection is closed, because the next send of its lookup may start at once.
@@ -12,9 +16,18 @@
 from ..terms import SECOND
 from . import requests
 from .connection import Connection, ConnectionFactory
+from .idle import IdleConnections
 from .send import Endpoint, Send, always_wanted
 
-MIN_IDLE = 0.02  # seconds: duplicates of a response arrive within milliseconds; this tells them from the next
+
+def is_reserved(send):
+    """Whether the send waits for a connection that rests."""
+    return send.connection is not None and send.connection.reserved_for is send
+
+
+def unwritten_outcome(send):
+    """Outcome of a send that was not written in time: it got no connection, or one that did not come up."""
+    return interface.VOID if send.connection is None or is_reserved(send) else interface.UNREACHED
 
 
 class CachePool:
@@ -30,11 +43,11 @@
         )
         self.connect_timeout = terms.connect_timeout / SECOND
         # Closed before the cache closes it, by the connect timeout: no request crosses the close.
-        self.idle_timeout = max(0, terms.idle_timeout - terms.connect_timeout) / SECOND
+        idle_timeout = max(0, terms.idle_timeout - terms.connect_timeout) / SECOND
+        self.idle = IdleConnections(deadlines, idle_timeout, self._close_connection)
         self.report_fields = terms.report_fields if terms.report_mode != "none" else ()
         self.endpoints = {}
         self.connections = Slots(limit)
-        self.idle = {}  # idle connections, the longest idle first
         self.waiting = deque()  # sends that wait for a descriptor
 
     # ---- addresses
@@ -106,20 +119,24 @@
 
     def _launch(self, send, timeout, start_within):
         send.timeout_timer = self.deadlines.after(timeout, self.on_timeout, send)
-        self._start(send)
+        self._start(send, min(timeout, start_within))
         if not send.written and send.result is None:
             send.start_timer = self.deadlines.after(start_within, self._on_start_timeout, send)
         return send
 
-    def _start(self, send):
-        while send.endpoint.idle:
-            connection = send.endpoint.idle[0 if send.not_repeatable else -1]
-            if send.not_repeatable and self.deadlines.clock.seconds() < connection.idle_since + MIN_IDLE:
-                break
-            self._take_from_idle(connection)
+    def _start(self, send, start_within=0.0):
+        """Writes the request to an idle connection, one rested within start_within seconds, or a new one."""
+        while connection := self.idle.select(send.endpoint, send.not_repeatable, start_within):
+            self.idle.take(connection)
+            if self.idle.rest_left(connection) > 0:
+                self._reserve(send, connection)
+                return
             if connection.ready_for_request():
                 self._write_request(send, connection)
                 return
+        self._connect(send)
+
+    def _connect(self, send):
         connection = Connection(self, send.endpoint)
         connection.slot = self.connections.take(connection)
         if connection.slot is None:
@@ -127,14 +144,42 @@
             self.log("all descriptors for caches are taken, sends wait")
             self.count("sends_waited")
             if self.idle:  # closes the longest idle one for its descriptor
-                self._close_connection(next(iter(self.idle)))
+                self._close_connection(self.idle.longest())
             return
-        self.count("connections")
         connection.send, send.connection = send, connection
+        self._dial(connection)
+
+    def _dial(self, connection):
+        self.count("connections")
         connection.connector = self.reactor.connectTCP(
-            send.endpoint.host, send.endpoint.port, ConnectionFactory(connection), timeout=None
+            connection.endpoint.host, connection.endpoint.port, ConnectionFactory(connection), timeout=None
         )
 
+    def _reserve(self, send, connection):
+        """Has the send wait until the connection has rested, or until a spare one is up if that is sooner."""
+        connection.reserved_for, send.connection = send, connection
+        rest_left = self.idle.rest_left(connection)
+        connection.idle_timer = self.deadlines.after(rest_left, self._on_rested, connection)
+        spare = Connection(self, send.endpoint)
+        spare.slot = self.connections.take(spare)
+        if spare.slot is not None:
+            spare.spare_for = send
+            spare.idle_timer = self.deadlines.after(self.connect_timeout, self._close_connection, spare)
+            self._dial(spare)
+
+    def _on_rested(self, connection):
+        """A reserved connection has rested: writes the request that waits for it."""
+        if not connection.closing and connection.ready_for_request():
+            send, connection.reserved_for = connection.reserved_for, None
+            self._write_request(send, connection)
+
+    def _give_up_reservation(self, connection):
+        """Makes a reserved connection an idle one again."""
+        connection.reserved_for.connection = connection.reserved_for = None
+        self.deadlines.drop(connection.idle_timer)
+        if not connection.closing:
+            self._keep_idle(connection)
+
     def _write_request(self, send, connection):
         """The only place where a request is written; not if the client is gone or the start is overdue."""
         connection.send, send.connection = send, connection
@@ -153,18 +198,17 @@
         """Ends a send whose timeout is over, unless its response has arrived unread."""
         if send.written and send.result is None:
             send.connection.read_pending()  # a response that arrived in time may be unread
-        if send.written:
-            outcome = interface.LATE
-        else:  # not written: no descriptor, or not connected
-            outcome = interface.VOID if send.connection is None else interface.UNREACHED
-        self.abort(send, outcome)
+        self.abort(send, interface.LATE if send.written else unwritten_outcome(send))
 
     def abort(self, send, outcome):
         """Ends a send with that outcome once its connection is closed, unless it has a result already."""
         if send.result is not None:
             return
         send.result = requests.SendResult(outcome)
-        if send.connection is not None:
+        if is_reserved(send):
+            self._give_up_reservation(send.connection)
+            self._finish(send)
+        elif send.connection is not None:
             send.connection.discard_response()
             send.connection.close()
         else:
@@ -185,20 +229,37 @@
     # ---- connections
 
     def on_connected(self, connection):
-        """A connection is established: writes its request."""
-        if connection.send.result is None:
+        """A connection is established: writes its request; a spare one without a request becomes idle."""
+        if connection.spare_for is not None:
+            self._on_spare_connected(connection)
+        elif connection.send.result is None:
             self._write_request(connection.send, connection)
 
+    def _on_spare_connected(self, connection):
+        send, connection.spare_for = connection.spare_for, None
+        self.deadlines.drop(connection.idle_timer)
+        if is_reserved(send):
+            self._give_up_reservation(send.connection)
+            self._write_request(send, connection)
+        else:
+            connection.rested_at = self.deadlines.clock.seconds()
+            self._keep_idle(connection)
+
     def _on_start_timeout(self, send):
-        self.abort(send, interface.VOID if send.connection is None else interface.UNREACHED)
+        self.abort(send, unwritten_outcome(send))
 
     def on_disconnected(self, connection):
         """The only place where a connection's descriptor slot is released."""
-        self._take_from_idle(connection)
+        self.idle.take(connection)
+        self.deadlines.drop(connection.idle_timer)
         self.connections.give_back(connection.slot)
         connection.transport = connection.connector = None
         send = connection.send
-        if send is not None:
+        if connection.reserved_for is not None:  # closed, or something came on it, while it rested
+            waiting_send, connection.reserved_for = connection.reserved_for, None
+            waiting_send.connection = None
+            self._start(waiting_send)
+        elif send is not None:
             send.result = send.result or requests.SendResult(
                 interface.BROKEN if send.written else interface.UNREACHED
             )
@@ -218,7 +279,8 @@
         connection.send = send.connection = None
         connection.discard_response()
         if head.keep_alive and not connection.parser.buffer:
-            self._keep_alive(connection)
+            self.idle.rest(connection)
+            self._keep_idle(connection)
         else:
             connection.close()
         self._finish(send)
@@ -230,27 +292,14 @@
         else:
             connection.close()
 
-    def _keep_alive(self, connection):
+    def _keep_idle(self, connection):
+        """Makes a connection idle, unless its cache has moved or a send waits for a descriptor."""
         is_current = self.endpoints.get(connection.endpoint.name) is connection.endpoint
-        for send in self.waiting if is_current else ():
-            if send.endpoint is connection.endpoint and not send.not_repeatable:
-                self.waiting.remove(send)
-                self._write_request(send, connection)
-                return
-        if not is_current or self.waiting or self.idle_timeout <= 0:
-            # The cache has moved, or the descriptor is needed.
-            connection.close()
+        if not is_current or self.waiting or self.idle.timeout <= 0:
+            connection.close()  # the send that waits would have to let it rest
             return
-        connection.idle_since = self.deadlines.clock.seconds()
-        connection.endpoint.idle.append(connection)
-        self.idle[connection] = True
-        connection.idle_timer = self.deadlines.after(self.idle_timeout, self._close_connection, connection)
-
-    def _take_from_idle(self, connection):
-        if self.idle.pop(connection, None):
-            connection.endpoint.idle.remove(connection)
-            self.deadlines.drop(connection.idle_timer)
+        self.idle.keep(connection)
 
     def _close_connection(self, connection):
-        self._take_from_idle(connection)
+        self.idle.take(connection)
         connection.close()
--- a/tests/test_crossings_caches.py
+++ b/tests/test_crossings_caches.py
@@ -4,6 +4,8 @@
 from crossings import ATTEMPT_TIMEOUT, CACHES, CALL, FIRST, RouterMachine, event, sockets_for
 from fleet import answer, endpoint, members, message
 
+from hookrouter.caches.idle import REST_DURATION
+
 KEYED = {"hold": {"dedup_duration": 7_000}}  # a repeat may start within 0.7 s, less 50 ms
 
 
@@ -99,6 +101,7 @@
         client.send(message(8, ref=CALL))
         peer = machine.answer(b"first")
         machine.until(lambda: 8 in client.answers())
+        machine.advance(2 * REST_DURATION)
         client.send(message(9, ref="d" * 16))
         machine.until(lambda: len(machine.unanswered()) == 1)
         assert machine.unanswered() == [peer]  # the same connection
