--- a/tests/processes.py
+++ b/tests/processes.py
@@ -32,14 +32,18 @@
             head += piece
             while b"\r\n\r\n" in head:
                 head_part, _, head = head.partition(b"\r\n\r\n")
-                target = head_part.split(b" ")[1]
-                if not target.endswith(b"/9"):
-                    self.answer(target)
+                self.answer_request(head_part)
 
     def receive(self):
         """Reads what has arrived; empty at the end of the connection."""
         return self.request.recv(65536)
 
+    def answer_request(self, head):
+        """Answers the request with this head, or leaves it open."""
+        target = head.split(b" ")[1]
+        if not target.endswith(b"/9"):
+            self.answer(target)
+
     def answer(self, target):
         """Answers a request for this path."""
         length = 7_000 if target.endswith(b"/7") else 1
--- a/tests/test_relay_ends.py
+++ b/tests/test_relay_ends.py
@@ -100,19 +100,12 @@
 
     copies = {}  # target -> Unix time in milliseconds at which the origin gave the copy out
 
-    def handle_requests(self):
-        head = b""
-        while piece := self.receive():
-            head += piece
-            while b"\r\n\r\n" in head:
-                request, _, head = head.partition(b"\r\n\r\n")
-                limit = re.search(rb"X-Stale-Limit: (\d+)", request)
-                self.answer_copy(request.split(b" ")[1], int(limit[1]) if limit else 0)
-
-    def answer_copy(self, target, limit):
+    def answer_request(self, head):
+        target, limit = head.split(b" ")[1], re.search(rb"X-Stale-Limit: (\d+)", head)
+        oldest_age = int(limit[1]) if limit else 0
         now = int(time.time() * 1_000)
         made = self.copies.get(target, 0)
-        if made < now - (limit or 60_000):
+        if made < now - (oldest_age or 60_000):
             made = self.copies[target] = now
         self.request.sendall(answer(200, b"%d" % made, b"X-Since-Ms: %d" % made, b"X-Tags: "))
 
