--- a/review/9/test.py
+++ b/review/9/test.py
@@ -39,8 +39,8 @@
 
     for name in ("c0", "c1"):
         rig.caches[name].behave = behave
-    first_traces, wrong, served = {}, 0, 0
-    for round_number in range(6):
+    wrong, served = 0, 0
+    for _ in range(6):
         for obj in objects:
             if client.ended:
                 client = await rig.client(router)
