A copy of the router's own is stored only once its answer is known to be whole

Cause: the copy was stored in the moment in which its answer was complete. What came behind it, some milliseconds later, ended the connection as unasked and nothing told the copy.

Change: an answer that may be stored is held, in an eighth of the copies' room at most. A connection whose answer ends it lingers without taking requests, unless a send waits for its descriptor.

--- a/hookrouter/caches/connection.py
+++ b/hookrouter/caches/connection.py
@@ -2,11 +2,13 @@
 while body memory is full.
 """
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from ..parsers import http1
 from ..parsers.http1 import Malformed
 from . import requests
+from .response_tail import CUT_OFF, FOLLOWED, SILENT
 
 READ_BYTES = 16_384  # at a time: what a connection may read before it learns that memory is full
 MAX_READS = 32  # in a row: more than the longest response
@@ -25,11 +27,12 @@
     def __init__(self, caches, endpoint):
         self.caches, self.endpoint = caches, endpoint
         self.slot = self.send = self.idle_timer = self.connector = None
-        self.closing = False
+        self.closing = self.lingers = False  # lingers: open, but takes no request any more
         self.received = False  # whether the last read returned data
         self.spare_for = None  # send that may take it once it is up; None: not a spare, or up already
         self.reserved_for = None  # send that waits until it has rested
         self.rested_at = 0.0  # when an idle connection may take a request, by the deadlines' clock
+        self.tail = None  # ResponseTail of the last response
         self.previous = None  # target of the last request, and the REVISION_FIELDS of its response
         self.parser = http1.ResponseParser(
             self._on_head, self._on_body, self._on_end, requests.MAX_BODY_BYTES
@@ -63,8 +66,11 @@
             return
         if self.send is None:
             self.caches.count("caches_unasked")
+            self.end_tail(FOLLOWED)
             self.close()  # no request is outstanding
             return
+        if self.tail is not None:
+            self.tail.suspend()  # its meaning is clear once the head is complete
         try:
             self.parser.feed(data)
         except Malformed as error:
@@ -73,6 +79,8 @@
                 f"{self.endpoint.name}: {error.user_message()}",
             )
             self.caches.count("caches_malformed")
+            if self.head is None:  # it may belong to the response before
+                self.end_tail(FOLLOWED)
             self.caches.on_malformed_response(self)
         self._count_memory()
         if self.is_reading() and self.caches.body_memory.full():
@@ -118,6 +126,7 @@
             if self.previous is not None and self.previous[0] != target and self.previous[1] == revision:
                 raise Malformed("repeated response of the previous request")
             self.previous = target, revision
+        self.end_tail(SILENT)
         self.head = answer
 
     def _on_body(self, piece):
@@ -141,7 +150,17 @@
     def _on_end(self):
         self.caches.on_response(self)
 
+    def end_tail(self, event):
+        """Tells the watcher of the last response what followed it, see ResponseTail."""
+        tail, self.tail = self.tail, None
+        if tail is None:
+            return
+        has_part_of_head = self.head is None and self.parser.buffer
+        tail.step(FOLLOWED if has_part_of_head and event == CUT_OFF else event)
+
     def connectionLost(self, reason):
+        ended_by_peer = not self.closing and reason.check(ConnectionDone)
+        self.end_tail(SILENT if ended_by_peer and not self.parser.buffer else CUT_OFF)
         self.caches.on_disconnected(self)
 
     def release(self):
@@ -160,6 +179,7 @@
     def close(self):
         """Closes at once, whether connected or connecting."""
         self.closing = True
+        self.end_tail(CUT_OFF)
         if self.transport is not None:
             self.transport.abortConnection()
         elif self.connector is not None:
--- a/hookrouter/caches/idle.py
+++ b/hookrouter/caches/idle.py
@@ -7,6 +7,8 @@
 from bisect import bisect_right, insort
 from operator import attrgetter
 
+from .response_tail import SILENCE_DURATION, SILENT
+
 REST_DURATION = 0.02  # seconds: a second response follows within milliseconds
 
 
@@ -16,7 +18,7 @@
     def __init__(self, deadlines, timeout, close):
         """timeout: seconds after a response; 0: no connection is kept."""
         self.deadlines, self.timeout, self.close = deadlines, timeout, close
-        self.connections = {}  # an ordered set, the longest idle first
+        self.connections = {}  # an ordered set, the longest idle first; with those that linger
 
     def __len__(self):
         return len(self.connections)
@@ -33,10 +35,21 @@
         time_left = idle_since + self.timeout - self.deadlines.clock.seconds()
         connection.idle_timer = self.deadlines.after(time_left, self.close, connection)
 
+    def linger(self, connection):
+        """Keeps a connection that takes no request any more until it is clear what follows its response."""
+        connection.lingers = True
+        self.connections[connection] = True
+        connection.idle_timer = self.deadlines.after(SILENCE_DURATION, self._end_lingering, connection)
+
+    def _end_lingering(self, connection):
+        connection.end_tail(SILENT)
+        self.close(connection)
+
     def take(self, connection):
         """Removes a connection; does nothing for one that is not idle."""
         if self.connections.pop(connection, None):
-            connection.endpoint.idle.remove(connection)
+            if not connection.lingers:
+                connection.endpoint.idle.remove(connection)
             self.deadlines.drop(connection.idle_timer)
 
     def longest(self):
--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -19,6 +19,7 @@
 from .endpoints import Endpoints
 from .idle import IdleConnections
 from .reservations import Reservations
+from .response_tail import ResponseTail
 from .send import Send, always_wanted, is_reserved, unwritten_outcome
 
 
@@ -234,14 +235,28 @@
         if connection.parser.buffer:
             # Passed on as its length says, but not stored, as the length may be wrong.
             send.result = send.result._replace(storable_issued_at=None)
+        if send.result.storable_issued_at is not None:
+            connection.tail = ResponseTail(self.deadlines)
+            send.result = send.result._replace(tail=connection.tail)
         connection.send = send.connection = None
         connection.discard_response()
-        if head.keep_alive and not connection.parser.buffer:
+        if connection.parser.buffer:
+            connection.close()
+        elif head.keep_alive and self._may_keep(connection):
             self.idle.rest(connection)
-            self.keep_idle(connection)
+            self.idle.keep(connection)
         else:
-            connection.close()
+            self._close_after(connection)
         self._finish(send)
+        if connection.lingers and not (connection.tail is not None and connection.tail.is_watched()):
+            self.close_connection(connection)
+
+    def _close_after(self, connection):
+        """Closes a connection; later if what follows its response matters and no send waits."""
+        if connection.tail is None or self.waiting:
+            connection.close()
+        else:
+            self.idle.linger(connection)
 
     def pause_reading(self):
         """The body memory is full: no connection reads more of a response until there is room."""
@@ -258,10 +273,15 @@
 
     def keep_idle(self, connection):
         """Makes a connection idle, unless its cache has moved or a send waits for a descriptor."""
-        if not self.endpoints.is_current(connection.endpoint) or self.waiting or self.idle.timeout <= 0:
-            connection.close()  # the send that waits would have to let it rest
-            return
-        self.idle.keep(connection)
+        if self._may_keep(connection):
+            self.idle.keep(connection)
+        else:
+            connection.close()
+
+    def _may_keep(self, connection):
+        if self.waiting:
+            return False  # the send that waits would have to let it rest
+        return self.endpoints.is_current(connection.endpoint) and self.idle.timeout > 0
 
     def close_connection(self, connection):
         """Closes a connection, idle or not."""
--- a/hookrouter/caches/requests.py
+++ b/hookrouter/caches/requests.py
@@ -6,6 +6,7 @@
 from .. import interface
 from ..parsers import http1
 from ..terms import UNITS_PER_MS
+from .response_tail import ResponseTail
 
 MAX_TIME_DIGITS = 15  # in a time in milliseconds: current times have 13
 MAX_BODY_BYTES = 240_000  # of any part of an object
@@ -58,6 +59,7 @@
     issued_at: int | None = None  # when the origin issued the copy, storable or not
     tags: str | None = None  # surrogate tags of the copy, as in the response
     fence_rejected: bool = False  # the cache has seen a higher fencing token
+    tail: ResponseTail | None = None  # where the copy may be stored: whether anything follows the response
 
 
 def encode_ms(tenths):
--- a/hookrouter/control/copies.py
+++ b/hookrouter/control/copies.py
@@ -1,11 +1,26 @@
 """Copies that the router itself keeps: which answers are stored and which lookups they satisfy."""
 
+from typing import NamedTuple
+
 from .. import interface
-from ..tables.copy_cache import CopyCache
+from ..tables.copy_cache import COPY_OBJECT_BYTES, CopyCache
 from .purges import PURGE_SLACK
 
 MAX_COPY_SHARE = 1 / 16  # of the capacity: a larger copy would evict too many others
 
+MAX_HELD_SHARE = 1 / 8  # of the capacity, for copies that wait to be verified
+
+
+class HeldCopy(NamedTuple):
+    """A copy that is stored once its response is known to be whole; the first three as in a lookup."""
+
+    kind_index: int
+    object: str
+    group: int
+    key: tuple  # (kind, object, part)
+    made: int
+    size: int
+
 
 class Copies:
     """The router's own copies and the queue of its own link, which sends them."""
@@ -18,6 +33,7 @@
             terms.own_answer_rate or 1,
         )
         self.link_free_at, self.stored = 0, CopyCache(terms.own_copy_bytes)
+        self.held = {}  # (lookup id, send number) -> HeldCopy
 
     def try_answer(self, lookup, budget_share):
         """Answers the lookup from an own copy if that is fresh and arrives within this share of the latency
@@ -37,20 +53,40 @@
         self.state.emit(interface.Give(lookup.id))
         return True
 
-    def keep(self, lookup, end):
-        """Stores the copy that this answer carries, unless a purge has invalidated it since it was made."""
+    def hold(self, lookup, end):
+        """Holds the copy that this answer carries until it is known whether the answer was whole."""
         kind = self.kinds[lookup.kind_index]
         if end.copy is None or not self.capacity or kind.idempotency != interface.IDEMPOTENT or kind.write:
             return
         made, size = end.copy
-        purged_at = self.purges.newest_purge(lookup) + PURGE_SLACK
-        if (
-            made <= max(purged_at, self.purges.earliest_allowed(lookup))
-            or size > self.capacity * MAX_COPY_SHARE
-        ):
+        held = HeldCopy(lookup.kind_index, lookup.object, lookup.group, lookup.copy_key, made, size)
+        if size > self.capacity * MAX_COPY_SHARE or self._is_purged(held):
             return
-        self._drop(self.stored.put(lookup.copy_key, made, size, lookup.group))
-        self.state.emit(interface.Keep(lookup.id, end.send))
+        if self.stored.reserved + size + COPY_OBJECT_BYTES > self.capacity * MAX_HELD_SHARE:
+            return
+        self.held[lookup.id, end.send] = held
+        self._drop(self.stored.reserve(size))
+        self.state.emit(interface.HoldCopy(lookup.id, end.send))
+
+    def on_verified(self, event):
+        """Stores a held copy if its response was whole and no purge has invalidated it since it was made."""
+        held = self.held.pop((event.id, event.send), None)
+        if held is None:
+            return
+        self.stored.release(held.size)
+        if event.whole and not self._is_purged(held):
+            self._drop(self.stored.put(held.key, held.made, held.size, held.group))
+            self.state.emit(interface.Keep(event.id, event.send))
+
+    def on_revoked(self, event):
+        """Drops a stored copy whose response turned out not to be whole, unless another has replaced it."""
+        key = event.kind, event.object, event.part
+        if self.stored.get(key)[0] == event.made:
+            self._drop(self.stored.remove(key))
+
+    def _is_purged(self, copy):
+        purged_at = self.purges.newest_purge(copy) + PURGE_SLACK
+        return copy.made <= max(purged_at, self.purges.earliest_allowed(copy))
 
     def purge(self, target, purged_at):
         """Drops the copies of this object or group that were made up to the purge."""
--- a/hookrouter/control/router.py
+++ b/hookrouter/control/router.py
@@ -98,12 +98,18 @@
             lookup.possible_runs.pop(end.send, None)
         if end.outcome == interface.LATE and send is not None and send.early_timeout:
             lookup.overruns += 1
-        self.copies.keep(lookup, end)
+        self.copies.hold(lookup, end)
         lookup.fill_refused |= (
             end.outcome == interface.FULL and send is not None and send.upstream is not None
         )
         self.lookups.step(lookup, SETTLED if end.settled else FAILED)
 
+    def _on_copy_verified(self, event):
+        self.copies.on_verified(event)
+
+    def _on_copy_revoked(self, event):
+        self.copies.on_revoked(event)
+
     def _on_gone(self, event):
         if event.id in self.pending_lookups:
             self.lookups.step(self.pending_lookups[event.id], SETTLED)
@@ -124,6 +130,8 @@
     interface.SendEnd: Control._on_end,
     interface.ClientGone: Control._on_gone,
     interface.Purged: Control._on_purge,
+    interface.CopyVerified: Control._on_copy_verified,
+    interface.CopyRevoked: Control._on_copy_revoked,
 }
 HANDLERS |= dict.fromkeys(
     (interface.Begun, interface.ProbeEnd, interface.Whisper), lambda control, event: None
--- a/hookrouter/interface.py
+++ b/hookrouter/interface.py
@@ -171,6 +171,23 @@
     copy: tuple | None = None  # if the router may keep it: (when the origin gave it out, bytes)
 
 
+class CopyVerified(NamedTuple):
+    """It is known whether the response of a send whose copy is held was whole."""
+
+    id: int
+    send: int
+    whole: bool  # nothing followed it on its connection
+
+
+class CopyRevoked(NamedTuple):
+    """Something followed the response of a stored copy after all: it may be cut off or another object's."""
+
+    kind: str
+    object: str
+    part: int
+    made: int  # when the origin issued it
+
+
 class ClientGone(NamedTuple):
     """The client of a lookup has disconnected or given up."""
 
@@ -252,8 +269,15 @@
     reason: str = ""
 
 
+class HoldCopy(NamedTuple):
+    """Holds the answer of this send until CopyVerified tells whether it was whole."""
+
+    id: int
+    send: int
+
+
 class Keep(NamedTuple):
-    """Stores the answer of this send as a copy of the router's own."""
+    """Stores the held answer of this send as a copy of the router's own."""
 
     id: int
     send: int
--- a/hookrouter/node/counters.py
+++ b/hookrouter/node/counters.py
@@ -45,6 +45,8 @@
     "calls_cut_off",
     "bodies_left_out",
     "copies_given",
+    "copies_not_verified",
+    "copies_revoked",
     "ids_used_twice",
     "keys_missing",
     "lookups_beyond_limit",
--- a/hookrouter/node/decision_loop.py
+++ b/hookrouter/node/decision_loop.py
@@ -51,6 +51,8 @@
             self._execute(effect)
         if isinstance(event, interface.SendEnd):
             router.storable_results.pop((event.id, event.send), None)
+        elif isinstance(event, interface.CopyVerified):
+            router.held_copies.pop((event.id, event.send), None)
 
     def _execute(self, effect):
         try:
--- a/hookrouter/node/effects.py
+++ b/hookrouter/node/effects.py
@@ -1,11 +1,21 @@
 """Executes the effects of Control: sends, answers, alarms and the router's own copies."""
 
 from functools import partial
+from typing import NamedTuple
 
 from .. import interface
 from ..caches import CacheRequest
 
 
+class HeldCopy(NamedTuple):
+    """The body of a response that is stored once it is known to be whole."""
+
+    key: tuple  # (kind, object, part)
+    revision: str
+    pieces: tuple
+    length: int
+
+
 def unanswered_lookup(router, effect):
     """The lookup of an effect, or None if it is unknown or already answered."""
     lookup = router.lookups.get(effect.id)
@@ -145,10 +155,35 @@
         answer_and_cancel(router, lookup, "failed", router.front.failed)
 
 
-def keep(router, effect):
-    """Stores the body of a successful send as an own copy."""
+def hold_copy(router, effect):
+    """Holds the body of a successful send until it is known whether the response was whole."""
     request, result = router.storable_results[effect.id, effect.send]
-    router.copies[request.kind, request.object, request.part] = result.revision, result.pieces, result.length
+    key = request.kind, request.object, request.part
+    router.held_copies[effect.id, effect.send] = HeldCopy(key, result.revision, result.pieces, result.length)
+    revoked = interface.CopyRevoked(*key, result.storable_issued_at)
+    result.tail.watch(partial(on_copy_verified, router, effect), partial(on_copy_revoked, router, revoked))
+
+
+def on_copy_verified(router, effect, whole):
+    """Tells Control whether the response of a held copy was whole."""
+    if not whole:
+        router.count("copies_not_verified")
+    router.handle_event(interface.CopyVerified(effect.id, effect.send, whole))
+
+
+def on_copy_revoked(router, revoked):
+    """Tells Control that data followed the response of a copy that is stored already."""
+    router.count("copies_revoked")
+    router.log(
+        "cache sent more than its answer, own copy dropped", f"{revoked.kind}/{revoked.object}/{revoked.part}"
+    )
+    router.handle_event(revoked)
+
+
+def keep(router, effect):
+    """Stores a held body as an own copy."""
+    held = router.held_copies[effect.id, effect.send]
+    router.copies[held.key] = held.revision, held.pieces, held.length
 
 
 def drop(router, effect):
@@ -214,6 +249,7 @@
     interface.Obtain: obtain,
     interface.Nack: nack,
     interface.Fail: fail,
+    interface.HoldCopy: hold_copy,
     interface.Keep: keep,
     interface.Drop: drop,
     interface.Give: give,
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -43,6 +43,7 @@
         self.by_call = {}  # call of the front -> lookup number
         self.latest_time = 0
         self.storable_results = {}  # (lookup number, send number) -> (request, result) while being decided
+        self.held_copies = {}  # (lookup number, send number) -> HeldCopy that waits for CopyVerified
         self.copies = {}  # (kind, object, part) -> (revision, pieces, length)
         self.deadlines = Deadlines(reactor)
         self.decisions = DecisionLoop(self)
--- a/hookrouter/tables/copy_cache.py
+++ b/hookrouter/tables/copy_cache.py
@@ -12,6 +12,7 @@
 
     def __init__(self, capacity):
         self.capacity, self.bytes = capacity, 0  # bytes: of the bodies
+        self.reserved = 0  # bytes for copies that may be put in later
         self.copies = {}  # key, (kind, object, part) -> (made, bytes, group), least recently used first
 
     def get(self, key):
@@ -24,13 +25,23 @@
 
     def put(self, key, made, size, group):
         """Stores a copy, replacing an older one. Returns the keys removed, its own first if replaced."""
-        removed = [key] if self._drop(key) else []
+        removed = self.remove(key)
         self.copies[key] = made, size, group
         self.bytes += size
-        while self.bytes + COPY_OBJECT_BYTES * len(self.copies) > self.capacity:
-            removed.append(next(iter(self.copies)))
-            self._drop(removed[-1])
-        return removed
+        return removed + self._make_room()
+
+    def reserve(self, size):
+        """Reserves room for a copy of so many bytes; returns the keys that were removed for it."""
+        self.reserved += size + COPY_OBJECT_BYTES
+        return self._make_room()
+
+    def release(self, size):
+        """Gives back the room that was reserved for a copy of so many bytes."""
+        self.reserved -= size + COPY_OBJECT_BYTES
+
+    def remove(self, key):
+        """Removes a copy; returns its key in a list, or an empty one."""
+        return [key] if self._drop(key) else []
 
     def purge(self, target, made):
         """Removes the copies of that object or group made at `made` or earlier; returns their keys."""
@@ -40,6 +51,16 @@
             if copy_made <= made and target in (key[1], group) and self._drop(key)
         ]
 
+    def _make_room(self):
+        removed = []
+        while self.copies and self._used() > self.capacity:
+            removed.append(next(iter(self.copies)))
+            self._drop(removed[-1])
+        return removed
+
+    def _used(self):
+        return self.bytes + COPY_OBJECT_BYTES * len(self.copies) + self.reserved
+
     def _drop(self, key):
         copy = self.copies.pop(key, None)
         if copy is not None:
--- a/hookrouter/trace/replay.py
+++ b/hookrouter/trace/replay.py
@@ -15,6 +15,8 @@
         interface.ProbeEnd,
         interface.Whisper,
         interface.Purged,
+        interface.CopyVerified,
+        interface.CopyRevoked,
     )
 }
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -91,8 +91,9 @@
     wire.come(message(1))
     issued = int((START_TIME + s.net.seconds()) * 1000)
     s.up().come(answer(200, b"x", b"X-Rev: a", b"X-Since-Ms: %d" % issued))
-    assert answers(wire.take())[1][1].keys() == {0} and len(s.router.copies) == 1
+    assert answers(wire.take())[1][1].keys() == {0}
     s.net.advance(2)
+    assert len(s.router.copies) == 1
     offset[0] = step
     s.net.advance(1)
     purged_at = int((START_TIME + s.net.seconds() + step) * SECOND)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,6 +7,7 @@
 from scenes import FLEET, START_TIME, Scene, read_config
 
 from hookrouter import interface
+from hookrouter.caches.response_tail import SILENCE_DURATION
 from hookrouter.feed.events import parse_event
 from hookrouter.node.effects import EFFECTS
 from hookrouter.node.service import Service
@@ -329,6 +330,7 @@
     first, second = (way.up() for way in s.net.ways[-2:])
     first.come(answer(200, b"body", made, b"X-Rev: 4be0c192"))
     second.come(answer(200, b"body", made) + b"noise")  # its length may be wrong: passed on, not stored
+    s.net.advance(SILENCE_DURATION)  # then the first is known to be whole
     sent = s.counters.values["sends"]
     wire.take()
     wire.come(message(3) + message(4, have="4be0c192"))
--- a/tests/test_own_copies.py
+++ b/tests/test_own_copies.py
@@ -15,7 +15,8 @@
     """Satisfies one lookup from a cache that reports when the origin sent the copy; returns the effects."""
     request = lookup(len(control.copies.stored.copies) + 1, due=now + 4 * SECOND, **more)
     first = sends(control.decide(now, [request]))[0]
-    return control.decide(now + 100, [send_end(first, interface.SATISFIED, copy=(made, size))])
+    effects = control.decide(now + 100, [send_end(first, interface.SATISFIED, copy=(made, size))])
+    return effects + control.decide(now + 100, [interface.CopyVerified(request.id, 0, True)])
 
 
 def ask(control, now, number=99, **more):
--- a/tests/test_purge_network.py
+++ b/tests/test_purge_network.py
@@ -8,6 +8,7 @@
 from scenes import START_TIME, LogBuffer
 
 from hookrouter import interface
+from hookrouter.caches.response_tail import SILENCE_DURATION
 from hookrouter.feed.events import parse_event
 from hookrouter.log import Log
 from hookrouter.node.counters import Counters
@@ -114,6 +115,7 @@
         s.lease(60 * SECOND)
         s.ask()
         s.comes(s.cache()[0], 0.0, b"X-Tags: red blue")
+        s.net.advance(SILENCE_DURATION)  # then it is known to be whole
         s.ask()
         assert s.counters.values["copies_given"] == 1
         s.net.advance(0.1)
