Own copies older than a purge that counts as told do not answer while the feed is not heard

Cause: an own copy was good until a purge arrived, and nothing noted until when the feed had been heard. Kin by reading: events that cannot be read, or that the feed leaves out, may be purges that never arrive; and sends ask for copies of any age where a deployment's caches take longer than 7 s and the grace to apply a purge.

Change: the second comment of a stream tells the decisions that all was told (FeedHeard), as of when its bytes may have come at the earliest; a router that starts has heard nothing. While now less 7 s and the grace is later, copies made before it do not answer. An event that was not understood or left out (EventsMissed) drops all copies. Why it works: a purge that was not heard lies after that moment, and binds only once it is 7 s and the grace old; a copy younger than that is younger than it.

--- a/hookrouter/control/copies.py
+++ b/hookrouter/control/copies.py
@@ -46,7 +46,9 @@
         link_free_at = max(now, self.link_free_at) + sending_time / self.concurrent_answers
         budget = budget_share * (kind.latency_budget + kind.budget_stretch * sending_time)
         late = max(now + sending_time, link_free_at) > min(lookup.due, now + max(sending_time, budget))
-        if made < self.purges.earliest_allowed(lookup) or now - made > (kind.fresh_duration or now) or late:
+        if now - made > (kind.fresh_duration or now) or late:
+            return False
+        if made < max(self.purges.earliest_allowed(lookup), self.purges.earliest_heard()):
             return False
         self.link_free_at = link_free_at
         self.stored.mark_used(lookup.copy_key)
@@ -84,6 +86,10 @@
         if self.stored.get(key)[0] == event.made:
             self._drop(self.stored.remove(key))
 
+    def purge_all(self):
+        """Drops all stored copies: any of them may have been purged."""
+        self._drop(self.stored.clear())
+
     def _is_purged(self, copy):
         purged_at = self.purges.newest_purge(copy) + PURGE_SLACK
         return copy.made <= max(purged_at, self.purges.earliest_allowed(copy))
--- a/hookrouter/control/router.py
+++ b/hookrouter/control/router.py
@@ -120,6 +120,13 @@
         self.purges.record(target, purged_at)
         self.copies.purge(target, purged_at)
 
+    def _on_feed_heard(self, event):
+        self.purges.on_feed_heard(event.age)
+
+    def _on_events_missed(self, event):
+        self.purges.on_events_missed()
+        self.copies.purge_all()
+
 
 HANDLERS = {
     interface.CacheList: Control._on_list,
@@ -130,6 +137,8 @@
     interface.SendEnd: Control._on_end,
     interface.ClientGone: Control._on_gone,
     interface.Purged: Control._on_purge,
+    interface.FeedHeard: Control._on_feed_heard,
+    interface.EventsMissed: Control._on_events_missed,
     interface.CopyVerified: Control._on_copy_verified,
     interface.CopyRevoked: Control._on_copy_revoked,
 }
--- a/hookrouter/feed/follower.py
+++ b/hookrouter/feed/follower.py
@@ -12,6 +12,8 @@
 MIN_PAUSE = 0.05  # seconds before the next connection, doubled each time the last one brought nothing
 # Seconds: an event counts as delivered 2 s after a disconnect; refused connections cost little.
 MAX_PAUSE = 0.4
+# The comment with this number shows that nothing is left to tell: the first may precede the missed events.
+CAUGHT_UP_COMMENT = 2
 MALFORMED_EVENT_ADVICE = "look at the feed's version; the event is lost, the place is kept"
 MAX_STREAM_BYTES = 2**60  # no limit: one connection carries events for as long as it lasts
 
@@ -57,8 +59,11 @@
 
     def _on_body(self, piece):
         self.feed.pause = MIN_PAUSE
+        comments_before = self.events.comments
         for _, data in self.events.feed(piece):
             self.feed.on_event(self, data)
+        if self.events.comments > comments_before and self.events.comments >= CAUGHT_UP_COMMENT:
+            self.feed.on_caught_up(self)
 
     def _on_end(self):
         self.transport.loseConnection()
@@ -92,7 +97,9 @@
 class Feed:
     """Follows the feed.
 
-    handler: gets on_cache_list(event) and on_purge(event). last_number: of the last event delivered.
+    handler: gets on_cache_list(event) and on_purge(event), on_caught_up() whenever the feed has nothing left
+    to tell, and on_events_missed() where it told what was not understood, or left something out.
+    last_number: of the last event delivered.
     """
 
     path, connection_counter = b"/v1/events", "feed_connections"
@@ -154,6 +161,11 @@
     def on_rejected(self, answer):
         """The response has another status than 200; for subclasses."""
 
+    def on_caught_up(self, stream):
+        """The feed has told all that it had to tell; for subclasses with another sign of it."""
+        if stream is self.stream:
+            self.handler.on_caught_up()
+
     def on_activity(self, stream):
         """Restarts the silence timer after a connection or input."""
         if stream is self.stream:  # late input of an old connection must not restart the timer of the next
@@ -194,12 +206,14 @@
                 f"{error}; do: {MALFORMED_EVENT_ADVICE}",
             )
             self.count("feed_malformed")
+            self.handler.on_events_missed()
             return
         if event.number <= self.last_number:
             return  # already delivered
         if event.number > self.last_number + 1:
             self.log("feed left numbers out", f"{event.number} came after {self.last_number}")
             self.count("feed_gaps")
+            self.handler.on_events_missed()
         self._deliver(event)
 
     def _deliver(self, event):
--- a/hookrouter/feed/purges.py
+++ b/hookrouter/feed/purges.py
@@ -66,6 +66,9 @@
         )
         self.pacing = None
 
+    def on_caught_up(self, stream):
+        """Leases say how far this feed has been heard."""
+
     def pace(self):
         """Enables [admission]: reconnects by jitter, or when the server says so."""
         from .reconnect_pacing import ReconnectPacing
--- a/hookrouter/interface.py
+++ b/hookrouter/interface.py
@@ -224,6 +224,19 @@
     object: str | None  # none: the whole group
 
 
+NEVER_HEARD = 1 << 50  # age of the last news of a feed that has told nothing yet
+
+
+class FeedHeard(NamedTuple):
+    """The feed of purges has told all that it had to tell. Without this input there is no feed."""
+
+    age: int  # how long ago at most
+
+
+class EventsMissed(NamedTuple):
+    """The feed told what was not understood, or left something out: it may have been any purge."""
+
+
 # ---- effects
 
 ANY_TIME = 1 << 40  # over three years, that is no limit
--- a/hookrouter/node/router.py
+++ b/hookrouter/node/router.py
@@ -86,6 +86,7 @@
             from .tracing import Tracing
 
             self.trace = Tracing(start, self.now(), self.guard is not None, self.deadlines, log, self.count)
+        self.handle_event(interface.FeedHeard(interface.NEVER_HEARD))
         for event in start.known:
             if isinstance(event, CacheListEvent):
                 self.on_cache_list(event)
@@ -207,6 +208,14 @@
             self.warming_observer.on_platform_purge(event, event.purged_at)
         self.handle_event(interface.Purged(max(0, self.now() - event.purged_at), event.group, event.object))
 
+    def on_caught_up(self):
+        """The platform's feed has told all up to now, or up to when its input may have come."""
+        self.handle_event(interface.FeedHeard(int(self.front.polls.age() * SECOND)))
+
+    def on_events_missed(self):
+        """The platform's feed has told something that is not known."""
+        self.handle_event(interface.EventsMissed())
+
     def reload(self, start):
         """Applies the settings that can change while running: the address of the feed, and known events that
         the feed has not sent yet.
--- a/hookrouter/parsers/sse.py
+++ b/hookrouter/parsers/sse.py
@@ -13,6 +13,7 @@
         self.buffer = bytearray()
         self.scanned = 0  # leading bytes of the buffer known to contain no line end
         self.id, self.data, self.data_length = None, [], 0
+        self.comments = 0  # lines so far that only keep the stream alive
 
     def feed(self, piece):
         """Takes received bytes and returns the events that they complete; raises Malformed."""
@@ -58,4 +59,6 @@
             self.data.append(value)
         elif name == b"id":
             self.id = value
-        return None  # comments and other fields are ignored
+        elif not name:
+            self.comments += 1
+        return None  # comments are only counted, other fields are ignored
--- a/hookrouter/tables/copy_cache.py
+++ b/hookrouter/tables/copy_cache.py
@@ -43,6 +43,10 @@
         """Removes a copy; returns its key in a list, or an empty one."""
         return [key] if self._drop(key) else []
 
+    def clear(self):
+        """Removes all copies; returns their keys."""
+        return [key for key in list(self.copies) if self._drop(key)]
+
     def purge(self, target, made):
         """Removes the copies of that object or group made at `made` or earlier; returns their keys."""
         return [
--- a/hookrouter/trace/replay.py
+++ b/hookrouter/trace/replay.py
@@ -15,6 +15,8 @@
         interface.ProbeEnd,
         interface.Whisper,
         interface.Purged,
+        interface.FeedHeard,
+        interface.EventsMissed,
         interface.CopyVerified,
         interface.CopyRevoked,
     )
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -28,6 +28,7 @@
 class Scene:
     def __init__(self, last=3):
         self.net, self.noted, self.seen = Net(), Noted(), []
+        self.caught_up = self.missed = 0
         self.feed = Feed(
             self.net, Deadlines(self.net), self, ("127.0.0.1", 9092), last, self.noted.log, self.noted.count
         )
@@ -39,6 +40,12 @@
     def on_purge(self, event):
         self.seen.append(event)
 
+    def on_caught_up(self):
+        self.caught_up += 1
+
+    def on_events_missed(self):
+        self.missed += 1
+
     def numbers(self):
         return [event.number for event in self.seen]
 
