What a cache's system holds back behind an answer comes before the next request

Cause: the peer's system holds a small write back until what it has sent is acknowledged, and the router's acknowledgement waited for 40 ms or for its next request. So the second answer came right behind that request; the rest of 20 ms and the look for unread bytes before it found nothing.

Change: each answer is acknowledged once it has been read (TCP_QUICKACK), so what is held back comes within a round trip, in the rest, and ends the connection. A request that must not be repeated takes a new connection or one that was silent for 250 ms, longer than Linux delays an acknowledgement. An answer with the very head of the one before, naming no revision, may be its repetition; its connection rests as long, until the request's own answer has come. The watcher of a held copy is one object that lets go of the body, so a resting connection keeps none.

--- a/hookrouter/caches/connection.py
+++ b/hookrouter/caches/connection.py
@@ -8,6 +8,7 @@
 from ..parsers import http1
 from ..parsers.http1 import Malformed
 from . import requests
+from .acknowledgement import acknowledge_now
 from .response_tail import CUT_OFF, FOLLOWED, SILENT
 
 READ_BYTES = 16_384  # at a time: what a connection may read before it learns that memory is full
@@ -31,7 +32,11 @@
         self.received = False  # whether the last read returned data
         self.spare_for = None  # send that may take it once it is up; None: not a spare, or up already
         self.reserved_for = None  # send that waits until it has rested
-        self.rested_at = 0.0  # when an idle connection may take a request, by the deadlines' clock
+        # By the deadlines' clock: since when it is idle, when it may take a request, and one that must not be
+        # repeated.
+        self.idle_since = self.rested_at = self.silent_at = 0.0
+        self.head_hash = None  # of the last response that named no revision
+        self.may_repeat = False  # whether the last response may be the one before once more
         self.tail = None  # ResponseTail of the last response
         self.previous = None  # target of the last request, and the REVISION_FIELDS of its response
         self.parser = http1.ResponseParser(
@@ -45,6 +50,10 @@
         self.transport.bufferSize = READ_BYTES
         self.caches.on_connected(self)
 
+    def acknowledge(self):
+        """Has what the peer's system holds back behind a response come at once, not with the next request."""
+        acknowledge_now(self.transport)
+
     def ready_for_request(self):
         """Whether a request can be written: unexpected data, or the end, may be unread by the reactor."""
         if self.transport.doRead() is not None:
@@ -121,6 +130,7 @@
             self.send.client_revision is None or answer.fields.get(b"x-rev") != self.send.client_revision
         ):
             raise Malformed("304 for a revision that was not requested")
+        self._compare_head(answer)
         if answer.status == 200 and b"x-rev" in answer.fields:
             target, revision = self.send.target, [answer.fields.get(name) for name in REVISION_FIELDS]
             if self.previous is not None and self.previous[0] != target and self.previous[1] == revision:
@@ -129,6 +139,16 @@
         self.end_tail(SILENT)
         self.head = answer
 
+    def _compare_head(self, answer):
+        """Notes whether the response has the head of the one before: another one may follow it then.
+
+        Those that name a revision are told by that.
+        """
+        names_revision = answer.status in (200, 304) and b"x-rev" in answer.fields
+        head_hash = None if names_revision else hash((answer.status, *answer.fields.items()))
+        self.may_repeat = head_hash is not None and head_hash == self.head_hash
+        self.head_hash = head_hash
+
     def _on_body(self, piece):
         if self.send is None:
             raise Malformed("a body without a request")
--- a/hookrouter/caches/idle.py
+++ b/hookrouter/caches/idle.py
@@ -1,7 +1,7 @@
 """Idle connections to caches, and which of them may take the next request.
 
 A connection rests after each response: HTTP/1.1 does not tell which request a response is for, and a second
-one may follow.
+one may follow. A request that must not be repeated waits longer, until nothing can be held back any more.
 """
 
 from bisect import bisect_right, insort
@@ -10,6 +10,7 @@
 from .response_tail import SILENCE_DURATION, SILENT
 
 REST_DURATION = 0.02  # seconds: a second response follows within milliseconds
+MAX_COMPARED = 8  # idle connections that are looked at for a request
 
 
 class IdleConnections:
@@ -24,15 +25,25 @@
         return len(self.connections)
 
     def rest(self, connection):
-        """Has a connection rest from now on; to be called at each response, before keep()."""
-        connection.rested_at = self.deadlines.clock.seconds() + REST_DURATION
+        """Has a connection rest from now on; to be called at each response, before keep().
+
+        It rests longer where the response may be the one before once more: that of the request may follow.
+        """
+        connection.idle_since = self.deadlines.clock.seconds()
+        connection.silent_at = connection.idle_since + SILENCE_DURATION
+        connection.rested_at = connection.idle_since + REST_DURATION
+        if connection.may_repeat:
+            connection.rested_at = connection.silent_at
+
+    def skip_rest(self, connection):
+        """In place of rest(), for a connection on which no request was written: nothing can come on it."""
+        connection.idle_since = connection.rested_at = connection.silent_at = self.deadlines.clock.seconds()
 
     def keep(self, connection):
         """Adds a connection to those of its endpoint, which stand by rested_at."""
         insort(connection.endpoint.idle, connection, key=attrgetter("rested_at"))
         self.connections[connection] = True
-        idle_since = connection.rested_at - REST_DURATION
-        time_left = idle_since + self.timeout - self.deadlines.clock.seconds()
+        time_left = connection.idle_since + self.timeout - self.deadlines.clock.seconds()
         connection.idle_timer = self.deadlines.after(time_left, self.close, connection)
 
     def linger(self, connection):
@@ -62,12 +73,20 @@
         One that has rested: the longest idle one for a request that must not be repeated, else the last used.
         Without one, the next that will have rested in less than start_within seconds.
         """
-        idle, now = endpoint.idle, self.deadlines.clock.seconds()
-        rested_count = bisect_right(idle, now, key=attrgetter("rested_at"))
-        if rested_count:
-            return idle[0 if not_repeatable else rested_count - 1]
-        return idle[0] if idle and idle[0].rested_at - now < start_within else None
-
-    def rest_left(self, connection):
-        """Seconds until the connection has rested, 0 or less if it has."""
-        return connection.rested_at - self.deadlines.clock.seconds()
+        idle = endpoint.idle
+        if not idle:
+            return None
+        if not not_repeatable:
+            rested_count = bisect_right(idle, self.deadlines.clock.seconds(), key=attrgetter("rested_at"))
+            if rested_count:
+                return idle[rested_count - 1]
+        first = idle[0]
+        if not_repeatable:  # those that rested first are silent first, but for some that never had a request
+            first = min(idle[:MAX_COMPARED], key=attrgetter("silent_at"))
+        rest_left = self.rest_left(first, not_repeatable)
+        return first if rest_left <= 0 or rest_left < start_within else None
+
+    def rest_left(self, connection, not_repeatable):
+        """Seconds until the connection has rested for such a request, 0 or less if it has."""
+        rested_at = connection.silent_at if not_repeatable else connection.rested_at
+        return rested_at - self.deadlines.clock.seconds()
--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -17,7 +17,7 @@
 from . import requests
 from .connection import Connection, ConnectionFactory
 from .endpoints import Endpoints
-from .idle import IdleConnections
+from .idle import REST_DURATION, IdleConnections
 from .reservations import Reservations
 from .response_tail import ResponseTail
 from .send import Send, always_wanted, is_reserved, unwritten_outcome
@@ -113,8 +113,11 @@
             self._end_unwritten(send)
             return
         while connection := self.idle.select(send.endpoint, send.not_repeatable, start_within):
+            rest_left = self.idle.rest_left(connection, send.not_repeatable)
+            if rest_left > REST_DURATION and self.connections.is_full():
+                break  # closing an idle connection for its descriptor is sooner
             self.idle.take(connection)
-            if self.idle.rest_left(connection) > 0:
+            if rest_left > 0:
                 self.reservations.reserve(send, connection)
                 return
             if connection.ready_for_request():
@@ -231,15 +234,15 @@
     def on_response(self, connection):
         """A response is complete: ends its send, keeps or closes the connection."""
         send, head = connection.send, connection.head
-        send.result = requests.read_result(head, connection.body(), connection.length, self.report_fields)
-        if connection.parser.buffer:
-            # Passed on as its length says, but not stored, as the length may be wrong.
-            send.result = send.result._replace(storable_issued_at=None)
-        if send.result.storable_issued_at is not None:
-            connection.tail = ResponseTail(self.deadlines)
-            send.result = send.result._replace(tail=connection.tail)
+        # Where more lies behind it already it is passed on as its length says, but not stored.
+        tail = None if connection.parser.buffer else ResponseTail(self.deadlines)
+        send.result = requests.read_result(
+            head, connection.body(), connection.length, self.report_fields, tail
+        )
+        connection.tail = send.result.tail
         connection.send = send.connection = None
         connection.discard_response()
+        connection.acknowledge()
         if connection.parser.buffer:
             connection.close()
         elif head.keep_alive and self._may_keep(connection):
--- a/hookrouter/caches/requests.py
+++ b/hookrouter/caches/requests.py
@@ -125,9 +125,9 @@
     return http1.request(b"GET", b"/busy" if load_reports else b"/ping", [(b"Host", host)])
 
 
-def read_result(answer, pieces, length, report_fields):
+def read_result(answer, pieces, length, report_fields, tail=None):
     """SendResult of a complete response. report_fields: names of the fields of load reports, () without
-    reports.
+    reports. tail: tells whether anything follows the response; None: something does already.
     """
     declined = answer.fields.get(b"x-declined") == b"1"
     outcome = {200: interface.SATISFIED, 304: interface.SATISFIED, 404: interface.MISSING}.get(
@@ -138,6 +138,7 @@
     elif declined and answer.status == 504:
         outcome = interface.VOID
     issued_at, tags = read_issued_at(answer), answer.fields.get(b"x-tags")
+    is_storable = answer.status == 200 and issued_at is not None and tail is not None
     return SendResult(
         outcome,
         COPY_STATUS_BY_RESULT.get(answer.fields.get(b"x-result"), 0),
@@ -145,11 +146,12 @@
         pieces,
         length,
         answer.status == 304,
-        issued_at if answer.status == 200 else None,
+        issued_at if is_storable else None,
         answer.fields.get(b"x-rev", b"").decode("latin-1"),
         issued_at,
         None if tags is None else tags.decode("latin-1"),
         answer.status == 409,
+        tail if is_storable else None,
     )
 
 
--- a/hookrouter/caches/reservations.py
+++ b/hookrouter/caches/reservations.py
@@ -15,7 +15,7 @@
         """Has the send wait until the connection has rested, or until a spare one is up if that is sooner."""
         pool = self.pool
         connection.reserved_for, send.connection = send, connection
-        rest_left = pool.idle.rest_left(connection)
+        rest_left = pool.idle.rest_left(connection, send.not_repeatable)
         connection.idle_timer = pool.deadlines.after(rest_left, self._on_rested, connection)
         spare = Connection(pool, send.endpoint)
         spare.slot = pool.connections.take(spare)
@@ -46,5 +46,5 @@
             self.give_up(send.connection)
             pool.write_request(send, connection)
         else:
-            connection.rested_at = pool.deadlines.clock.seconds()
+            pool.idle.skip_rest(connection)
             pool.keep_idle(connection)
--- a/hookrouter/caches/response_tail.py
+++ b/hookrouter/caches/response_tail.py
@@ -4,7 +4,7 @@
 short, or a second response was sent. It may come some time after the response is complete.
 """
 
-from collections.abc import Callable
+from typing import Protocol
 
 # Seconds after which a silent connection has nothing more to send. The peer's system may hold back a small
 # write until what it has sent is acknowledged, and Linux delays acknowledgements by at most 0.2 s.
@@ -16,32 +16,38 @@
 SILENT, FOLLOWED, CUT_OFF = "silent", "followed", "cut off"
 
 
-class ResponseTail:
-    """What follows one response; step() is told by the connection, the watcher hears of it.
+class TailWatcher(Protocol):
+    """Hears once whether a response was whole, and of data that comes after it was said to be."""
+
+    def on_verified(self, whole: bool) -> None:
+        """Nothing followed the response on its connection; False: something did, or nobody can say."""
+
+    def on_revoked(self) -> None:
+        """Something followed after on_verified(True)."""
+
 
-    The watcher's on_verified(whole) is called once, and on_revoked() if data comes after on_verified(True).
-    """
+class ResponseTail:
+    """What follows one response; step() is told by the connection, the watcher hears of it."""
 
-    __slots__ = ("deadlines", "state", "timer", "on_verified", "on_revoked")
+    __slots__ = ("deadlines", "state", "timer", "watcher")
 
     def __init__(self, deadlines) -> None:
         """deadlines: of the router."""
         self.deadlines = deadlines
         self.state, self.timer = PENDING, None
-        self.on_verified: Callable[[bool], None] | None = None
-        self.on_revoked: Callable[[], None] | None = None
+        self.watcher: TailWatcher | None = None
 
-    def watch(self, on_verified: Callable[[bool], None], on_revoked: Callable[[], None]) -> None:
-        """Sets the watcher; calls its on_verified at once if the connection has been given up."""
+    def watch(self, watcher: TailWatcher) -> None:
+        """Sets the watcher, which hears at once if the connection has been given up."""
         if self.state != PENDING:
-            on_verified(self.state == CLEAN)
+            watcher.on_verified(self.state == CLEAN)
             return
-        self.on_verified, self.on_revoked = on_verified, on_revoked
+        self.watcher = watcher
         self.timer = self.deadlines.after(SILENCE_DURATION, self.step, SILENT)
 
     def is_watched(self) -> bool:
         """Whether somebody waits to hear whether the response was whole."""
-        return self.state == PENDING and self.on_verified is not None
+        return self.state == PENDING and self.watcher is not None
 
     def suspend(self) -> None:
         """Silence counts no more: data has come that may be a next response."""
@@ -51,27 +57,27 @@
         """Applies an input; those that change nothing have no entry in the table."""
         self.state, action = TAIL_TABLE.get((self.state, event), (self.state, None))
         self.deadlines.drop(self.timer)
-        if action is not None:
-            action(self)
+        if action is not None and self.watcher is not None:
+            action(self.watcher)
+
+
+def _verify(watcher: TailWatcher) -> None:
+    watcher.on_verified(True)
+
 
-    def _verified(self) -> None:
-        if self.on_verified is not None:
-            self.on_verified(True)
+def _refute(watcher: TailWatcher) -> None:
+    watcher.on_verified(False)
 
-    def _refuted(self) -> None:
-        if self.on_verified is not None:
-            self.on_verified(False)
 
-    def _revoked(self) -> None:
-        if self.on_revoked is not None:
-            self.on_revoked()
+def _revoke(watcher: TailWatcher) -> None:
+    watcher.on_revoked()
 
 
 # (state, input) -> (next state, action)
 TAIL_TABLE = {
-    (PENDING, SILENT): (CLEAN, ResponseTail._verified),
-    (PENDING, FOLLOWED): (OVER, ResponseTail._refuted),
-    (PENDING, CUT_OFF): (OVER, ResponseTail._refuted),
-    (CLEAN, FOLLOWED): (OVER, ResponseTail._revoked),
+    (PENDING, SILENT): (CLEAN, _verify),
+    (PENDING, FOLLOWED): (OVER, _refute),
+    (PENDING, CUT_OFF): (OVER, _refute),
+    (CLEAN, FOLLOWED): (OVER, _revoke),
     (CLEAN, CUT_OFF): (OVER, None),
 }
--- a/hookrouter/node/decision_loop.py
+++ b/hookrouter/node/decision_loop.py
@@ -52,7 +52,9 @@
         if isinstance(event, interface.SendEnd):
             router.storable_results.pop((event.id, event.send), None)
         elif isinstance(event, interface.CopyVerified):
-            router.held_copies.pop((event.id, event.send), None)
+            held = router.held_copies.pop((event.id, event.send), None)
+            if held is not None:
+                held.copy = None  # its connection may live longer than the stored copy
 
     def _execute(self, effect):
         try:
--- a/hookrouter/node/effects.py
+++ b/hookrouter/node/effects.py
@@ -1,19 +1,10 @@
 """Executes the effects of Control: sends, answers, alarms and the router's own copies."""
 
 from functools import partial
-from typing import NamedTuple
 
 from .. import interface
 from ..caches import CacheRequest
-
-
-class HeldCopy(NamedTuple):
-    """The body of a response that is stored once it is known to be whole."""
-
-    key: tuple  # (kind, object, part)
-    revision: str
-    pieces: tuple
-    length: int
+from .held_copy import HeldCopy
 
 
 def unanswered_lookup(router, effect):
@@ -158,32 +149,14 @@
 def hold_copy(router, effect):
     """Holds the body of a successful send until it is known whether the response was whole."""
     request, result = router.storable_results[effect.id, effect.send]
-    key = request.kind, request.object, request.part
-    router.held_copies[effect.id, effect.send] = HeldCopy(key, result.revision, result.pieces, result.length)
-    revoked = interface.CopyRevoked(*key, result.storable_issued_at)
-    result.tail.watch(partial(on_copy_verified, router, effect), partial(on_copy_revoked, router, revoked))
-
-
-def on_copy_verified(router, effect, whole):
-    """Tells Control whether the response of a held copy was whole."""
-    if not whole:
-        router.count("copies_not_verified")
-    router.handle_event(interface.CopyVerified(effect.id, effect.send, whole))
-
-
-def on_copy_revoked(router, revoked):
-    """Tells Control that data followed the response of a copy that is stored already."""
-    router.count("copies_revoked")
-    router.log(
-        "cache sent more than its answer, own copy dropped", f"{revoked.kind}/{revoked.object}/{revoked.part}"
-    )
-    router.handle_event(revoked)
+    held = router.held_copies[effect.id, effect.send] = HeldCopy(router, effect, request, result)
+    result.tail.watch(held)
 
 
 def keep(router, effect):
     """Stores a held body as an own copy."""
     held = router.held_copies[effect.id, effect.send]
-    router.copies[held.key] = held.revision, held.pieces, held.length
+    router.copies[held.key] = held.copy
 
 
 def drop(router, effect):
--- a/hookrouter/tables/slots.py
+++ b/hookrouter/tables/slots.py
@@ -16,6 +16,10 @@
     def __len__(self):
         return len(self.values) - len(self.free)
 
+    def is_full(self):
+        """Whether take() would return None."""
+        return not self.free and len(self.values) >= self.size
+
     def take(self, value):
         """Stores the value and returns its number, or None if the table is full."""
         if self.free:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,5 +1,7 @@
 """A small fleet for tests of decisions, a simple model of the rules to keep, and an in-memory network."""
 
+from types import SimpleNamespace
+
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError, NotConnectingError
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
@@ -322,6 +324,10 @@
     def setTcpNoDelay(self, enabled):
         pass
 
+    def getHandle(self):
+        """Stands for the socket, whose options are taken and forgotten."""
+        return SimpleNamespace(setsockopt=lambda *_: None)
+
     def abortConnection(self):
         if self.open:
             self.open = False
