Compiled patterns of purges have a bound in memory, and a part of the limit

Cause: RE2 keeps the states that names lead a set of patterns to until the memory is full that the set was compiled with, 256 kB for each pattern, 256 MB for a set of 1,024. Nothing summed that over the sets, and no share of the limit stood for it. Kin: matches remembered for 4,096 names without a bound in all, and RE2's module cache of 128 compiled expressions.

Change: a set is compiled with 64 bytes for each instruction of its patterns, 128 where RE2 refuses that, and 64 kB. The sum has a bound, 15 % of what memory_mb leaves, which comes off the room for bodies and copies where [purges] is on. A pattern beyond it counts against every name. Matches that are remembered have a bound of 65,536; the module cache is emptied. New gauge pattern_bytes.

--- a/benchmarks/retention/guard_run.py
+++ b/benchmarks/retention/guard_run.py
@@ -70,7 +70,7 @@
     values = {key: row.default for key, row in SECTIONS["purges"].items()}
     if names is not None:
         values["names"] = names
-    made = Guard(purge_terms(values), judged=(KIND,))
+    made = Guard(purge_terms(values, w.MAX_PATTERN_MEMORY), judged=(KIND,))
     made.granted(0, 1 << 60)
     return made
 
--- a/hookrouter/decisions/warming/recent_purges.py
+++ b/hookrouter/decisions/warming/recent_purges.py
@@ -55,7 +55,7 @@
             return lambda name, group: subject == str(group)
         if purge.kind == types.TAG:
             return lambda name, group: subject in (self.tags(name[1]) or ())
-        known = Patterns(1)
+        known = Patterns(1, types.MAX_PATTERN_MEMORY)
         if not known.raise_to(purge.kind, subject, 1, 0, 0):
             return lambda name, group: True  # it may apply to anything
         return lambda name, group: known.bound(f"{name[0]}/{name[1]}") is not None
--- a/hookrouter/node/limits.py
+++ b/hookrouter/node/limits.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ..terms import SECOND
-from .start import available_memory
+from .start import room_for_bodies
 
 # Share of the available memory for bodies from caches; the unassigned rest is for garbage.
 CACHE_BODY_SHARE = 0.25
@@ -30,7 +30,8 @@
 
 def divide(start):
     """The Limits of a router with this start; clients get a third of the descriptors."""
-    clients, available = start.sockets // 3, available_memory(start.memory, start.sockets)
+    clients = start.sockets // 3
+    available = room_for_bodies(start.memory, start.sockets, start.purges is not None)
     return Limits(
         clients=clients,
         cache_connections=start.sockets - clients - RESERVED_DESCRIPTORS,
--- a/hookrouter/node/purging.py
+++ b/hookrouter/node/purging.py
@@ -15,6 +15,7 @@
 from ..purges.names import Kept
 from ..purges.tags import Listed, read_tags
 from ..site import follow_addresses, purge_terms
+from .start import pattern_memory
 
 # Seconds of applying purges at a time: a full snapshot takes seconds, and lookups must not wait.
 MAX_STEP_DURATION = 0.005
@@ -61,7 +62,8 @@
             if kind.idempotency == interface.IDEMPOTENT and not kind.write
         )
         tags = None if start.tags is None else Listed(start.tags)
-        self.guard = Guard(purge_terms(purges), tags, self.guarded_kinds)
+        terms = purge_terms(purges, pattern_memory(start.memory, start.sockets))
+        self.guard = Guard(terms, tags, self.guarded_kinds)
         self.feed = purge_feed(
             reactor,
             deadlines,
@@ -200,6 +202,7 @@
         """Gauges of purges and tags, by name."""
         return {
             "purges_live": len(self.guard.index),
+            "pattern_bytes": self.guard.index.patterns.memory_used(),
             "purges_sealed": self.guard.index.sealed_keys(),
             "purges_fenced": int(self.lease_state != CURRENT),
             "tags_held": len(self.guard.tags.rows),
--- a/hookrouter/node/start.py
+++ b/hookrouter/node/start.py
@@ -12,6 +12,7 @@
 PROGRAM_MEGABYTES = 40  # MB that the idle program takes, its shared libraries included: resident memory
 DESCRIPTOR_BYTES = 8_000  # of a connection beside what is counted: protocol, transport, parser, timers
 MIN_MEGABYTES = 4  # MB at least for bodies, frames and copies, however small the limit is
+PATTERN_SHARE = 0.15  # share of the available memory for compiled patterns, with [purges]
 OWN_COPY_SHARE = 0.3  # share of the available memory for own copies; the other shares are in node/router.py
 
 
@@ -20,6 +21,16 @@
     return max(MIN_MEGABYTES * MEGABYTE, (memory - PROGRAM_MEGABYTES) * MEGABYTE - sockets * DESCRIPTOR_BYTES)
 
 
+def pattern_memory(memory, sockets):
+    """Bytes for compiled patterns of purges under the same limits."""
+    return int(PATTERN_SHARE * available_memory(memory, sockets))
+
+
+def room_for_bodies(memory, sockets, has_purges):
+    """Bytes left for bodies, frames and copies, beside patterns where there are purges."""
+    return available_memory(memory, sockets) - (pattern_memory(memory, sockets) if has_purges else 0)
+
+
 def memory_shortage(start):
     """What to say where the limits leave less than the program needs, or None."""
     needed = PROGRAM_MEGABYTES + MIN_MEGABYTES + start.sockets * DESCRIPTOR_BYTES / MEGABYTE
@@ -121,7 +132,7 @@
         sockets=sockets,
         feed=config.get("feed", read_address),
         terms=deployment_terms._replace(
-            own_copy_bytes=int(OWN_COPY_SHARE * available_memory(memory, sockets)),
+            own_copy_bytes=int(OWN_COPY_SHARE * room_for_bodies(memory, sockets, purges is not None)),
             own_concurrent_answers=link_rate / flow_rate,
             own_answer_rate=flow_rate / terms.SECOND,
         ),
--- a/hookrouter/purges/expressions.py
+++ b/hookrouter/purges/expressions.py
@@ -29,6 +29,13 @@
     return options
 
 
+def program_size(text: str) -> int:
+    """Instructions of RE2's program for this expression; re2.error where it is refused."""
+    size = re2.compile(text, compile_options(PATTERN_MEMORY)).programsize
+    re2.purge()  # its cache would keep the program, and only sets are matched with
+    return size
+
+
 def expression(kind: str, what: str) -> str:
     """The pattern as a regular expression over whole names. ValueError says why there is none."""
     if kind == types.REGEX:
--- a/hookrouter/purges/index.py
+++ b/hookrouter/purges/index.py
@@ -46,7 +46,7 @@
         self.tags = Names(most, SealedNames(types.TAG, terms.hold, sealed // SHARES[types.TAG]))
         self.groups = Names(MOST_GROUPS)
         self.prefixes = Prefixes(SealedPrefixes(types.PREFIX, terms.hold, sealed // SHARES[types.PREFIX]))
-        self.patterns = Patterns(MOST_PATTERNS)
+        self.patterns = Patterns(MOST_PATTERNS, terms.pattern_memory)
         self.any_tag: Bound | None = None  # the newest purge of any tag, for objects whose tags are not known
         self.all: Bound | None = None  # the newest that counts against every name
         # Name -> its bounds but for those of tags; void after each change. A lookup asks three times, and by
--- a/hookrouter/purges/pattern_sets.py
+++ b/hookrouter/purges/pattern_sets.py
@@ -1,23 +1,34 @@
 """Patterns compiled together, with the bound of each.
 
-RE2 may have no room for a set of patterns each of which compiles alone.
+RE2 keeps the states of a set that names have led it to, in memory that is stated when the set is compiled,
+and drops them all when it is full. Less memory costs a name little: one that was not seen before leads to new
+states anyway. RE2 may have no room for a set of patterns each of which compiles alone.
 """
 
 from collections.abc import Iterator, Sequence
+from typing import NamedTuple
 
 import re2
 
 from .bounds import Bound
-from .expressions import PATTERN_MEMORY, compile_options
+from .expressions import compile_options
 
 MAX_GROWING = 64  # patterns in a set that grows: compiling one of globs takes under a millisecond
 JOIN_COUNT = 4  # neighbours of one size that are made one: a match costs by the set, hardly by its patterns
 MAX_JOINED = 1_024  # patterns in one set: compiling one of globs takes some milliseconds
+# Bytes for an instruction of a set: 8 in its program, 16 in the two lists of a step, and up to 4 in each of
+# the 20 states that RE2 wants to have room for. Most sets compile with the first.
+INSTRUCTION_BYTES = (64, 128)
+SET_BYTES = 1 << 16  # of a set beside its instructions: transitions of these states
 
 
-def compile_set(expressions: Sequence[str]) -> re2.Set | None:
-    """A set of all these expressions; None where RE2 has no room for it."""
-    memory = PATTERN_MEMORY * max(MAX_GROWING, len(expressions))
+def set_memory(instructions: int, instruction_bytes: int) -> int:
+    """Bytes that a set of patterns with so many instructions is compiled with, and fills at most."""
+    return SET_BYTES + instruction_bytes * instructions
+
+
+def compile_set(expressions: Sequence[str], memory: int) -> re2.Set | None:
+    """A set of all these expressions in so many bytes; None where RE2 has no room for it."""
     compiled = re2.Set.FullMatchSet(compile_options(memory))
     try:
         for expression in expressions:
@@ -28,16 +39,37 @@
     return compiled
 
 
+class Additions(NamedTuple):
+    """Patterns that are added to a set together."""
+
+    expressions: Sequence[str]
+    bounds: Sequence[Bound]
+    instructions: int  # of all of them
+    live: int  # how many are not older than the hold
+
+
 class PatternSet:
     """Patterns with successive numbers, compiled into one set whenever one is added."""
 
-    __slots__ = ("first", "expressions", "bounds", "live", "successor", "joinable", "_compiled")
+    __slots__ = (
+        "first",
+        "expressions",
+        "bounds",
+        "instructions",
+        "instruction_bytes",
+        "live",
+        "successor",
+        "joinable",
+        "_compiled",
+    )
 
     def __init__(self, first: int) -> None:
         """Empty. first: number of its first pattern."""
         self.first = first
         self.expressions: list[str] = []
         self.bounds: list[Bound] = []
+        self.instructions = 0  # of all its patterns
+        self.instruction_bytes = INSTRUCTION_BYTES[0]  # for each, as it was compiled last
         self.live = 0  # patterns that are not older than the hold
         self.successor: PatternSet | None = None  # the set that it was joined into
         self.joinable = True  # False: a set with more patterns did not compile
@@ -51,16 +83,33 @@
         """Whether a pattern of that number can follow its last."""
         return len(self.bounds) < MAX_GROWING and number == self.end()
 
-    def add(self, expressions: Sequence[str], bounds: Sequence[Bound], live: int) -> bool:
-        """Adds patterns; live: how many of them are. False where no set holds them too: none is added."""
-        compiled = compile_set([*self.expressions, *expressions])
+    def memory(self) -> int:
+        """Bytes that it takes at most; 0 for an empty set."""
+        return set_memory(self.instructions, self.instruction_bytes) if self.bounds else 0
+
+    def add(self, added: Additions, room: int) -> bool:
+        """Adds patterns. room: bytes that the set may take. False where it cannot: none is added."""
+        return any(
+            self.add_with(added, room, instruction_bytes)
+            for instruction_bytes in INSTRUCTION_BYTES
+            if instruction_bytes >= self.instruction_bytes
+        )
+
+    def add_with(self, added: Additions, room: int, instruction_bytes: int) -> bool:
+        """As add, with so many bytes for each instruction."""
+        memory = set_memory(self.instructions + added.instructions, instruction_bytes)
+        if memory > room:
+            return False
+        compiled = compile_set([*self.expressions, *added.expressions], memory)
         if compiled is None:
             self.joinable = False
             return False
         self._compiled = compiled
-        self.expressions += expressions
-        self.bounds += bounds
-        self.live += live
+        self.instruction_bytes, self.joinable = instruction_bytes, True
+        self.expressions += added.expressions
+        self.bounds += added.bounds
+        self.instructions += added.instructions
+        self.live += added.live
         return True
 
     def matching(self, name: str, since: int) -> Iterator[Bound]:
@@ -81,12 +130,19 @@
     )
 
 
-def join(sets: Sequence[PatternSet]) -> PatternSet | None:
-    """One set in place of these; None where it does not compile, and they are not joined again."""
+def join(sets: Sequence[PatternSet], room: int) -> PatternSet | None:
+    """One set in place of these; None where it does not compile, and they are not joined again.
+
+    room: bytes that it may take.
+    """
     whole = PatternSet(sets[0].first)
-    expressions = [expression for one in sets for expression in one.expressions]
-    bounds = [bound for one in sets for bound in one.bounds]
-    is_joined = whole.add(expressions, bounds, sum(one.live for one in sets))
+    added = Additions(
+        [expression for one in sets for expression in one.expressions],
+        [bound for one in sets for bound in one.bounds],
+        sum(one.instructions for one in sets),
+        sum(one.live for one in sets),
+    )
+    is_joined = whole.add_with(added, room, max(one.instruction_bytes for one in sets))
     for one in sets:
         one.joinable = is_joined
         one.successor = whole if is_joined else None
--- a/hookrouter/purges/patterns.py
+++ b/hookrouter/purges/patterns.py
@@ -1,17 +1,19 @@
 """The live patterns of one router, and the bounds of those that match a name.
 
 They stand in sets: one more compiles the newest set again, never all. Full sets of one size are joined, so
-that their number grows with the logarithm of the patterns'.
+that their number grows with the logarithm of the patterns'. The memory of all sets has a bound: a pattern
+beyond it counts against every name.
 """
 
 import re2
 
 from .bounds import Bound, BoundTable
-from .expressions import PATTERN_MEMORY, compile_options, expression
+from .expressions import expression, program_size
 from .names import Kept
-from .pattern_sets import JOIN_COUNT, PatternSet, can_join, join
+from .pattern_sets import JOIN_COUNT, Additions, PatternSet, can_join, join
 
 MAX_REMEMBERED = 4_096  # names whose matches are remembered: some seconds of a router's lookups
+MAX_REMEMBERED_BOUNDS = 1 << 16  # matches of all of them: a name may match all patterns
 
 
 class RememberedMatches:
@@ -39,15 +41,16 @@
 class Patterns:
     """All live patterns; the bounds of those that match a name."""
 
-    def __init__(self, most: int) -> None:
-        """most: distinct live ones."""
-        self.most = most
+    def __init__(self, most: int, memory: int) -> None:
+        """most: distinct live ones; memory: bytes that all sets may take."""
+        self.most, self.memory = most, memory
         self.sets: list[PatternSet] = []
         self.count = 0  # patterns so far; the number of the next one
         self.version = 0  # rises with each purge
         self.known = BoundTable()  # by (kind, what)
         self._set_of: dict[tuple[str, str], PatternSet] = {}  # by (kind, what); see PatternSet.successor
         self._remembered: dict[str, RememberedMatches] = {}  # by name, the last used last
+        self._remembered_bounds = 0  # of all of them
 
     def __len__(self) -> int:
         """Live patterns."""
@@ -64,11 +67,11 @@
             return False
         try:
             text = expression(kind, what)
-            re2.compile(text, compile_options(PATTERN_MEMORY))
+            instructions = program_size(text)
         except (ValueError, re2.error):
             return False  # a desk of another build took it: safe, if dear
         self.known.raise_to(key, made, told, grace)
-        holder = self._set_with(text, self.known[key])
+        holder = self._set_with(Additions([text], [self.known[key]], instructions, 1))
         if holder is None:
             del self.known[key]
             return False
@@ -98,21 +101,29 @@
         if matches is not None and matches.version == self.version:
             return matches.merged
         matches = self._remember(name)
+        bounds_before = len(matches.bounds)
         for patterns in reversed(self.sets):  # the newest first: most of them have been seen
             if patterns.end() <= matches.seen:
                 break
             matches.bounds.extend(patterns.matching(name, matches.seen))
         matches.seen, matches.version = self.count, self.version
         matches.merge()
+        self._remembered_bounds += len(matches.bounds) - bounds_before
+        while self._remembered_bounds > MAX_REMEMBERED_BOUNDS and len(self._remembered) > 1:
+            self._forget_oldest()
         return matches.merged
 
-    def _set_with(self, text: str, bound: Bound) -> PatternSet | None:
-        """The set that holds this expression from now on; None where none can."""
-        newest = self.sets[-1] if self.sets else None
-        if newest is not None and newest.has_room(self.count) and newest.add([text], [bound], 1):
+    def memory_used(self) -> int:
+        """Bytes that the sets take at most."""
+        return sum(one.memory() for one in self.sets)
+
+    def _set_with(self, added: Additions) -> PatternSet | None:
+        """The set that holds this pattern from now on; None where none can."""
+        newest, room = self.sets[-1] if self.sets else None, self.memory - self.memory_used()
+        if newest is not None and newest.has_room(self.count) and newest.add(added, newest.memory() + room):
             return newest
         fresh = PatternSet(self.count)
-        if not fresh.add([text], [bound], 1):
+        if not fresh.add(added, room):
             return None
         self._join_newest()
         self.sets.append(fresh)
@@ -121,7 +132,8 @@
     def _join_newest(self) -> None:
         """Joins the newest sets as long as they are of one size."""
         while can_join(newest := self.sets[-JOIN_COUNT:]):
-            whole = join(newest)
+            room = self.memory - self.memory_used() + sum(one.memory() for one in newest)
+            whole = join(newest, room)
             if whole is None:
                 return
             self.sets[-JOIN_COUNT:] = [whole]
@@ -132,10 +144,15 @@
         if matches is None:
             matches = RememberedMatches()
             if len(self._remembered) >= MAX_REMEMBERED:
-                del self._remembered[next(iter(self._remembered))]
+                self._forget_oldest()
         self._remembered[name] = matches
         return matches
 
+    def _forget_oldest(self) -> None:
+        """Forgets the matches of the name that was not used for longest."""
+        oldest = self._remembered.pop(next(iter(self._remembered)))
+        self._remembered_bounds -= len(oldest.bounds)
+
 
 class PatternsOfKind:
     """The table of one kind of pattern."""
--- a/hookrouter/purges/types.py
+++ b/hookrouter/purges/types.py
@@ -10,6 +10,7 @@
     (GLOB, REGEX)
 )  # no name can be looked up by them: they are kept one by one for a hold
 SEALABLE_KINDS = (OBJECT, TAG, PREFIX)  # past so many the oldest are sealed into slices; groups are few
+MAX_PATTERN_MEMORY = 1 << 28  # bytes for compiled patterns, where the limits of the process do not say
 MOST_SEALED = 3_000_000  # purges of objects in a hold, where the operator's file does not say
 
 # What a router without a lease does: answers from copies younger than the lease, or nacks.
@@ -51,3 +52,4 @@
     most_sealed: int = (
         MOST_SEALED  # purges of objects in a hold for which the slices past most_names are sized
     )
+    pattern_memory: int = MAX_PATTERN_MEMORY  # bytes for compiled globs and regexes
--- a/hookrouter/site/__init__.py
+++ b/hookrouter/site/__init__.py
@@ -27,8 +27,8 @@
 ]
 
 
-def purge_terms(purges: dict[str, Any]) -> types.PurgeTerms:
-    """Converts the section [purges] to a router's PurgeTerms."""
+def purge_terms(purges: dict[str, Any], pattern_memory: int) -> types.PurgeTerms:
+    """Converts the section [purges] to a router's PurgeTerms. pattern_memory: bytes, by its limits."""
     return types.PurgeTerms(
         lease=purges["lease"],
         hold=purges["hold"],
@@ -38,6 +38,7 @@
         most_names=purges["names"],
         most_tagged=purges["tagged"],
         most_sealed=purges["sealed"],
+        pattern_memory=pattern_memory,
     )
 
 
