--- a/hookrouter/caches/connection.py
+++ b/hookrouter/caches/connection.py
@@ -90,7 +90,7 @@
             self.caches.count("caches_malformed")
             if self.head is None:  # it may belong to the response before
                 self.end_tail(FOLLOWED)
-            self.caches.on_malformed_response(self)
+            self.caches.responses.on_malformed(self)
         self._count_memory()
         if self.is_reading() and self.caches.body_memory.full():
             self.caches.pause_reading()
@@ -168,7 +168,7 @@
         return tuple(bytes(piece) if isinstance(piece, bytearray) else piece for piece in self.pieces)
 
     def _on_end(self):
-        self.caches.on_response(self)
+        self.caches.responses.on_complete(self)
 
     def end_tail(self, event):
         """Tells the watcher of the last response what followed it, see ResponseTail."""
--- a/hookrouter/caches/pool.py
+++ b/hookrouter/caches/pool.py
@@ -19,7 +19,7 @@
 from .endpoints import Endpoints
 from .idle import REST_DURATION, IdleConnections
 from .reservations import Reservations
-from .response_tail import ResponseTail
+from .responses import Responses
 from .send import Send, always_wanted, is_reserved, unwritten_outcome
 
 
@@ -42,7 +42,7 @@
         self.endpoints = Endpoints(self._close_idle_connections, log)
         self.connections = Slots(limit)
         self.waiting = deque()  # sends that wait for a descriptor
-        self.reservations = Reservations(self)
+        self.reservations, self.responses = Reservations(self), Responses(self)
 
     # ---- addresses
 
@@ -129,7 +129,7 @@
         """Ends a send that holds no connection and does not wait for one: its cache has gone."""
         self.count("sends_to_gone_caches")
         send.result = requests.SendResult(interface.VOID)
-        self._finish(send)
+        self.finish(send)
 
     def _connect(self, send):
         connection = Connection(self, send.endpoint)
@@ -181,16 +181,16 @@
         send.result = requests.SendResult(outcome)
         if is_reserved(send):
             self.reservations.give_up(send.connection)
-            self._finish(send)
+            self.finish(send)
         elif send.connection is not None:
             send.connection.discard_response()
             send.connection.close()
         else:
             if send.endpoint is not None:
                 self.waiting.remove(send)
-            self._finish(send)
+            self.finish(send)
 
-    def _finish(self, send):
+    def finish(self, send):
         """The only place where a send ends: it holds no resources afterwards."""
         self.deadlines.drop(send.timeout_timer)
         self.deadlines.drop(send.start_timer)
@@ -227,65 +227,16 @@
             send.result = send.result or requests.SendResult(
                 interface.BROKEN if send.written else interface.UNREACHED
             )
-            self._finish(send)
+            self.finish(send)
         while self.waiting and len(self.connections) < self.connections.size:
             self._start(self.waiting.popleft())
 
-    def on_response(self, connection):
-        """A response is complete: ends its send, keeps or closes the connection."""
-        send, head = connection.send, connection.head
-        # Where more lies behind it already it is passed on as its length says, but not stored.
-        tail = None if connection.parser.buffer else ResponseTail(self.deadlines)
-        send.result = requests.read_result(
-            head, connection.body(), connection.length, self.report_fields, tail
-        )
-        connection.tail = send.result.tail
-        connection.send = send.connection = None
-        connection.discard_response()
-        connection.acknowledge()
-        if connection.parser.buffer:
-            connection.close()
-        elif head.keep_alive and self._may_keep(connection):
-            self.idle.rest(connection)
-            self.idle.keep(connection)
-        else:
-            self._close_after(connection)
-        self._finish(send)
-        if connection.lingers and not (connection.tail is not None and connection.tail.is_watched()):
-            self.close_connection(connection)
-
-    def _close_after(self, connection):
-        """Closes a connection; later if what follows its response matters and no send waits."""
-        if connection.tail is None or self.waiting:
-            connection.close()
-        else:
-            self.idle.linger(connection)
-
     def pause_reading(self):
         """The body memory is full: no connection reads more of a response until there is room."""
         for connection in self.connections.occupied():
             if connection.is_reading():
                 connection.pause()
 
-    def on_malformed_response(self, connection):
-        """Ends the send of a connection whose response is invalid as BROKEN."""
-        if connection.send is not None:
-            self.abort(connection.send, interface.BROKEN)
-        else:
-            connection.close()
-
-    def keep_idle(self, connection):
-        """Makes a connection idle, unless its cache has moved or a send waits for a descriptor."""
-        if self._may_keep(connection):
-            self.idle.keep(connection)
-        else:
-            connection.close()
-
-    def _may_keep(self, connection):
-        if self.waiting:
-            return False  # the send that waits would have to let it rest
-        return self.endpoints.is_current(connection.endpoint) and self.idle.timeout > 0
-
     def close_connection(self, connection):
         """Closes a connection, idle or not."""
         self.idle.take(connection)
--- a/hookrouter/caches/reservations.py
+++ b/hookrouter/caches/reservations.py
@@ -35,7 +35,7 @@
         connection.reserved_for.connection = connection.reserved_for = None
         self.pool.deadlines.drop(connection.idle_timer)
         if not connection.closing:
-            self.pool.keep_idle(connection)
+            self.pool.responses.keep_idle(connection)
 
     def on_spare_connected(self, connection):
         """A spare connection is up: takes the request of its send, or becomes idle if that has gone out."""
@@ -47,4 +47,4 @@
             pool.write_request(send, connection)
         else:
             pool.idle.skip_rest(connection)
-            pool.keep_idle(connection)
+            pool.responses.keep_idle(connection)
