Alarms of lookups that have ended take no decision, so a planned end is in time

Cause: each lookup sets an alarm for its end and keeps it when it has ended. After SIGTERM all lookups are due at one moment, 3.57 s after it, so the alarms of all that were taken since came in one turn, each a decision: 6,238 and 6,054 of them, 57 and 58 ms, before the last lookups were answered at 3.63; SIGKILL may come at 3.70.

Evidence: a trial that logged turns of the deadlines over 10 ms, and when the last lookups were answered; SIGTERM itself was heard after 1 to 3 ms. The new test in tests/test_node.py counts 30 alarms on the code before.

Change: an alarm that goes off for a lookup that has ended is removed and takes no decision.

--- a/hookrouter/node/effects.py
+++ b/hookrouter/node/effects.py
@@ -187,9 +187,13 @@
 
 def set_alarm(router, effect):
     """Schedules an Alarm input."""
-    router.deadlines.after(
-        router.seconds_until(effect.delay), router.handle_event, interface.Alarm(effect.token)
-    )
+    router.deadlines.after(router.seconds_until(effect.delay), on_alarm, router, effect.token)
+
+
+def on_alarm(router, token):
+    """Passes an alarm to Control, unless its lookup has ended: at a shutdown thousands are due at once."""
+    if not router.control.drop_alarm_of_ended(token):
+        router.handle_event(interface.Alarm(token))
 
 
 def subscribe(router, effect):
--- a/hookrouter/tables/router_state.py
+++ b/hookrouter/tables/router_state.py
@@ -192,6 +192,14 @@
         """Tokens of the alarms set for this word, in the order in which they were set."""
         return [token for token, (_, what) in self.alarms.items() if what == word]
 
+    def drop_alarm_of_ended(self, token):
+        """Removes the alarm if its lookup has ended; returns whether it did. It would change nothing."""
+        lookup_id, _ = self.alarms.get(token, (None, None))
+        if lookup_id is None or lookup_id in self.pending_lookups:
+            return False
+        del self.alarms[token]
+        return True
+
     def take_alarm(self, token):
         """Removes the alarm of this token and returns its payload, (None, None) if there is none."""
         return self.alarms.pop(token, (None, None))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -253,6 +253,25 @@
     assert stopped and s.check_counters()["clients_held"] == 0
 
 
+# Guards against lookups that are answered too late at a shutdown, behind the alarms of all that have ended.
+def test_alarms_of_lookups_that_have_ended_take_no_decision(tmp_path):
+    s = Scene(tmp_path)
+    service, _ = s.make_service()
+    service.stop()
+    wire, decided = s.client(), []
+    decide = s.router.control.decide
+    s.router.control.decide = lambda now, inputs: decided.extend(inputs) or decide(now, inputs)
+    for seqid in range(1, 31):
+        wire.come(message(seqid, part=str(seqid), allow="4000"))
+        s.net.ways[-1].up().come(answer(200, b"x", b"Connection: close"))
+    assert len(answers(wire.take())) == 30 and len(s.router.control.alarms) >= 30
+    wire.come(message(31, part="99", allow="4000"))  # never answered by a cache
+    s.net.advance(4)
+    alarms = [event for event in decided if isinstance(event, interface.Alarm)]
+    assert 31 in answers(wire.value()) and len(alarms) <= 1
+    assert not s.router.control.alarms
+
+
 def test_at_the_end_a_client_that_reads_nothing_is_cut_off_in_time(tmp_path):
     s = Scene(tmp_path)
     service, stopped = s.make_service()
